--- /dev/null
+++ b/src/cmake/dependencies.cmake
@@ -0,0 +1,12 @@
+# Every third-party library, found once. All of them come from Debian's packages (scripts/packages.txt).
+find_package(Threads REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS program_options unit_test_framework)
+find_package(glog REQUIRED)
+find_package(nng REQUIRED)
+find_package(prometheus-cpp REQUIRED COMPONENTS core)
+find_package(nlohmann_json 3.11 REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(sodium REQUIRED IMPORTED_TARGET libsodium)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(zstd REQUIRED IMPORTED_TARGET libzstd)
+find_package(rapidcheck REQUIRED)
--- /dev/null
+++ b/src/include/papayastep/base/error.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "papayastep/base/resultcode.h"
+
+#include <stdexcept>
+#include <string>
+
+namespace papayastep::base {
+
+/// Where in the operator's files an error stands. Both parts may be empty.
+struct ErrorLocation
+{
+    std::string file; ///< Name of the file, without its folder.
+    std::string pointer; ///< JSON pointer (RFC 6901) into that file.
+
+    auto operator<=>(const ErrorLocation &) const = default;
+};
+
+/// The exception of the whole system: a result code, a sentence for a person, and a place if there is one.
+class Error : public std::runtime_error
+{
+public:
+    Error(ResultCode code, const std::string &detail, ErrorLocation location = {});
+
+    ResultCode code() const;
+    const std::string &detail() const;
+    const ErrorLocation &location() const;
+
+private:
+    ResultCode m_code;
+    std::string m_detail;
+    ErrorLocation m_location;
+};
+
+/// One line: `error NUMBER (Name) in FILE at POINTER: text: detail`, without the empty parts.
+std::string describe(ResultCode code, const std::string &detail, const ErrorLocation &location);
+
+}
--- /dev/null
+++ b/src/include/papayastep/config/configuration.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include "papayastep/base/clock.h"
+#include "papayastep/base/identifiers.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/// What operators publish, checked and merged: immutable, one object per revision, shared by all parts of a node.
+namespace papayastep::config {
+
+/// SHA-256 (or BLAKE2b-256) of a caller's key, as 64 lower-case hexadecimal digits.
+using KeyFingerprint = std::string;
+
+/// A tenant: the keys that speak for it, and what it may use, fleet-wide.
+struct Workspace
+{
+    base::WorkspaceId id;
+    std::vector<KeyFingerprint> keys;
+    double rate = 0; ///< Requests per second, over all VMs together.
+    double burst = 0; ///< Requests that may come at once, over all VMs together.
+
+    auto operator<=>(const Workspace &) const = default;
+};
+
+/// What a service weighs more: hearing of a sick backend server soon, or not ejecting a healthy one.
+enum class DetectionPreference { FastDetection, FewEjections };
+
+struct Service
+{
+    base::ServiceId id;
+    DetectionPreference prefer = DetectionPreference::FastDetection;
+    double floor = 0.5; ///< Share of the service's slots that ejection must leave in use.
+    std::string healthPath; ///< A hint only. Empty: the service has none.
+
+    auto operator<=>(const Service &) const = default;
+};
+
+struct Route
+{
+    base::RouteId id;
+    std::string host; ///< Empty: any host.
+    std::string pathPrefix;
+    std::vector<std::string> methods; ///< Empty: any method.
+    base::ServiceId service;
+    std::optional<bool> idempotent; ///< Absent: by method (GET, HEAD, OPTIONS are).
+    base::Duration deadline = std::chrono::seconds(10);
+    base::Duration retention = std::chrono::hours(1); ///< How long the outcome of an Idempotency-Key is kept.
+    bool stream = false; ///< Answers are passed on as they come instead of being held whole first.
+
+    auto operator<=>(const Route &) const = default;
+};
+
+struct BackendServer
+{
+    base::BackendServerId id;
+    base::ServiceId service;
+    base::VmId vm;
+    base::ZoneId zone;
+    std::string address; ///< IP number, as the node on `vm` reaches it.
+    std::uint16_t port = 0;
+    int slots = 1; ///< Requests that it works on at once.
+    bool drain = false; ///< Operators want it to get no new work.
+
+    auto operator<=>(const BackendServer &) const = default;
+};
+
+/// All of one revision. Vectors are sorted by id; lookups are by hash.
+class Configuration
+{
+public:
+    struct Parts
+    {
+        std::vector<Workspace> workspaces;
+        std::vector<Service> services;
+        std::vector<Route> routes;
+        std::vector<BackendServer> backendServers;
+    };
+
+    Configuration(base::Revision revision, Parts parts);
+
+    base::Revision revision() const;
+    const std::vector<Workspace> &workspaces() const;
+    const std::vector<Service> &services() const;
+    const std::vector<Route> &routes() const;
+    const std::vector<BackendServer> &backendServers() const;
+
+    /// Null where there is none of that name.
+    const Workspace *workspace(const base::WorkspaceId &id) const;
+    const Service *service(const base::ServiceId &id) const;
+    const Route *route(const base::RouteId &id) const;
+    const BackendServer *backendServer(const base::BackendServerId &id) const;
+
+    /// The workspace that `fingerprint` speaks for, or null. This is the only way from a key to a workspace.
+    const Workspace *workspaceOfKey(const KeyFingerprint &fingerprint) const;
+
+    /// Servers of a service, sorted by id.
+    const std::vector<const BackendServer *> &serversOf(const base::ServiceId &service) const;
+
+    /// The VMs that carry servers of a service, sorted and without repeats.
+    std::vector<base::VmId> vmsOf(const base::ServiceId &service) const;
+
+private:
+    base::Revision m_revision;
+    Parts m_parts;
+    std::unordered_map<std::string, std::size_t> m_workspaceOfKey;
+    std::unordered_map<base::ServiceId, std::vector<const BackendServer *>> m_serversOf;
+};
+
+using ConfigurationPtr = std::shared_ptr<const Configuration>;
+
+/// One VM as the platform lists it. The list lags.
+struct VmEntry
+{
+    base::VmId id;
+    base::ZoneId zone;
+    std::string address; ///< IP number.
+    std::uint16_t callerPort = 0; ///< HTTP, for callers.
+    std::uint16_t hopPort = 0; ///< HTTP, between nodes.
+    std::uint16_t peerPort = 0; ///< nng, between nodes.
+    std::uint16_t adminPort = 0; ///< HTTP, for operators: /metrics, /status.
+    bool leaving = false; ///< The platform is about to take it away.
+
+    auto operator<=>(const VmEntry &) const = default;
+};
+
+/// The platform's list of VMs, sorted by id.
+struct VmList
+{
+    std::uint64_t version = 0; ///< Rises with each change that the platform publishes.
+    std::vector<VmEntry> vms;
+
+    /// Null where the list does not name `id`.
+    const VmEntry *find(const base::VmId &id) const;
+
+    auto operator<=>(const VmList &) const = default;
+};
+
+/// One published file as it stands at the platform.
+struct ConfigurationFile
+{
+    std::string name;
+    std::string text; ///< JSON.
+
+    auto operator<=>(const ConfigurationFile &) const = default;
+};
+
+/// The largest value the platform holds, in bytes; so the largest file.
+constexpr std::size_t maxFileBytes = 1'000'000;
+
+/// Merges `files` in the order of their names, checks all, and returns the configuration.
+/// Throws Error (1xxx) naming file and JSON pointer. The same input gives the same verdict on every node.
+ConfigurationPtr buildConfiguration(base::Revision revision, const std::vector<ConfigurationFile> &files);
+
+/// The fingerprint of a caller's key.
+KeyFingerprint fingerprintOf(const std::string &key);
+
+}
--- /dev/null
+++ b/src/include/papayastep/wire/message.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "papayastep/base/error.h"
+#include "papayastep/base/identifiers.h"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// Messages between nodes. Every message is one-way and idempotent: a lost one is repaired by the next, a repeated
+/// one is recognised by the ids inside it. Payloads are value types with MSGPACK_DEFINE, encoded as arrays, so a
+/// newer node may append fields and an older one skips them.
+namespace papayastep::wire {
+
+/// What a payload is. Numbers are stable; each package owns a range.
+enum class MessageKind : std::uint8_t {
+    // 10-19: limits
+    TokenRequest = 10,
+    TokenGrant = 11,
+    TokenReturn = 12,
+    ShareNotice = 13,
+    // 20-29: health
+    SiblingState = 20,
+    SiblingLeaving = 21,
+    // 30-39: configuration and membership
+    RevisionNotice = 30,
+    ConfigurationDelta = 31,
+    ConfigurationRequest = 32,
+    ConfigurationPart = 33,
+    VmListNotice = 34,
+    VmLeaving = 35,
+    // 40-49: attempts
+    CancelAttempt = 40,
+    CancelResult = 41,
+    // 50-59: idempotency ledger
+    LedgerClaim = 50,
+    LedgerClaimResult = 51,
+    LedgerComplete = 52,
+    LedgerHandOver = 53,
+    LedgerHandOverResult = 54,
+    LedgerFetch = 55,
+};
+
+/// A payload of a message on its way: to whom, what kind, and its encoded bytes.
+struct Outgoing
+{
+    base::VmId to;
+    MessageKind kind;
+    std::string payload;
+
+    auto operator<=>(const Outgoing &) const = default;
+};
+
+/// MessagePack bytes of `value`.
+template<typename Value>
+std::string encode(const Value &value)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, value);
+    return std::string(buffer.data(), buffer.size());
+}
+
+/// The inverse of encode(). Throws Error(MessageMalformed) for bytes that are no such value.
+template<typename Value>
+Value decode(std::string_view bytes)
+{
+    try {
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        return handle.get().as<Value>();
+    } catch (const msgpack::unpack_error &error) {
+        throw base::Error(base::ResultCode::MessageMalformed, error.what());
+    } catch (const msgpack::type_error &) {
+        throw base::Error(base::ResultCode::MessageMalformed, "a field has an unexpected type");
+    }
+}
+
+/// Shorthand for a package that answers with messages.
+template<typename Value>
+Outgoing outgoing(const base::VmId &to, MessageKind kind, const Value &value)
+{
+    return Outgoing{to, kind, encode(value)};
+}
+
+}
--- /dev/null
+++ b/src/wire/envelope.cpp
@@ -0,0 +1,165 @@
+#include "papayastep/wire/envelope.h"
+
+#include <sodium.h>
+#include <zstd.h>
+
+#include <array>
+#include <tuple>
+
+namespace papayastep::wire {
+
+namespace {
+
+constexpr std::size_t tagBytes = 16;
+constexpr std::size_t minSecretBytes = 16;
+constexpr std::size_t compressFromBytes = 256;
+constexpr int compressionLevel = 3;
+
+using EnvelopeFields = std::tuple<LayoutBits,
+                                  std::string,
+                                  base::Incarnation,
+                                  std::uint64_t,
+                                  base::Revision,
+                                  CapabilityBits,
+                                  std::uint8_t,
+                                  std::string>;
+
+std::array<unsigned char, tagBytes> tagOf(const std::string &key, std::string_view bytes)
+{
+    std::array<unsigned char, tagBytes> tag{};
+    crypto_generichash(tag.data(),
+                       tag.size(),
+                       reinterpret_cast<const unsigned char *>(bytes.data()),
+                       bytes.size(),
+                       reinterpret_cast<const unsigned char *>(key.data()),
+                       key.size());
+    return tag;
+}
+
+std::string compressed(const std::string &payload)
+{
+    std::string out(ZSTD_compressBound(payload.size()), '\0');
+    const std::size_t size = ZSTD_compress(out.data(), out.size(), payload.data(), payload.size(), compressionLevel);
+    if (ZSTD_isError(size) != 0) {
+        return payload;
+    }
+    out.resize(size);
+    return out;
+}
+
+std::string decompressed(const std::string &payload)
+{
+    const unsigned long long size = ZSTD_getFrameContentSize(payload.data(), payload.size());
+    // A frame may claim any size; the bound keeps a hostile one from taking the node's memory.
+    if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN || size > maxMessageBytes) {
+        throw base::Error(base::ResultCode::MessageMalformed, "the compressed payload has no acceptable size");
+    }
+    std::string out(size, '\0');
+    const std::size_t got = ZSTD_decompress(out.data(), out.size(), payload.data(), payload.size());
+    if (ZSTD_isError(got) != 0 || got != size) {
+        throw base::Error(base::ResultCode::MessageMalformed, "the compressed payload is damaged");
+    }
+    return out;
+}
+
+}
+
+EnvelopeCodec::EnvelopeCodec(const std::string &secret)
+{
+    if (sodium_init() < 0) {
+        throw base::Error(base::ResultCode::Internal, "libsodium does not start");
+    }
+    if (secret.size() < minSecretBytes) {
+        throw base::Error(base::ResultCode::SettingsSecretMissing, "the fleet secret has fewer than 16 bytes");
+    }
+    m_key.resize(crypto_generichash_KEYBYTES);
+    crypto_generichash(reinterpret_cast<unsigned char *>(m_key.data()),
+                       m_key.size(),
+                       reinterpret_cast<const unsigned char *>(secret.data()),
+                       secret.size(),
+                       nullptr,
+                       0);
+}
+
+std::string EnvelopeCodec::seal(const Envelope &envelope, bool compress) const
+{
+    LayoutBits layout = layoutPlain;
+    std::string payload = envelope.payload;
+    if (compress && payload.size() >= compressFromBytes) {
+        std::string smaller = compressed(payload);
+        if (smaller.size() < payload.size()) {
+            payload = std::move(smaller);
+            layout |= layoutCompressed;
+        }
+    }
+    const EnvelopeFields fields{layout,
+                                envelope.sender.value(),
+                                envelope.incarnation,
+                                envelope.sequence,
+                                envelope.revision,
+                                envelope.capabilities,
+                                static_cast<std::uint8_t>(envelope.kind),
+                                std::move(payload)};
+    std::string bytes = encode(fields);
+    const auto tag = tagOf(m_key, bytes);
+    bytes.append(reinterpret_cast<const char *>(tag.data()), tag.size());
+    return bytes;
+}
+
+Envelope EnvelopeCodec::open(std::string_view bytes) const
+{
+    if (bytes.size() <= tagBytes || bytes.size() > maxMessageBytes) {
+        throw base::Error(base::ResultCode::MessageMalformed, "the message has an unacceptable size");
+    }
+    const std::string_view body = bytes.substr(0, bytes.size() - tagBytes);
+    const auto expected = tagOf(m_key, body);
+    if (sodium_memcmp(expected.data(), bytes.data() + body.size(), tagBytes) != 0) {
+        throw base::Error(base::ResultCode::MessageUnauthenticated, "the tag does not match");
+    }
+    auto fields = decode<EnvelopeFields>(body);
+    const LayoutBits layout = std::get<0>(fields);
+    if ((layout & ~knownLayout) != 0) {
+        throw base::Error(base::ResultCode::MessageUnknownLayout, "layout bits " + std::to_string(layout));
+    }
+    std::string payload = std::move(std::get<7>(fields));
+    if ((layout & layoutCompressed) != 0) {
+        payload = decompressed(payload);
+    }
+    return Envelope{base::VmId(std::get<1>(fields)),
+                    std::get<2>(fields),
+                    std::get<3>(fields),
+                    std::get<4>(fields),
+                    std::get<5>(fields),
+                    static_cast<MessageKind>(std::get<6>(fields)),
+                    std::move(payload)};
+}
+
+bool ReplayWindow::accept(const base::VmId &sender, base::Incarnation incarnation, std::uint64_t sequence)
+{
+    constexpr std::uint64_t windowSize = 64;
+    Seen &seen = m_seen[sender];
+    if (seen.incarnation != incarnation) {
+        seen = Seen{incarnation, sequence, 1};
+        return true;
+    }
+    if (sequence > seen.highest) {
+        const std::uint64_t shift = sequence - seen.highest;
+        seen.bitmap = shift >= windowSize ? 0 : seen.bitmap << shift;
+        seen.bitmap |= 1;
+        seen.highest = sequence;
+        return true;
+    }
+    const std::uint64_t age = seen.highest - sequence;
+    if (age >= windowSize || (seen.bitmap & (std::uint64_t(1) << age)) != 0) {
+        return false;
+    }
+    seen.bitmap |= std::uint64_t(1) << age;
+    return true;
+}
+
+void ReplayWindow::forget(const base::VmId &sender)
+{
+    m_seen.erase(sender);
+}
+
+}
