Hold key fingerprints as 32 bytes and declare the configuration API

A fingerprint as a 64-character string cost about 100 bytes for the text and as much again in the hash map that leads from key to workspace. KeyFingerprint is now a value of 32 bytes, and the index holds 16 bytes a key, sorted by the first bytes of the fingerprint.

--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -33,16 +33,27 @@
     sortById(m_parts.services);
     sortById(m_parts.routes);
     sortById(m_parts.backendServers);
-    for (std::size_t index = 0; index < m_parts.workspaces.size(); ++index) {
-        for (const KeyFingerprint &key : m_parts.workspaces[index].keys) {
-            m_workspaceOfKey.emplace(key, index);
-        }
-    }
+    indexKeys();
     for (const BackendServer &server : m_parts.backendServers) {
         m_serversOf[server.service].push_back(&server);
     }
 }
 
+void Configuration::indexKeys()
+{
+    std::size_t count = 0;
+    for (const Workspace &workspace : m_parts.workspaces) {
+        count += workspace.keys.size();
+    }
+    m_keys.reserve(count);
+    for (std::uint32_t index = 0; index < m_parts.workspaces.size(); ++index) {
+        for (const KeyFingerprint &key : m_parts.workspaces[index].keys) {
+            m_keys.push_back({key.prefix(), index});
+        }
+    }
+    std::sort(m_keys.begin(), m_keys.end(), [](const KeyEntry &a, const KeyEntry &b) { return a.prefix < b.prefix; });
+}
+
 base::Revision Configuration::revision() const
 {
     return m_revision;
@@ -90,8 +101,17 @@
 
 const Workspace *Configuration::workspaceOfKey(const KeyFingerprint &fingerprint) const
 {
-    const auto found = m_workspaceOfKey.find(fingerprint);
-    return found != m_workspaceOfKey.end() ? &m_parts.workspaces[found->second] : nullptr;
+    const std::uint64_t prefix = fingerprint.prefix();
+    auto entry = std::lower_bound(m_keys.begin(), m_keys.end(), prefix, [](const KeyEntry &key, std::uint64_t wanted) {
+        return key.prefix < wanted;
+    });
+    for (; entry != m_keys.end() && entry->prefix == prefix; ++entry) {
+        const Workspace &workspace = m_parts.workspaces[entry->workspace];
+        if (std::find(workspace.keys.begin(), workspace.keys.end(), fingerprint) != workspace.keys.end()) {
+            return &workspace;
+        }
+    }
+    return nullptr;
 }
 
 const std::vector<const BackendServer *> &Configuration::serversOf(const base::ServiceId &service) const
@@ -117,14 +137,4 @@
     return findById(vms, id);
 }
 
-KeyFingerprint fingerprintOf(const std::string &key)
-{
-    unsigned char digest[crypto_hash_sha256_BYTES];
-    crypto_hash_sha256(digest, reinterpret_cast<const unsigned char *>(key.data()), key.size());
-    KeyFingerprint hex(2 * sizeof(digest) + 1, '\0');
-    sodium_bin2hex(hex.data(), hex.size(), digest, sizeof(digest));
-    hex.pop_back();
-    return hex;
-}
-
 }
--- a/src/include/papayastep/config/configuration.h
+++ b/src/include/papayastep/config/configuration.h
@@ -2,6 +2,7 @@
 
 #include "papayastep/base/clock.h"
 #include "papayastep/base/identifiers.h"
+#include "papayastep/config/keyfingerprint.h"
 
 #include <cstdint>
 #include <memory>
@@ -13,9 +14,6 @@
 /// What operators publish, checked and merged: immutable, one object per revision, shared by all parts of a node.
 namespace papayastep::config {
 
-/// SHA-256 (or BLAKE2b-256) of a caller's key, as 64 lower-case hexadecimal digits.
-using KeyFingerprint = std::string;
-
 /// A tenant: the keys that speak for it, and what it may use, fleet-wide.
 struct Workspace
 {
@@ -82,6 +80,8 @@
     };
 
     Configuration(base::Revision revision, Parts parts);
+    Configuration(const Configuration &) = delete;
+    Configuration &operator=(const Configuration &) = delete;
 
     base::Revision revision() const;
     const std::vector<Workspace> &workspaces() const;
@@ -107,7 +107,14 @@
 private:
     base::Revision m_revision;
     Parts m_parts;
-    std::unordered_map<std::string, std::size_t> m_workspaceOfKey;
+    void indexKeys();
+
+    struct KeyEntry
+    {
+        std::uint64_t prefix; ///< Of the fingerprint; the workspace holds the rest.
+        std::uint32_t workspace; ///< Index into the workspaces.
+    };
+    std::vector<KeyEntry> m_keys; ///< Sorted by prefix: 16 bytes a key instead of a hash map's hundred.
     std::unordered_map<base::ServiceId, std::vector<const BackendServer *>> m_serversOf;
 };
 
