--- a/src/include/papayastep/base/resultcode.h
+++ b/src/include/papayastep/base/resultcode.h
@@ -21,6 +21,7 @@
     X(1009, ConfigOutOfRange, "a number is outside its allowed range") \
     X(1010, ConfigUnknownField, "a field is not known") \
     X(1011, ConfigRevisionNotNewer, "a configuration is not newer than the one in force") \
+    X(1012, ConfigFileName, "a configuration file has a name that is not allowed") \
     X(2001, SettingsUnreadable, "the settings file cannot be read") \
     X(2002, SettingsSchema, "the settings do not follow the schema") \
     X(2003, SettingsSecretMissing, "the fleet secret is missing or too short") \
