Number the ledger's two missing replies

A completion and a fetch need an answer each, else neither side knows when to stop resending. Kinds 56 and 57 join the ledger's range; nothing else changes.

--- a/src/include/papayastep/wire/message.h
+++ b/src/include/papayastep/wire/message.h
@@ -41,6 +41,8 @@
     LedgerHandOver = 53,
     LedgerHandOverResult = 54,
     LedgerFetch = 55,
+    LedgerCompleteResult = 56,
+    LedgerFetchResult = 57,
 };
 
 /// A payload of a message on its way: to whom, what kind, and its encoded bytes.
