--- /dev/null
+++ b/src/include/papayastep/routing/retrybudget.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "papayastep/base/clock.h"
+#include "papayastep/base/identifiers.h"
+
+#include <unordered_map>
+
+namespace papayastep::routing {
+
+struct RetryBudgetSettings
+{
+    double share = 0.2; ///< Retries per first attempt, in the long run.
+    base::Duration window = std::chrono::seconds(10); ///< Traffic older than this hardly counts.
+    double reservePerSecond = 1; ///< Retries allowed without traffic, so that a rare service can retry at all.
+    double reserve = 5; ///< How many of those may gather.
+};
+
+/// Bounds retries to a share of recent first attempts, per service and per workspace.
+///
+/// Without it a sick service is hit with several times its traffic just when it can least bear it, and one
+/// workspace's failing requests use up the retries of all.
+class RetryBudget
+{
+public:
+    explicit RetryBudget(const base::Clock &clock, RetryBudgetSettings settings = {});
+
+    /// Counts a first attempt.
+    void countRequest(const base::ServiceId &service, const base::WorkspaceId &workspace);
+
+    /// Takes one retry from both budgets, or from none.
+    bool spend(const base::ServiceId &service, const base::WorkspaceId &workspace);
+
+    /// Drops budgets without recent use; they would come back as they are. Call every few seconds.
+    void tick();
+
+    std::size_t size() const;
+
+private:
+    struct Account
+    {
+        double earned = 0;
+        double reserve = 0;
+        base::TimePoint updated;
+    };
+
+    template<typename Map, typename Id>
+    Account &refreshed(Map &accounts, const Id &id);
+    static bool canSpend(const Account &account);
+    static void take(Account &account);
+
+    const base::Clock &m_clock;
+    RetryBudgetSettings m_settings;
+    std::unordered_map<base::ServiceId, Account> m_services;
+    std::unordered_map<base::WorkspaceId, Account> m_workspaces;
+};
+
+}
