--- a/src/include/papayastep/wire/message.h
+++ b/src/include/papayastep/wire/message.h
@@ -20,7 +20,9 @@
     TokenRequest = 10,
     TokenGrant = 11,
     TokenReturn = 12,
-    ShareNotice = 13,
+    ShareHandOver = 13,
+    TenureQuery = 14,
+    TenureAnswer = 15,
     // 20-29: health
     SiblingState = 20,
     SiblingLeaving = 21,
