--- /dev/null
+++ b/src/include/papayastep/limits/messages.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "papayastep/base/identifiers.h"
+#include "papayastep/limits/tokens.h"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// What token brokers tell each other. All are one-way; each may be lost, repeated, late or crossed. Amounts are
+/// Tokens, times are microseconds.
+namespace papayastep::limits {
+
+/// A wish for tokens of one workspace.
+struct TokenAsk
+{
+    base::WorkspaceId workspace;
+    std::uint64_t ask = 0; ///< Number of the wish within the incarnation of its sender.
+    Tokens urgent = 0; ///< Requests wait for these.
+    Tokens wanted = 0; ///< These would be of use, `urgent` included.
+    bool loan = false; ///< From the holder of another share: answer from your own level, and ask nobody.
+
+    auto operator<=>(const TokenAsk &) const = default;
+    MSGPACK_DEFINE(workspace, ask, urgent, wanted, loan)
+};
+
+/// What became of one grant so far. The amounts are totals since the grant, so a repeated or overtaken message
+/// changes nothing.
+struct GrantUse
+{
+    base::WorkspaceId workspace;
+    base::Incarnation holder = 0; ///< Incarnation of the holder that granted.
+    std::uint64_t grant = 0;
+    Tokens spent = 0;
+    Tokens unused = 0; ///< Given up by the receiver, which will never spend them.
+
+    auto operator<=>(const GrantUse &) const = default;
+    MSGPACK_DEFINE(workspace, holder, grant, spent, unused)
+};
+
+/// Kind TokenRequest. Entry -> holder, or holder -> holder of another share.
+struct TokenRequest
+{
+    std::vector<TokenAsk> asks;
+    std::vector<GrantUse> uses; ///< Rides along for earlier grants.
+
+    auto operator<=>(const TokenRequest &) const = default;
+    MSGPACK_DEFINE(asks, uses)
+};
+
+/// Kind TokenReturn.
+struct TokenReturn
+{
+    std::vector<GrantUse> uses;
+
+    auto operator<=>(const TokenReturn &) const = default;
+    MSGPACK_DEFINE(uses)
+};
+
+/// Tokens that may be spent until `validity` after the receiver *asked*.
+struct GrantPart
+{
+    std::uint64_t grant = 0; ///< Number within the incarnation of the holder.
+    Tokens amount = 0;
+    std::uint32_t validity = 0;
+
+    auto operator<=>(const GrantPart &) const = default;
+    MSGPACK_DEFINE(grant, amount, validity)
+};
+
+/// The one answer to a TokenAsk.
+struct GrantAnswer
+{
+    std::uint64_t ask = 0;
+    std::vector<GrantPart> parts;
+    std::uint32_t settleWithin = 0; ///< Tell of spending within this time, or the share refills late; 0: no need.
+    std::uint32_t retryAfter = 0; ///< When the next token is expected, if fewer than `urgent` were granted.
+    Tokens level = 0; ///< What the answering share has left.
+    bool busy = false; ///< The share has refused some of its own requests lately.
+
+    auto operator<=>(const GrantAnswer &) const = default;
+    MSGPACK_DEFINE(ask, parts, settleWithin, retryAfter, level, busy)
+};
+
+/// Kind TokenGrant. Holder -> asker.
+struct TokenGrant
+{
+    base::Incarnation asker = 0; ///< Of the asks answered; another incarnation's grants are ignored.
+    std::vector<GrantAnswer> answers;
+
+    auto operator<=>(const TokenGrant &) const = default;
+    MSGPACK_DEFINE(asker, answers)
+};
+
+/// Kind TenureQuery. A VM asks the witnesses of its zone whether they know a newer VM list than its own, and tells
+/// them of its own. See ZoneTenure.
+struct TenureQuery
+{
+    std::uint64_t query = 0; ///< Number within the incarnation of the asker.
+    std::uint64_t listVersion = 0;
+    std::uint64_t members = 0; ///< Hash of the zone's VMs in that list.
+
+    auto operator<=>(const TenureQuery &) const = default;
+    MSGPACK_DEFINE(query, listVersion, members)
+};
+
+/// Kind TenureAnswer.
+struct TenureAnswer
+{
+    base::Incarnation asker = 0;
+    std::uint64_t query = 0;
+    std::uint64_t listVersion = 0; ///< The newest list that the witness has heard of, held or not.
+    std::uint64_t members = 0; ///< Hash of the zone's VMs in it.
+    std::uint64_t listedFor = 0; ///< How long the witness has seen the asker listed without a break.
+
+    auto operator<=>(const TenureAnswer &) const = default;
+    MSGPACK_DEFINE(asker, query, listVersion, members, listedFor)
+};
+
+}
