Read, check and merge a folder of configuration files

Each file goes through the JSON Schema (valijson, one source file) and is merged entry by entry in the order of the names; an id defined twice is an error unless the later entry says "override": true, so that an operator's drop-in can drain a server or withdraw a key without touching the first file. Then references, keys, routes and addresses are checked over all files together.

--- /dev/null
+++ b/src/config/check.cpp
@@ -0,0 +1,100 @@
+#include "crosscheck.h"
+#include "fileparser.h"
+#include "merger.h"
+#include "schemacheck.h"
+
+#include "papayastep/config/check.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace papayastep::embedded {
+extern const std::string_view configSchema;
+}
+
+namespace papayastep::config {
+
+namespace {
+
+using base::ResultCode;
+
+std::vector<const ConfigurationFile *> sortedByName(const std::vector<ConfigurationFile> &files)
+{
+    std::vector<const ConfigurationFile *> sorted;
+    sorted.reserve(files.size());
+    for (const ConfigurationFile &file : files) {
+        sorted.push_back(&file);
+    }
+    std::sort(sorted.begin(), sorted.end(), [](const auto *a, const auto *b) { return *a < *b; });
+    return sorted;
+}
+
+/// Reads `files` one at a time into `merger`: only one file's JSON is in memory at once. Returns whether all could be
+/// read.
+bool readFiles(const std::vector<ConfigurationFile> &files, Merger &merger, ErrorList &errors)
+{
+    bool complete = true;
+    const ConfigurationFile *previous = nullptr;
+    for (const ConfigurationFile *file : sortedByName(files)) {
+        if (previous && previous->name == file->name) {
+            errors.add(ResultCode::ConfigDuplicate, "two files have this name", {file->name, {}});
+        }
+        previous = file;
+        const auto parsed = parseFile(*file, errors);
+        if (parsed && checkSchema(*parsed, file->name, errors)) {
+            merger.add(file->name, *parsed);
+        } else {
+            complete = false;
+        }
+    }
+    return complete;
+}
+
+bool isEmpty(const Merger &merger)
+{
+    return merger.workspaces().entries.empty() && merger.services().entries.empty() && merger.routes().entries.empty()
+        && merger.backendServers().entries.empty();
+}
+
+}
+
+CheckResult check(base::Revision revision, const std::vector<ConfigurationFile> &files)
+{
+    ErrorList errors(maxReportedErrors);
+    ErrorList warnings(maxReportedErrors);
+    Merger merger(errors);
+    const bool complete = readFiles(files, merger, errors);
+    if (complete && isEmpty(merger)) {
+        errors.add(ResultCode::ConfigFolderEmpty, "no file has an entry");
+    }
+    crossCheck(merger, complete, errors);
+    findWarnings(merger, warnings);
+    CheckResult result;
+    if (errors.empty()) {
+        result.configuration = std::make_shared<const Configuration>(revision, merger.takeParts());
+    }
+    result.errors = errors.take();
+    result.warnings = warnings.take();
+    return result;
+}
+
+std::vector<base::Error> checkFiles(const std::vector<ConfigurationFile> &files)
+{
+    return check(0, files).errors;
+}
+
+ConfigurationPtr buildConfiguration(base::Revision revision, const std::vector<ConfigurationFile> &files)
+{
+    CheckResult result = check(revision, files);
+    if (!result.errors.empty()) {
+        throw result.errors.front();
+    }
+    return result.configuration;
+}
+
+std::string_view schemaText()
+{
+    return embedded::configSchema;
+}
+
+}
--- /dev/null
+++ b/src/config/entryreader.cpp
@@ -0,0 +1,255 @@
+#include "entryreader.h"
+
+#include "papayastep/config/duration.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace papayastep::config {
+
+namespace {
+
+using base::ResultCode;
+using nlohmann::json;
+
+constexpr base::Duration maxDeadline = std::chrono::hours(1);
+constexpr base::Duration maxRetention = std::chrono::hours(168);
+
+const json *fieldOf(const json &entry, const char *name)
+{
+    const auto found = entry.find(name);
+    return found != entry.end() ? &*found : nullptr;
+}
+
+template<typename Value>
+void read(const json &entry, const char *name, Value &into)
+{
+    if (const json *field = fieldOf(entry, name)) {
+        into = field->get<Value>();
+    }
+}
+
+template<typename Tag>
+void readId(const json &entry, const char *name, base::Identifier<Tag> &into, const EntryContext &context)
+{
+    const json *field = fieldOf(entry, name);
+    if (!field) {
+        return;
+    }
+    into = base::Identifier<Tag>(field->get<std::string>());
+    if (!isGoodIdentifier(into.value())) {
+        context.fail(ResultCode::ConfigSchema, name, "use letters, digits, '.', '_' and '-' only");
+    }
+}
+
+void readDuration(
+    const json &entry, const char *name, base::Duration longest, base::Duration &into, const EntryContext &context)
+{
+    const json *field = fieldOf(entry, name);
+    if (!field) {
+        return;
+    }
+    const auto duration = parseDuration(field->get_ref<const std::string &>());
+    if (!duration) {
+        context.fail(ResultCode::ConfigSchema, name, "use a whole number and a unit: ms, s, m or h");
+        return;
+    }
+    into = *duration;
+    if (into <= base::Duration::zero() || into > longest) {
+        context.fail(ResultCode::ConfigOutOfRange, name, "use more than 0 and at most " + formatDuration(longest));
+    }
+}
+
+void readKeys(const json &entry, std::vector<KeyFingerprint> &into, const EntryContext &context)
+{
+    const json *field = fieldOf(entry, "keys");
+    if (!field) {
+        return;
+    }
+    into.clear();
+    into.reserve(field->size());
+    for (std::size_t index = 0; index < field->size(); ++index) {
+        const std::string place = "keys/" + std::to_string(index);
+        try {
+            into.push_back(KeyFingerprint::parse((*field)[index].get_ref<const std::string &>()));
+        } catch (const base::Error &error) {
+            context.fail(error.code(), place, error.detail());
+            continue;
+        }
+        if (std::count(into.begin(), into.end(), into.back()) > 1) {
+            context.fail(ResultCode::ConfigDuplicate, place, "the workspace names this key twice");
+        }
+    }
+}
+
+bool isPathCharacter(char character)
+{
+    return character > ' ' && character < 127 && character != '?' && character != '#' && character != '\\';
+}
+
+/// A prefix with "//", "." or ".." or a final slash would match other requests than the operator reads out of it.
+bool isGoodPathPrefix(const std::string &path)
+{
+    if (path == "/") {
+        return true;
+    }
+    if (!path.starts_with('/') || path.ends_with('/') || !std::all_of(path.begin(), path.end(), isPathCharacter)) {
+        return false;
+    }
+    const std::string closed = path + '/';
+    return closed.find("//") == std::string::npos && closed.find("/./") == std::string::npos
+        && closed.find("/../") == std::string::npos;
+}
+
+void readPath(const json &entry, const char *name, std::string &into, const EntryContext &context)
+{
+    const json *field = fieldOf(entry, name);
+    if (!field) {
+        return;
+    }
+    into = field->get<std::string>();
+    if (!into.empty() && !isGoodPathPrefix(into)) {
+        context.fail(ResultCode::ConfigSchema, name, "use a plain path such as /refunds, without a final slash");
+    }
+}
+
+bool isHostCharacter(char character)
+{
+    return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') || character == '-'
+        || character == '.';
+}
+
+void readHost(const json &entry, std::string &into, const EntryContext &context)
+{
+    const json *field = fieldOf(entry, "host");
+    if (!field) {
+        return;
+    }
+    into = field->get<std::string>();
+    if (!std::all_of(into.begin(), into.end(), isHostCharacter)) {
+        context.fail(ResultCode::ConfigSchema, "host", "use a lower-case host name without a port");
+    }
+}
+
+void readMethods(const json &entry, std::vector<std::string> &into, const EntryContext &context)
+{
+    read(entry, "methods", into);
+    std::sort(into.begin(), into.end());
+    if (std::adjacent_find(into.begin(), into.end()) != into.end()) {
+        context.fail(ResultCode::ConfigDuplicate, "methods", "a method stands twice");
+    }
+    into.shrink_to_fit();
+}
+
+void readAddress(const json &entry, std::string &into, const EntryContext &context)
+{
+    const json *field = fieldOf(entry, "address");
+    if (!field) {
+        return;
+    }
+    into = field->get<std::string>();
+    boost::system::error_code problem;
+    boost::asio::ip::make_address(into, problem);
+    if (problem) {
+        context.fail(ResultCode::ConfigSchema, "address", "use an IP number");
+    }
+}
+
+}
+
+void EntryContext::fail(ResultCode code, std::string_view field, const std::string &detail) const
+{
+    m_errors.add(code, detail, {m_file, entryPointer(m_section, m_index, field)});
+}
+
+std::string entryPointer(std::string_view section, std::size_t index, std::string_view field)
+{
+    std::string pointer = "/" + std::string(section) + "/" + std::to_string(index);
+    if (!field.empty()) {
+        pointer += "/" + std::string(field);
+    }
+    return pointer;
+}
+
+void readEntry(const json &json, Workspace &into, const EntryContext &context)
+{
+    readId(json, "id", into.id, context);
+    readKeys(json, into.keys, context);
+    read(json, "rate", into.rate);
+    read(json, "burst", into.burst);
+}
+
+void readEntry(const json &json, Service &into, const EntryContext &context)
+{
+    readId(json, "id", into.id, context);
+    if (const auto *field = fieldOf(json, "prefer")) {
+        into.prefer
+            = *field == "few-ejections" ? DetectionPreference::FewEjections : DetectionPreference::FastDetection;
+    }
+    read(json, "floor", into.floor);
+    readPath(json, "healthPath", into.healthPath, context);
+}
+
+void readEntry(const json &json, Route &into, const EntryContext &context)
+{
+    readId(json, "id", into.id, context);
+    readHost(json, into.host, context);
+    readPath(json, "pathPrefix", into.pathPrefix, context);
+    readMethods(json, into.methods, context);
+    readId(json, "service", into.service, context);
+    if (const auto *field = fieldOf(json, "idempotent")) {
+        into.idempotent = field->get<bool>();
+    }
+    readDuration(json, "deadline", maxDeadline, into.deadline, context);
+    readDuration(json, "retention", maxRetention, into.retention, context);
+    read(json, "stream", into.stream);
+}
+
+void readEntry(const json &json, BackendServer &into, const EntryContext &context)
+{
+    readId(json, "id", into.id, context);
+    readId(json, "service", into.service, context);
+    readId(json, "vm", into.vm, context);
+    readId(json, "zone", into.zone, context);
+    readAddress(json, into.address, context);
+    read(json, "port", into.port);
+    read(json, "slots", into.slots);
+    read(json, "drain", into.drain);
+}
+
+std::span<const std::string_view> requiredFields(const Workspace &)
+{
+    static constexpr std::array<std::string_view, 3> fields{"keys", "rate", "burst"};
+    return fields;
+}
+
+std::span<const std::string_view> requiredFields(const Service &)
+{
+    return {};
+}
+
+std::span<const std::string_view> requiredFields(const Route &)
+{
+    static constexpr std::array<std::string_view, 2> fields{"pathPrefix", "service"};
+    return fields;
+}
+
+std::span<const std::string_view> requiredFields(const BackendServer &)
+{
+    static constexpr std::array<std::string_view, 6> fields{"service", "vm", "zone", "address", "port", "slots"};
+    return fields;
+}
+
+bool isGoodIdentifier(const std::string &name)
+{
+    const auto good = [](unsigned char character) {
+        return character < 128
+            && (std::isalnum(character) != 0 || character == '.' || character == '_' || character == '-');
+    };
+    return !name.empty() && std::all_of(name.begin(), name.end(), good);
+}
+
+}
--- /dev/null
+++ b/src/config/merger.cpp
@@ -0,0 +1,115 @@
+#include "merger.h"
+
+namespace papayastep::config {
+
+using base::ResultCode;
+
+void Merger::add(const std::string &file, const nlohmann::json &parsed)
+{
+    m_files.push_back(file);
+    addSection(parsed, m_workspaces);
+    addSection(parsed, m_services);
+    addSection(parsed, m_routes);
+    addSection(parsed, m_backendServers);
+}
+
+template<typename Entry>
+void Merger::addSection(const nlohmann::json &parsed, Section<Entry> &section)
+{
+    const auto found = parsed.find(section.name);
+    if (found == parsed.end()) {
+        return;
+    }
+    section.entries.reserve(section.entries.size() + found->size());
+    std::uint32_t index = 0;
+    for (const nlohmann::json &json : *found) {
+        if (json.value("override", false)) {
+            override(json, section, index);
+        } else {
+            define(json, section, index);
+        }
+        ++index;
+    }
+}
+
+template<typename Entry>
+void Merger::define(const nlohmann::json &json, Section<Entry> &section, std::uint32_t index)
+{
+    const EntryContext context(m_errors, m_files.back(), section.name, index);
+    Entry entry;
+    for (const std::string_view field : requiredFields(entry)) {
+        if (!json.contains(field)) {
+            context.fail(ResultCode::ConfigSchema, "", "the field \"" + std::string(field) + "\" is missing");
+        }
+    }
+    readEntry(json, entry, context);
+    const auto place = static_cast<std::uint32_t>(section.entries.size());
+    if (!section.indexOf.emplace(entry.id.value(), place).second) {
+        const Origin first = section.origins[section.indexOf[entry.id.value()]];
+        context.fail(ResultCode::ConfigDuplicate,
+                     "id",
+                     "\"" + entry.id.value() + "\" stands in " + m_files[first.file]
+                         + " already; to change it add \"override\": true");
+        return;
+    }
+    section.entries.push_back(std::move(entry));
+    section.origins.push_back({currentFile(), index});
+}
+
+template<typename Entry>
+void Merger::override(const nlohmann::json &json, Section<Entry> &section, std::uint32_t index)
+{
+    const EntryContext context(m_errors, m_files.back(), section.name, index);
+    const auto found = section.indexOf.find(json.at("id").get_ref<const std::string &>());
+    if (found == section.indexOf.end()) {
+        context.fail(ResultCode::ConfigUnknownReference, "id", "no earlier file defines what this overrides");
+        return;
+    }
+    Origin &origin = section.origins[found->second];
+    if (origin.file == currentFile()) {
+        context.fail(ResultCode::ConfigContradiction, "id", "this file has an entry of the same id already");
+        return;
+    }
+    readEntry(json, section.entries[found->second], context);
+    origin = {currentFile(), index};
+}
+
+const Section<Workspace> &Merger::workspaces() const
+{
+    return m_workspaces;
+}
+
+const Section<Service> &Merger::services() const
+{
+    return m_services;
+}
+
+const Section<Route> &Merger::routes() const
+{
+    return m_routes;
+}
+
+const Section<BackendServer> &Merger::backendServers() const
+{
+    return m_backendServers;
+}
+
+base::ErrorLocation Merger::locate(std::string_view section, Origin origin, std::string_view field) const
+{
+    return {m_files[origin.file], entryPointer(section, origin.index, field)};
+}
+
+Configuration::Parts Merger::takeParts()
+{
+    return {std::move(m_workspaces.entries),
+            std::move(m_services.entries),
+            std::move(m_routes.entries),
+            std::move(m_backendServers.entries)};
+}
+
+std::uint32_t Merger::currentFile() const
+{
+    return static_cast<std::uint32_t>(m_files.size() - 1);
+}
+
+}
--- a/src/include/papayastep/config/check.h
+++ b/src/include/papayastep/config/check.h
@@ -20,7 +20,7 @@
 constexpr std::size_t maxReportedErrors = 1000;
 
 /// Merges `files` in the order of their names and reports all that is wrong. Never throws base::Error.
-CheckResult check(base::Revision revision, std::vector<ConfigurationFile> files);
+CheckResult check(base::Revision revision, const std::vector<ConfigurationFile> &files);
 
 /// Only the errors of check().
 std::vector<base::Error> checkFiles(const std::vector<ConfigurationFile> &files);
