Add the HTTP server, client, peer sockets, platform client and hop sealing

Cause: the request path needs I/O that is strict about what a request is and never reuses a doubtful connection. Change: package net (Beast server that checks the raw header block before parsing, client exchanges with pools, nng pipeline endpoint, platform adapter), wire/hop with a keyed tag over hop header, method, target and body. Ruled out: reusing a connection after a late or cut answer, since the answer could go to the wrong request.

--- a/src/include/papayastep/base/identifiers.h
+++ b/src/include/papayastep/base/identifiers.h
@@ -39,9 +39,10 @@
         packer.pack(m_value);
     }
     template<typename Object>
-    void msgpack_unpack(const Object &object)
+    void msgpack_unpack(Object object)
     {
-        object.convert(m_value);
+        std::string text = object;
+        m_value = std::move(text);
     }
 
 private:
--- a/src/include/papayastep/base/resultcode.h
+++ b/src/include/papayastep/base/resultcode.h
@@ -64,6 +64,7 @@
     X(4009, HopBackendServerRefused, "the backend server refused the connection") \
     X(4010, HopBackendServerShed, "the backend server shed the request") \
     X(4011, HopReplayed, "the attempt was seen before") \
+    X(4012, HopBackendServerEjected, "the backend server is ejected") \
     X(5001, MessageMalformed, "a message between nodes is malformed") \
     X(5002, MessageUnauthenticated, "a message between nodes is not authenticated") \
     X(5003, MessageUnknownLayout, "a message between nodes has an unknown layout") \
--- /dev/null
+++ b/src/include/papayastep/net/httpmessage.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "papayastep/base/resultcode.h"
+#include "papayastep/net/asio.h"
+
+#include <string>
+#include <string_view>
+
+namespace papayastep::net {
+
+using RequestHead = http::request_header<http::fields>;
+using ResponseHead = http::response_header<http::fields>;
+
+/// An answer with its whole body.
+struct WholeAnswer
+{
+    ResponseHead head;
+    std::string body;
+    bool close = false; ///< Close the connection after it.
+};
+
+/// Whether `name` belongs to one connection (RFC 9110, 7.6.1) and is never passed on.
+bool isHopByHop(std::string_view name);
+
+/// Whether `name` is one of ours (`Papayastep-...`): set by the system, never taken from a caller.
+bool isReserved(std::string_view name);
+
+/// Copies all fields but the hop-by-hop and reserved ones and those that `Connection` names.
+void copyEndToEnd(const http::fields &from, http::fields &to);
+
+/// Strict checks that go beyond the parser. Returns Ok or the code to refuse the request with.
+/// `block` is the raw header block up to and including the empty line.
+base::ResultCode checkRawHeader(std::string_view block);
+base::ResultCode checkHead(const RequestHead &head);
+
+/// An answer of JSON text.
+WholeAnswer jsonAnswer(http::status status, std::string body);
+
+}
--- /dev/null
+++ b/src/include/papayastep/net/platformclient.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "papayastep/config/configuration.h"
+#include "papayastep/net/httpclient.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace papayastep::net {
+
+/// One published file, as the platform's index names it.
+struct PublishedFile
+{
+    std::string name;
+    std::string digest; ///< SHA-256 of the text, hexadecimal.
+    std::uint64_t bytes = 0;
+
+    auto operator<=>(const PublishedFile &) const = default;
+};
+
+struct PublishedIndex
+{
+    base::Revision revision = 0;
+    std::vector<PublishedFile> files;
+
+    auto operator<=>(const PublishedIndex &) const = default;
+};
+
+/// The platform, read only (docs/PLATFORM.md). Another platform is another subclass.
+/// Each call throws Error(PlatformUnreachable) or Error(PlatformAnswerInvalid).
+class PlatformClient
+{
+public:
+    virtual ~PlatformClient() = default;
+
+    /// The published index; with `after`, waits up to `wait` for a greater revision and returns nothing without one.
+    virtual Awaitable<std::optional<PublishedIndex>> configuration(base::Revision after, std::chrono::seconds wait) = 0;
+    virtual Awaitable<std::string> file(const PublishedFile &file) = 0;
+    virtual Awaitable<std::optional<config::VmList>> vms(std::uint64_t after, std::chrono::seconds wait) = 0;
+};
+
+/// The platform over HTTP. Tries its endpoints in turn.
+class HttpPlatformClient final : public PlatformClient
+{
+public:
+    HttpPlatformClient(asio::io_context &context, const base::Clock &clock, std::vector<Endpoint> endpoints);
+
+    Awaitable<std::optional<PublishedIndex>> configuration(base::Revision after, std::chrono::seconds wait) override;
+    Awaitable<std::string> file(const PublishedFile &file) override;
+    Awaitable<std::optional<config::VmList>> vms(std::uint64_t after, std::chrono::seconds wait) override;
+
+private:
+    Awaitable<std::optional<std::string>> read(std::string target, std::chrono::seconds wait);
+
+    asio::io_context &m_context;
+    HttpPool m_pool;
+    std::vector<Endpoint> m_endpoints;
+    std::size_t m_next = 0;
+};
+
+/// Parses the platform's answers. Throw Error(PlatformAnswerInvalid). Apart, so that they can be fuzzed.
+PublishedIndex parsePublishedIndex(const std::string &json);
+config::VmList parseVmList(const std::string &json);
+
+}
--- /dev/null
+++ b/src/net/httpserver.cpp
@@ -0,0 +1,445 @@
+#include "papayastep/net/httpserver.h"
+
+#include "papayastep/base/error.h"
+#include "papayastep/base/log.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <optional>
+#include <sys/socket.h>
+
+namespace papayastep::net {
+
+namespace {
+
+constexpr std::string_view logPrefix = "net";
+
+base::ResultCode codeOfParserError(const beast::error_code &error)
+{
+    if (error == http::error::bad_content_length || error == http::error::bad_transfer_encoding) {
+        return base::ResultCode::RequestAmbiguousLength;
+    }
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        return base::ResultCode::RequestHeaderTooLarge;
+    }
+    if (error == http::error::body_limit) {
+        return base::ResultCode::RequestBodyTooLarge;
+    }
+    if (error == beast::error::timeout) {
+        return base::ResultCode::RequestTooSlow;
+    }
+    return base::ResultCode::RequestMalformed;
+}
+
+bool peerHasClosed(tcp::socket &socket)
+{
+    char byte = 0;
+    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+}
+
+/// One connection: reads request after request and hands each to the handler.
+class ServerConnection final : public ServerExchange, public std::enable_shared_from_this<ServerConnection>
+{
+public:
+    ServerConnection(HttpServer &server, tcp::socket socket)
+        : m_server(server)
+        , m_stream(std::move(socket))
+        , m_buffer(server.m_limits.headerBytes + readAhead)
+        , m_registry(server.m_connections)
+    {
+        beast::error_code error;
+        const auto remote = m_stream.socket().remote_endpoint(error);
+        m_remoteAddress = error ? std::string() : remote.address().to_string();
+        m_registry->insert(this);
+    }
+
+    ~ServerConnection() override
+    {
+        m_registry->erase(this);
+    }
+
+    Awaitable<void> run()
+    {
+        beast::error_code error;
+        m_stream.socket().set_option(tcp::no_delay(true), error);
+        while (!m_closing) {
+            if (!co_await readHead()) {
+                break;
+            }
+            ++m_server.m_inFlight;
+            m_busy = true;
+            co_await handleRequest();
+            m_busy = false;
+            --m_server.m_inFlight;
+            if (m_server.m_stopping) {
+                m_closing = true;
+            }
+        }
+        closeGently();
+    }
+
+    void closeIfIdle()
+    {
+        if (!m_busy) {
+            m_closing = true;
+            m_stream.close();
+        }
+    }
+
+    const RequestHead &head() const override
+    {
+        return m_parser->get().base();
+    }
+
+    const std::string &remoteAddress() const override
+    {
+        return m_remoteAddress;
+    }
+
+    Awaitable<std::string> readBody() override
+    {
+        beast::error_code error;
+        if (beast::iequals(head()[http::field::expect], "100-continue")) {
+            co_await writeInterim("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        m_stream.expires_after(m_server.m_limits.bodyTimeout);
+        if (!m_parser->is_done()) {
+            co_await http::async_read(m_stream, m_buffer, *m_parser, into(error));
+        }
+        m_stream.expires_never();
+        if (error) {
+            m_closing = true;
+            throw base::Error(codeOfParserError(error), error.message());
+        }
+        m_bodyRead = true;
+        co_return std::move(m_parser->get().body());
+    }
+
+    Awaitable<void> acknowledge() override
+    {
+        return writeInterim("HTTP/1.1 102 Processing\r\n\r\n");
+    }
+
+    Awaitable<bool> answer(WholeAnswer answer) override
+    {
+        http::response<http::string_body> response(std::move(answer.head), std::move(answer.body));
+        prepareHead(response.base(), answer.close);
+        if (mayHaveBody(response.result())) {
+            response.content_length(response.body().size());
+        }
+        m_answered = true;
+        beast::error_code error;
+        m_stream.expires_after(m_server.m_limits.writeTimeout);
+        if (head().method() == http::verb::head) {
+            // The length is that of the body a GET would bring, but no body follows.
+            http::response<http::empty_body> headOnly(std::move(response.base()));
+            http::response_serializer<http::empty_body> serializer(headOnly);
+            co_await http::async_write_header(m_stream, serializer, into(error));
+        } else {
+            co_await http::async_write(m_stream, response, into(error));
+        }
+        m_stream.expires_never();
+        noteWriteError(error);
+        co_return !error;
+    }
+
+    Awaitable<bool> beginStream(ResponseHead head) override
+    {
+        m_streamed = std::make_unique<http::response<http::buffer_body>>(std::move(head));
+        m_streamed->body().data = nullptr;
+        m_streamed->body().more = true;
+        prepareHead(m_streamed->base(), false);
+        if (!m_streamed->has_content_length()) {
+            m_streamed->chunked(true);
+        }
+        m_serializer = std::make_unique<http::response_serializer<http::buffer_body>>(*m_streamed);
+        m_answered = true;
+        beast::error_code error;
+        m_stream.expires_after(m_server.m_limits.writeTimeout);
+        co_await http::async_write_header(m_stream, *m_serializer, into(error));
+        m_stream.expires_never();
+        noteWriteError(error);
+        co_return !error;
+    }
+
+    Awaitable<bool> writePart(std::string part) override
+    {
+        return writeStreamBuffer(std::move(part), true);
+    }
+
+    Awaitable<bool> finishStream() override
+    {
+        const bool written = co_await writeStreamBuffer({}, false);
+        m_streamFinished = written;
+        co_return written;
+    }
+
+    void watchClient(std::function<void()> gone) override
+    {
+        auto watch = [self = weak_from_this(), gone = std::move(gone)](const beast::error_code &error) {
+            const auto connection = self.lock();
+            if (!error && connection && !connection->m_answered && peerHasClosed(connection->m_stream.socket())) {
+                gone();
+            }
+        };
+        m_stream.socket().async_wait(tcp::socket::wait_read, std::move(watch));
+    }
+
+private:
+    static constexpr std::size_t readAhead = 64 * 1024;
+
+    Awaitable<bool> readHead()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_server.m_limits.headerBytes));
+        m_parser->body_limit(m_server.m_limits.bodyBytes);
+        m_answered = false;
+        m_bodyRead = false;
+        m_streamFinished = true;
+
+        beast::error_code error;
+        if (m_buffer.size() == 0) {
+            m_stream.expires_after(m_server.m_limits.idleTimeout);
+            const auto got = co_await m_stream.async_read_some(m_buffer.prepare(readAhead / 8), into(error));
+            m_buffer.commit(got);
+            if (error) {
+                co_return false;
+            }
+        }
+        m_stream.expires_after(m_server.m_limits.headerTimeout);
+        if (!co_await checkRawBytes()) {
+            co_return false;
+        }
+        co_await http::async_read_header(m_stream, m_buffer, *m_parser, into(error));
+        m_stream.expires_never();
+        if (error == http::error::end_of_stream) {
+            co_return false;
+        }
+        base::ResultCode code = error ? codeOfParserError(error) : checkHead(m_parser->get().base());
+        if (code != base::ResultCode::Ok) {
+            co_await refuse(code, error ? error.message() : "the header is not acceptable");
+            co_return false;
+        }
+        co_return true;
+    }
+
+    Awaitable<bool> checkRawBytes()
+    {
+        for (;;) {
+            const auto data = m_buffer.cdata();
+            const std::string_view bytes(static_cast<const char *>(data.data()), data.size());
+            const auto end = bytes.find("\r\n\r\n");
+            const auto block = bytes.substr(0, end == std::string_view::npos ? end : end + 4);
+            // An unfinished block may end between CR and LF, or just before the byte that folds a line.
+            const auto checked = end == std::string_view::npos && !block.empty() && block.back() == '\r'
+                ? block.substr(0, block.size() - 1)
+                : block;
+            if (checkRawHeader(checked) != base::ResultCode::Ok) {
+                co_await refuse(base::ResultCode::RequestMalformed, "a bare line end, folded line or NUL");
+                co_return false;
+            }
+            if (end != std::string_view::npos) {
+                co_return true;
+            }
+            if (bytes.size() > m_server.m_limits.headerBytes) {
+                co_await refuse(base::ResultCode::RequestHeaderTooLarge, "the header is over the limit");
+                co_return false;
+            }
+            beast::error_code error;
+            const auto got = co_await m_stream.async_read_some(m_buffer.prepare(readAhead / 8), into(error));
+            m_buffer.commit(got);
+            if (error) {
+                if (error == beast::error::timeout) {
+                    co_await refuse(base::ResultCode::RequestTooSlow, "the header did not come in time");
+                }
+                co_return false;
+            }
+        }
+    }
+
+    Awaitable<void> refuse(base::ResultCode code, const std::string &detail)
+    {
+        PAPAYASTEP_LOG(INFO, logPrefix) << "Refused a request before routing." << base::field("code", number(code))
+                                        << base::field("remote", m_remoteAddress);
+        WholeAnswer answer = m_server.m_handler.refusal(code, detail);
+        answer.close = true;
+        m_closing = true;
+        co_await this->answer(std::move(answer));
+    }
+
+    Awaitable<void> handleRequest()
+    {
+        try {
+            co_await m_server.m_handler.handle(*this);
+        } catch (const std::exception &error) {
+            PAPAYASTEP_LOG(ERROR, logPrefix) << "A handler failed." << base::field("what", error.what());
+            m_closing = true;
+        }
+        if (!m_answered || !m_streamFinished || !m_parser->is_done()) {
+            // A body that was not read would be taken for the next request; a stream that broke off must look so.
+            m_closing = true;
+        }
+        if (m_parser->get().version() == 10 || !m_parser->get().keep_alive()) {
+            m_closing = true;
+        }
+        beast::error_code ignored;
+        m_stream.socket().cancel(ignored);
+        m_serializer.reset();
+        m_streamed.reset();
+    }
+
+    Awaitable<void> writeInterim(std::string_view text)
+    {
+        beast::error_code error;
+        m_stream.expires_after(m_server.m_limits.writeTimeout);
+        co_await asio::async_write(m_stream, asio::buffer(text.data(), text.size()), into(error));
+        m_stream.expires_never();
+        noteWriteError(error);
+    }
+
+    Awaitable<bool> writeStreamBuffer(std::string part, bool more)
+    {
+        m_streamFinished = false;
+        m_streamed->body().data = more ? part.data() : nullptr;
+        m_streamed->body().size = part.size();
+        m_streamed->body().more = more;
+        beast::error_code error;
+        m_stream.expires_after(m_server.m_limits.writeTimeout);
+        co_await http::async_write(m_stream, *m_serializer, into(error));
+        m_stream.expires_never();
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        noteWriteError(error);
+        co_return !error;
+    }
+
+    void prepareHead(ResponseHead &head, bool close)
+    {
+        head.version(11);
+        if (close || !m_bodyRead || m_server.m_stopping || !m_parser->get().keep_alive()) {
+            head.set(http::field::connection, "close");
+            m_closing = true;
+        }
+    }
+
+    static bool mayHaveBody(http::status status)
+    {
+        const auto number = static_cast<unsigned>(status);
+        return number >= 200 && status != http::status::no_content && status != http::status::not_modified;
+    }
+
+    void noteWriteError(const beast::error_code &error)
+    {
+        if (error) {
+            m_closing = true;
+        }
+    }
+
+    void closeGently()
+    {
+        beast::error_code ignored;
+        if (m_streamFinished) {
+            m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        m_stream.close();
+    }
+
+    HttpServer &m_server;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::unique_ptr<http::response<http::buffer_body>> m_streamed;
+    std::unique_ptr<http::response_serializer<http::buffer_body>> m_serializer;
+    std::string m_remoteAddress;
+    std::shared_ptr<ConnectionSet> m_registry; ///< Shared: a connection may outlive its server at shutdown.
+    bool m_busy = false;
+    bool m_closing = false;
+    bool m_answered = false;
+    bool m_bodyRead = false;
+    bool m_streamFinished = true;
+};
+
+HttpServer::HttpServer(asio::io_context &context,
+                       const Endpoint &endpoint,
+                       ServerLimits limits,
+                       RequestHandler &handler)
+    : m_context(context)
+    , m_acceptor(context)
+    , m_limits(limits)
+    , m_handler(handler)
+    , m_connections(std::make_shared<ConnectionSet>())
+{
+    const auto address = toTcp(endpoint);
+    beast::error_code error;
+    m_acceptor.open(address.protocol(), error);
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    m_acceptor.bind(address, error);
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        throw base::Error(base::ResultCode::SettingsAddressInUse, toString(endpoint) + ": " + error.message());
+    }
+    asio::co_spawn(m_context, acceptLoop(), asio::detached);
+}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::stop()
+{
+    m_stopping = true;
+    beast::error_code ignored;
+    m_acceptor.close(ignored);
+    for (ServerConnection *connection : *m_connections) {
+        connection->closeIfIdle();
+    }
+}
+
+std::size_t HttpServer::inFlight() const
+{
+    return m_inFlight;
+}
+
+std::size_t HttpServer::connections() const
+{
+    return m_connections->size();
+}
+
+std::uint64_t HttpServer::refusedConnections() const
+{
+    return m_refused;
+}
+
+Awaitable<void> HttpServer::acceptLoop()
+{
+    while (!m_stopping) {
+        beast::error_code error;
+        tcp::socket socket(m_context);
+        co_await m_acceptor.async_accept(socket, into(error));
+        if (error == asio::error::operation_aborted || !m_acceptor.is_open()) {
+            co_return;
+        }
+        if (error) {
+            // Out of file descriptors, as a rule: pause instead of spinning on the same error.
+            asio::steady_timer pause(m_context, std::chrono::milliseconds(50));
+            co_await pause.async_wait(into(error));
+            continue;
+        }
+        if (m_connections->size() >= m_limits.connections) {
+            ++m_refused;
+            PAPAYASTEP_LOG(WARNING, logPrefix)
+                << "Refused a connection." << base::field("code", number(base::ResultCode::TooManyConnections));
+            continue;
+        }
+        auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
+        asio::co_spawn(
+            m_context, [connection]() -> Awaitable<void> { co_await connection->run(); }, asio::detached);
+    }
+}
+
+}
--- a/src/wire/envelope.cpp
+++ b/src/wire/envelope.cpp
@@ -1,17 +1,15 @@
 #include "papayastep/wire/envelope.h"
 
-#include <sodium.h>
+#include "papayastep/wire/seal.h"
+
 #include <zstd.h>
 
-#include <array>
 #include <tuple>
 
 namespace papayastep::wire {
 
 namespace {
 
-constexpr std::size_t tagBytes = 16;
-constexpr std::size_t minSecretBytes = 16;
 constexpr std::size_t compressFromBytes = 256;
 constexpr int compressionLevel = 3;
 
@@ -24,18 +22,6 @@
                                   std::uint8_t,
                                   std::string>;
 
-std::array<unsigned char, tagBytes> tagOf(const std::string &key, std::string_view bytes)
-{
-    std::array<unsigned char, tagBytes> tag{};
-    crypto_generichash(tag.data(),
-                       tag.size(),
-                       reinterpret_cast<const unsigned char *>(bytes.data()),
-                       bytes.size(),
-                       reinterpret_cast<const unsigned char *>(key.data()),
-                       key.size());
-    return tag;
-}
-
 std::string compressed(const std::string &payload)
 {
     std::string out(ZSTD_compressBound(payload.size()), '\0');
@@ -65,20 +51,8 @@
 }
 
 EnvelopeCodec::EnvelopeCodec(const std::string &secret)
+    : m_key(deriveKey(secret, "envelope"))
 {
-    if (sodium_init() < 0) {
-        throw base::Error(base::ResultCode::Internal, "libsodium does not start");
-    }
-    if (secret.size() < minSecretBytes) {
-        throw base::Error(base::ResultCode::SettingsSecretMissing, "the fleet secret has fewer than 16 bytes");
-    }
-    m_key.resize(crypto_generichash_KEYBYTES);
-    crypto_generichash(reinterpret_cast<unsigned char *>(m_key.data()),
-                       m_key.size(),
-                       reinterpret_cast<const unsigned char *>(secret.data()),
-                       secret.size(),
-                       nullptr,
-                       0);
 }
 
 std::string EnvelopeCodec::seal(const Envelope &envelope, bool compress) const
@@ -101,7 +75,7 @@
                                 static_cast<std::uint8_t>(envelope.kind),
                                 std::move(payload)};
     std::string bytes = encode(fields);
-    const auto tag = tagOf(m_key, bytes);
+    const Tag tag = tagOf(m_key, {bytes});
     bytes.append(reinterpret_cast<const char *>(tag.data()), tag.size());
     return bytes;
 }
@@ -112,8 +86,7 @@
         throw base::Error(base::ResultCode::MessageMalformed, "the message has an unacceptable size");
     }
     const std::string_view body = bytes.substr(0, bytes.size() - tagBytes);
-    const auto expected = tagOf(m_key, body);
-    if (sodium_memcmp(expected.data(), bytes.data() + body.size(), tagBytes) != 0) {
+    if (!sameTag(tagOf(m_key, {body}), bytes.substr(body.size()))) {
         throw base::Error(base::ResultCode::MessageUnauthenticated, "the tag does not match");
     }
     auto fields = decode<EnvelopeFields>(body);
