--- a/src/include/papayastep/config/configstore.h
+++ b/src/include/papayastep/config/configstore.h
@@ -30,6 +30,9 @@
     base::Revision revision = 0;
     std::vector<FileReference> files;
 
+    /// SHA-256 over names and digests, without the revision: equal exactly where all texts are equal.
+    std::string digest() const;
+
     auto operator<=>(const FileListing &) const = default;
     MSGPACK_DEFINE(revision, files)
 };
@@ -45,15 +48,19 @@
     MSGPACK_DEFINE(name, baseDigest, data)
 };
 
-/// What turns the files of `base` into those of `target`.
+/// What turns one set of files into the next one. Names no file that both have in common, so that the change of one
+/// workspace stays small however many files there are.
 struct ConfigurationPatch
 {
-    base::Revision base = 0; ///< 0: against nothing.
-    FileListing target;
-    std::vector<FilePatch> patches; ///< Only for files whose digest changed.
+    base::Revision target = 0;
+    std::string baseDigest; ///< FileListing::digest() of the files it applies to.
+    std::string targetDigest; ///< FileListing::digest() of the result.
+    std::vector<std::string> removed; ///< Names.
+    std::vector<FileReference> changed; ///< New or changed files.
+    std::vector<FilePatch> patches; ///< One for each of `changed`, in that order.
 
     auto operator<=>(const ConfigurationPatch &) const = default;
-    MSGPACK_DEFINE(base, target, patches)
+    MSGPACK_DEFINE(target, baseDigest, targetDigest, removed, changed, patches)
 };
 
 /// SHA-256 of `text` in hexadecimal.
@@ -82,9 +89,10 @@
     /// All files, sorted by name.
     std::vector<ConfigurationFile> files() const;
 
-    /// The patch from this store to `newer`. A changed file goes as a zstd frame with the old text as prefix, so one
-    /// changed workspace in a file of a megabyte costs a few hundred bytes and not the file.
-    ConfigurationPatch patchTo(const ConfigStore &newer) const;
+    /// The patch that turns the files `have` into the files of this store. A changed file whose old text `older` holds
+    /// goes as a zstd frame with that text as prefix, so that one changed workspace in a file of a megabyte costs a few
+    /// hundred bytes and not the file; others go whole.
+    ConfigurationPatch patchFor(const FileListing &have, const ConfigStore &older) const;
 
     /// Applies `patch`. Throws Error(MessageMalformed) if it is not against this store, or if any result differs
     /// from its digest or exceeds maxFileBytes: so a cut, mixed or forged transfer never becomes a configuration.
--- /dev/null
+++ b/src/include/papayastep/membership/configspread.h
@@ -0,0 +1,247 @@
+#pragma once
+
+#include "papayastep/base/clock.h"
+#include "papayastep/base/error.h"
+#include "papayastep/config/configstore.h"
+#include "papayastep/membership/messages.h"
+#include "papayastep/membership/vmdirectory.h"
+#include "papayastep/wire/message.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// How a new revision and a new VM list reach every node within seconds, while the platform sees few readers and may
+/// be away for hours. docs/design/configuration.md weighs the ways.
+namespace papayastep::membership {
+
+/// The node that decides.
+struct Self
+{
+    base::VmId vm;
+    base::ZoneId zone;
+    base::Incarnation incarnation = 0;
+
+    auto operator<=>(const Self &) const = default;
+};
+
+struct SpreadSettings
+{
+    int readersPerZone = 2; ///< Nodes that hold a watch at the platform.
+    std::chrono::seconds watchWait{25}; ///< How long one watch waits.
+    base::Duration shortestPoll = std::chrono::seconds(30); ///< Of nodes that hold no watch.
+    double pollsPerSecond = 20; ///< Of all those nodes together; the platform takes 2,000 reads.
+    double fetchesPerSecond = 500; ///< Of files, when many nodes start at once.
+    base::Duration shortestBackoff = std::chrono::milliseconds(500); ///< After a failed call of the platform.
+    base::Duration longestBackoff = std::chrono::seconds(30);
+    base::Duration noticeInterval = std::chrono::seconds(5); ///< Between notices to a random peer.
+    int noticeFanOut = 2; ///< Random peers told at once of something new.
+    int startPeers = 3; ///< Peers that a starting node asks.
+    base::Duration pullDelay = std::chrono::milliseconds(40); ///< For a push that may be on its way already.
+    base::Duration pullTimeout = std::chrono::seconds(1);
+    int treeFanOut = 3;
+    std::size_t partBytes = 700'000;
+    std::size_t largestTransfer = 24u << 20; ///< Bytes of one transfer that a peer can make this node hold.
+    std::size_t answersPerSecond = 16; ///< Transfers sent on request; bounds what one peer can cost.
+
+    auto operator<=>(const SpreadSettings &) const = default;
+};
+
+enum class PlatformCallKind { None, Read, Watch };
+
+/// What to ask of the platform next. Re-ask at least once a second while waiting: a change of the VM list may make a
+/// node a reader or end that.
+struct PlatformCall
+{
+    PlatformCallKind kind = PlatformCallKind::None;
+    base::TimePoint notBefore{};
+    std::uint64_t after = 0; ///< For a watch: the revision or version that the answer must exceed.
+    std::chrono::seconds wait{0};
+
+    auto operator<=>(const PlatformCall &) const = default;
+};
+
+/// The files to fetch for a revision that the platform offers. Empty `files` with `worthwhile`: all are held already,
+/// and platformFiles() may be called at once.
+struct FetchPlan
+{
+    bool worthwhile = false;
+    base::TimePoint notBefore{};
+    std::vector<config::FileReference> files;
+};
+
+/// A revision that came into force.
+struct Accepted
+{
+    config::ConfigurationPtr configuration;
+    std::string source; ///< "platform", or the VM that it came from.
+};
+
+struct SpreadStatus
+{
+    base::Revision revision = 0;
+    base::Revision platformRevision = 0; ///< The last that the platform offered to this node.
+    bool platformStale = false; ///< It offered an older one than is in force.
+    std::optional<base::Duration> newsAge; ///< Since `revision` was known to be the newest; empty if never.
+    bool reader = false;
+    std::uint64_t vmListVersion = 0;
+    std::size_t storeBytes = 0;
+    std::uint64_t built = 0; ///< Configurations parsed; one per new revision.
+    std::uint64_t rejected = 0; ///< Revisions that were whole but not valid.
+    std::string rejection; ///< Why the last one was.
+    std::uint64_t transfersRefused = 0; ///< Parts from strangers, too large, or broken.
+};
+
+/// The decisions of one node about configuration and VM list. Events in, messages and calls out; no I/O. Not
+/// thread-safe. Parsing a large configuration takes a second and happens inside the call that completes it, so a node
+/// runs this object apart from its request path.
+class ConfigSpread
+{
+public:
+    ConfigSpread(
+        Self self, VmDirectory &directory, const base::Clock &clock, std::uint64_t seed, SpreadSettings settings = {});
+
+    // The platform.
+    PlatformCall configurationCall() const;
+    PlatformCall vmListCall() const;
+
+    /// The platform answered with a listing. Tells which files to fetch, if any.
+    FetchPlan platformListing(const config::FileListing &listing);
+    /// All files of a plan came. Throws nothing: a revision that is broken or invalid is counted and left.
+    void platformFiles(const config::FileListing &listing, const std::vector<config::ConfigurationFile> &fetched);
+    /// A watch ended without a new revision.
+    void platformUnchanged();
+    void platformFailed();
+
+    void platformVmList(config::VmList list);
+    void platformVmListUnchanged();
+    void platformVmListFailed();
+
+    // Other nodes.
+    /// A message of kinds 30 to 39. Throws Error(MessageMalformed) or Error(MessageFromStranger).
+    void receive(const base::VmId &from, wire::MessageKind kind, std::string_view payload);
+    /// The revision on the envelope of any authenticated message.
+    void noteRevision(const base::VmId &from, base::Revision revision);
+    /// Tells the fleet that this VM is about to stop.
+    void announceLeaving();
+
+    // Time.
+    void tick();
+    base::TimePoint nextTick() const;
+
+    // Results.
+    std::vector<wire::Outgoing> takeMessages();
+    /// The newest accepted revision since the last call.
+    std::optional<Accepted> takeAccepted();
+    /// Whether the VM list changed since the last call; it is in the directory.
+    bool takeVmListChanged();
+
+    base::Revision revision() const;
+    const config::ConfigStore &store() const;
+    bool isReader() const;
+    SpreadStatus status() const;
+
+private:
+    struct Assembly
+    {
+        base::VmId from;
+        std::uint64_t checksum = 0;
+        std::vector<std::string> parts;
+        std::size_t missing = 0;
+        std::size_t bytes = 0;
+        base::TimePoint lastProgress{};
+    };
+    struct Pull
+    {
+        base::VmId peer;
+        base::TimePoint deadline{};
+    };
+    /// What drives the reading of one of the platform's two things.
+    struct PlatformSchedule
+    {
+        base::TimePoint notBefore{};
+        base::Duration backoff{};
+    };
+    /// The pull of one of the two things from peers that are ahead.
+    struct Repair
+    {
+        std::map<base::VmId, std::uint64_t> ahead;
+        base::TimePoint notBefore{};
+        std::optional<Pull> pull;
+    };
+
+    PlatformCall callFor(const PlatformSchedule &schedule, std::uint64_t after) const;
+    void scheduleNext(PlatformSchedule &schedule);
+    void scheduleRetry(PlatformSchedule &schedule);
+    base::Duration jittered(base::Duration interval);
+    bool isReaderOf(const base::ZoneId &zone, const base::VmId &vm) const;
+    std::vector<base::VmId> readersOf(const base::ZoneId &zone) const;
+
+    bool adopt(config::ConfigStore store, const std::string &source);
+    bool adoptVmList(config::VmList list);
+    void spreadConfiguration(const config::ConfigStore &older);
+    void spreadVmList(const config::VmList &older);
+    void push(TransferContent content, std::uint64_t version, const std::string &bytes);
+    void sendParts(const std::vector<base::VmId> &peers,
+                   TransferContent content,
+                   std::uint64_t version,
+                   const std::string &bytes,
+                   const base::VmId &treeRoot,
+                   wire::MessageKind kind);
+    std::vector<base::VmId> treeChildren(const std::vector<base::VmId> &members,
+                                         const base::VmId &root,
+                                         std::uint64_t salt) const;
+
+    void receiveNotice(const base::VmId &from, const RevisionNotice &notice);
+    void receiveRequest(const base::VmId &from, const ConfigurationRequest &request);
+    void receivePart(const base::VmId &from, wire::MessageKind kind, std::string_view payload);
+    void receiveLeaving(const VmLeaving &leaving);
+    void completeTransfer(const base::VmId &from, TransferContent content, const std::string &bytes);
+    void forwardParts(const base::VmId &from,
+                      const TransferPart &part,
+                      wire::MessageKind kind,
+                      const Assembly &assembly);
+    void completeConfiguration(const base::VmId &from, const std::string &bytes);
+    void completeVmList(const base::VmId &from, const std::string &bytes);
+
+    void noteAhead(Repair &repair, const base::VmId &from, std::uint64_t version);
+    void tickRepair(Repair &repair, std::uint64_t have, TransferContent content);
+    void request(const base::VmId &peer, TransferContent content);
+    void sendNotice(const base::VmId &peer);
+    void sendNotices(int count);
+    bool mayNotify(const base::VmId &peer);
+    bool mayAnswer();
+    void dropStaleAssemblies();
+
+    Self m_self;
+    VmDirectory &m_directory;
+    const base::Clock &m_clock;
+    std::mt19937_64 m_random;
+    SpreadSettings m_settings;
+
+    config::ConfigStore m_store;
+    config::ConfigStore m_previous; ///< Base of patches for nodes that are one revision behind.
+    std::optional<base::TimePoint> m_confirmed; ///< When m_store's revision was known to be the newest.
+    std::optional<Accepted> m_accepted;
+    bool m_vmListChanged = false;
+    SpreadStatus m_counters;
+    base::Revision m_highestRejected = 0;
+
+    PlatformSchedule m_configurationSchedule;
+    PlatformSchedule m_vmListSchedule;
+    Repair m_configurationRepair;
+    Repair m_vmListRepair;
+    std::map<std::pair<TransferContent, std::uint64_t>, Assembly> m_assemblies;
+    std::map<base::VmId, base::TimePoint> m_notified;
+    std::set<std::pair<base::VmId, base::Incarnation>> m_leavingSeen;
+    base::TimePoint m_nextNotice{};
+    base::TimePoint m_answerWindow{};
+    std::size_t m_answers = 0;
+    std::vector<wire::Outgoing> m_messages;
+};
+
+}
