Run fleets from Python and check their histories

Runs of real processes need one place that starts them, tells them their faults, collects what callers and backend servers recorded, and ends every process by its id: scripts/lab. Its history checker holds the eight rules that must always hold; 16 unit tests plant a violation each and expect it from its rule alone.

--- /dev/null
+++ b/scripts/lab/processes.py
@@ -0,0 +1,98 @@
+"""Child processes that are always ended by their id, also when the parent dies."""
+import ctypes
+import os
+import signal
+import subprocess
+import time
+
+PR_SET_PDEATHSIG = 1
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+_libc = ctypes.CDLL(None)
+
+
+def _end_with_parent():
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Process:
+    """One child. Its output goes to a log file."""
+
+    def __init__(self, name, arguments, log_path):
+        self.name = name
+        self.arguments = [str(argument) for argument in arguments]
+        self.log_path = log_path
+        self._child = None
+        self.start()
+
+    def start(self):
+        """Starts it, or starts it again after its end; the log file goes on."""
+        with open(self.log_path, "ab") as log:
+            self._child = subprocess.Popen(self.arguments, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                                           preexec_fn=_end_with_parent)
+
+    @property
+    def pid(self):
+        return self._child.pid
+
+    def is_running(self):
+        return self._child.poll() is None
+
+    def wait(self, seconds):
+        """The exit status. Raises subprocess.TimeoutExpired."""
+        return self._child.wait(seconds)
+
+    def pause(self):
+        self._child.send_signal(signal.SIGSTOP)
+
+    def resume(self):
+        self._child.send_signal(signal.SIGCONT)
+
+    def terminate(self):
+        self._child.send_signal(signal.SIGTERM)
+
+    def kill(self):
+        """Ends it at once, as a crash does."""
+        self._child.kill()
+        self._child.wait()
+
+    def stop(self, seconds=10):
+        """Asks it to end, then makes it end. Returns whether asking was enough."""
+        if not self.is_running():
+            return True
+        self.resume()
+        self.terminate()
+        try:
+            self.wait(seconds)
+            return True
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return False
+
+    def cpu_seconds(self):
+        """User and system time so far."""
+        fields = self._stat()
+        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+    def resident_bytes(self):
+        return int(self._stat()[21]) * PAGE_BYTES
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8", errors="replace") as log:
+            return log.read()
+
+    def _stat(self):
+        with open(f"/proc/{self.pid}/stat", encoding="ascii", errors="replace") as stat:
+            return stat.read().rsplit(")", 1)[1].split()
+
+
+def wait_until(condition, seconds, what):
+    """Polls `condition` and returns its first true value. Raises TimeoutError naming `what`."""
+    end = time.monotonic() + seconds
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > end:
+            raise TimeoutError(f"waited {seconds} s for {what}")
+        time.sleep(0.02)
--- /dev/null
+++ b/testsuite/history-checker/run.py
@@ -0,0 +1,94 @@
+#!/usr/bin/env python3
+"""The history checker itself: a clean history passes, and each planted violation is caught by its rule alone."""
+import os
+import sys
+import unittest
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "scripts"))
+from lab.history import History, Withdrawal, check  # noqa: E402
+
+
+def attempt(action="a-1", **changes):
+    made = {"action": action, "workspace": "shops", "method": "POST", "status": 200, "outcome": "", "sent": 100.0,
+            "end": 100.1, "request_id": f"r-{action}", "whole": True, "own": True, "right_workspace": True}
+    return {**made, **changes}
+
+
+def action(name="a-1", **changes):
+    return {"action": name, "requestId": f"r-{name}", "workspace": "shops", "server": "counter-1", "time": 100.05,
+            **changes}
+
+
+def refused(name="a-1", **changes):
+    return attempt(name, status=503, outcome="not-run", **changes)
+
+
+class HistoryCheckerTest(unittest.TestCase):
+    def expect(self, history, *rules):
+        self.assertEqual([violation.rule for violation in check(history)], list(rules))
+
+    def test_check_ofACleanHistory_findsNothing(self):
+        # A call that is answered, one that is refused and did not run, and a repeat through another node.
+        self.expect(History(
+            attempts=[attempt(), refused("a-2"), attempt("a-3", status=0), attempt("a-3", request_id="r-other"),
+                      attempt("a-4", method="GET")],
+            actions=[action(), action("a-3")], revisions=[(1, "vm-1", 1), (2, "vm-1", 2), (2, "vm-2", 1)],
+            withdrawals=[Withdrawal("shops", 99, 5)]))
+
+    def test_check_ofARepeatRefusedAsNotRunWhileTheFirstRan_findsNothing(self):
+        self.expect(History(attempts=[attempt(), refused(request_id="r-repeat")], actions=[action()]))
+
+    def test_check_ofAnActionRunOnTwoServers_findsTheDuplicate(self):
+        # The first node fell silent after the refund was paid, the caller repeated it, and it was paid again.
+        self.expect(History(attempts=[attempt(status=0), attempt(request_id="r-2")],
+                            actions=[action(), action(server="counter-2", requestId="r-2")]), "duplicate_actions")
+
+    def test_check_ofAnActionRunTwiceUnderOneRequest_findsTheDuplicate(self):
+        # The entry retried an attempt that was not proved to have never started.
+        self.expect(History(attempts=[attempt()], actions=[action(), action(server="counter-2")]), "duplicate_actions")
+
+    def test_check_ofARefusalWhoseActionRan_findsTheFalseNotRun(self):
+        # The caller was told that nothing ran and booked elsewhere; the slot was booked all the same.
+        self.expect(History(attempts=[refused()], actions=[action()]), "false_not_run")
+
+    def test_check_ofARefusalWithoutRequestIdWhoseActionRan_findsTheFalseNotRun(self):
+        self.expect(History(attempts=[refused(request_id="")], actions=[action()]), "false_not_run")
+
+    def test_check_ofOneRefusedAttemptThatRanAmongOthers_findsTheFalseNotRun(self):
+        self.expect(History(attempts=[refused(), attempt(request_id="r-2")], actions=[action()]), "false_not_run")
+
+    def test_check_ofACutAnswerTakenAsWhole_findsIt(self):
+        self.expect(History(attempts=[attempt(method="GET", whole=False)], actions=[]), "crossed_or_partial_answers")
+
+    def test_check_ofAnotherRequestsAnswer_findsIt(self):
+        # An answer that came late was left on a connection and went to the next request on it.
+        self.expect(History(attempts=[attempt(method="GET", own=False)], actions=[]), "crossed_or_partial_answers")
+
+    def test_check_ofAnAnswerForAnotherWorkspace_findsTheMixup(self):
+        self.expect(History(attempts=[attempt(method="GET", right_workspace=False)], actions=[]), "workspace_mixups")
+
+    def test_check_ofAnActionRunForAnotherWorkspace_findsTheMixup(self):
+        self.expect(History(attempts=[attempt()], actions=[action(workspace="vans")]), "workspace_mixups")
+
+    def test_check_ofAKeyAtABackendServer_findsIt(self):
+        self.expect(History(attempts=[], actions=[], keys_seen=1), "keys_seen")
+
+    def test_check_ofANodeThatWentBackARevision_findsIt(self):
+        # The platform came back stale and the node took the older configuration from it.
+        self.expect(History(attempts=[], actions=[], revisions=[(1, "vm-1", 3), (2, "vm-1", 2), (3, "vm-1", 3)]),
+                    "reverted_revisions")
+
+    def test_check_ofARestartedNodeWithoutARevisionYet_findsNothing(self):
+        self.expect(History(attempts=[], actions=[], revisions=[(1, "vm-1", 3), (2, "vm-1", 0), (3, "vm-1", 3)]))
+
+    def test_check_ofAWithdrawnKeyServedAfterTheBound_findsIt(self):
+        self.expect(History(attempts=[attempt(sent=106.0)], actions=[action()],
+                            withdrawals=[Withdrawal("shops", 100, 5)]), "withdrawn_keys_working")
+
+    def test_check_ofAnAcceptedActionThatNeverRan_findsItLost(self):
+        # The family got a confirmation, and nobody waits for them at the appointment.
+        self.expect(History(attempts=[attempt()], actions=[]), "lost_accepted_actions")
+
+
+if __name__ == "__main__":
+    unittest.main()
