--- a/src/include/papayastep/limits/messages.h
+++ b/src/include/papayastep/limits/messages.h
@@ -113,10 +113,10 @@
     std::uint64_t query = 0;
     std::uint64_t listVersion = 0; ///< The newest list that the witness has heard of, held or not.
     std::uint64_t members = 0; ///< Hash of the zone's VMs in it.
-    std::uint64_t listedFor = 0; ///< How long the witness has seen the asker listed without a break.
+    std::uint64_t unchangedFor = 0; ///< How long the witness has known the zone to have these VMs.
 
     auto operator<=>(const TenureAnswer &) const = default;
-    MSGPACK_DEFINE(asker, query, listVersion, members, listedFor)
+    MSGPACK_DEFINE(asker, query, listVersion, members, unchangedFor)
 };
 
 }
--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -106,8 +106,8 @@
     bool makeRoom(const base::WorkspaceId &workspace);
     void dropOverdue(std::vector<QueueDecision> &decisions);
     void startNext(std::vector<QueueDecision> &decisions);
-    void removeQueued(Lanes::iterator lane, std::size_t index);
-    base::Duration waitBehind(std::size_t turns) const;
+    bool removeQueued(const AttemptId &attempt);
+    base::Duration waitBehind(std::size_t ahead) const;
 
     const base::Clock &m_clock;
     SlotQueueSettings m_settings;
--- a/src/include/papayastep/limits/tokenbroker.h
+++ b/src/include/papayastep/limits/tokenbroker.h
@@ -21,13 +21,15 @@
     base::Incarnation incarnation = 0;
 };
 
-/// Times of the token protocol. All nodes of a fleet need the same grantValidity, evidenceLifetime and
-/// clockDriftBound: the cap rests on these three.
+/// Times of the token protocol. All nodes of a fleet need the same grantValidity, evidenceLifetime, shareGrowthDelay,
+/// clockDriftBound and clockStopBound: the cap rests on these.
 struct BrokerSettings
 {
     base::Duration grantValidity = std::chrono::seconds(1); ///< How long a granted token may be spent.
-    base::Duration evidenceLifetime = std::chrono::seconds(5); ///< How long proof of being the holder lasts.
+    base::Duration evidenceLifetime = std::chrono::seconds(3); ///< How long proof of being the holder lasts.
     double clockDriftBound = 0.001; ///< The most that two clocks drift apart, as a fraction of the time passed.
+    base::Duration clockStopBound = std::chrono::milliseconds(200); ///< A clock that stood still longer is noticed.
+    base::Duration shareGrowthDelay = std::chrono::seconds(10); ///< A configuration is in force everywhere after it.
     base::Duration waitLimit = std::chrono::milliseconds(90); ///< A request waits no longer for a token.
     base::Duration askTimeout = std::chrono::milliseconds(40); ///< A silent holder is passed over after it.
     base::Duration loanTimeout = std::chrono::milliseconds(25); ///< A holder waits no longer for other shares.
@@ -109,7 +111,7 @@
 class TokenBroker
 {
 public:
-    TokenBroker(BrokerSelf self, const base::Clock &clock, std::uint64_t seed, BrokerSettings settings = {});
+    TokenBroker(BrokerSelf self, const base::Clock &clock, BrokerSettings settings = {});
     ~TokenBroker();
     TokenBroker(TokenBroker &&) noexcept;
     TokenBroker &operator=(TokenBroker &&) noexcept;
--- /dev/null
+++ b/src/limits/zonetenure.cpp
@@ -0,0 +1,327 @@
+#include "zonetenure.h"
+
+#include "papayastep/base/hashing.h"
+#include "papayastep/base/log.h"
+
+#include <algorithm>
+
+namespace papayastep::limits {
+
+namespace {
+
+constexpr std::size_t maxWitnesses = 7;
+constexpr std::size_t maxRemembered = 256;
+constexpr base::Duration askAgainAfter = std::chrono::milliseconds(200);
+constexpr std::string_view witnessTopic = "witnesses of the zone";
+
+std::uint64_t hashOf(const std::vector<base::VmId> &members)
+{
+    std::uint64_t hash = members.size();
+    for (const base::VmId &vm : members) {
+        hash = base::stableHash(vm.value(), hash);
+    }
+    return hash;
+}
+
+std::uint64_t microseconds(base::Duration duration)
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+}
+
+base::Duration fromMicroseconds(std::uint64_t value)
+{
+    const std::uint64_t longest = microseconds(std::chrono::hours(24 * 365));
+    return std::chrono::microseconds(std::min(value, longest));
+}
+
+}
+
+ZoneTenure::ZoneTenure(const BrokerSelf &self, const base::Clock &clock, const BrokerSettings &settings)
+    : m_self(self)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_unchangedSince(clock.now())
+    , m_outSince(clock.now())
+{
+}
+
+void ZoneTenure::applyList(const config::VmList &list, base::TimePoint heardAt)
+{
+    if (list.version < m_version) {
+        return;
+    }
+    // An unseen list in between may have given the shares to somebody else for a while.
+    const bool skipped = list.version > m_version + 1;
+    if (list.version > m_version) {
+        std::vector<base::VmId> members;
+        for (const config::VmEntry &vm : list.vms) {
+            if (vm.zone == m_self.zone && !vm.leaving) {
+                members.push_back(vm.id);
+            }
+        }
+        std::sort(members.begin(), members.end());
+        m_version = list.version;
+        const std::uint64_t hash = hashOf(members);
+        if (hash != m_membersHash) {
+            adoptMembers(std::move(members));
+        }
+        learnOf(m_version, m_membersHash);
+        m_lapsed = m_lapsed || skipped;
+    }
+    const base::TimePoint now = m_clock.now();
+    if (m_proven && !inProof(now)) {
+        m_lapsed = true;
+    }
+    if (!m_lapsed && !contradicted()) {
+        m_provenAt = std::max(m_provenAt, std::min(heardAt, now));
+    }
+}
+
+bool ZoneTenure::mayGrant()
+{
+    const base::TimePoint now = m_clock.now();
+    if (!m_lapsed && !inProof(now)) {
+        m_lapsed = true;
+        ++m_lapses;
+        PAPAYASTEP_LOG(INFO, "limits") << "Stopped granting for want of proof." << base::field("vm", m_self.vm);
+    }
+    if (m_lapsed && listed() && (!m_round.open || now - m_round.askedAt >= askAgainAfter)) {
+        ask();
+    }
+    return !m_lapsed && listed() && !contradicted();
+}
+
+std::optional<base::TimePoint> ZoneTenure::heldSince(const base::WorkspaceId &workspace) const
+{
+    if (!m_base || !listed()) {
+        return std::nullopt;
+    }
+    const std::uint64_t mine = base::rendezvousWeight(workspace.value(), m_self.vm.value());
+    for (const base::VmId &vm : m_members) {
+        if (base::rendezvousWeight(workspace.value(), vm.value()) > mine) {
+            return std::nullopt;
+        }
+    }
+    base::TimePoint since = *m_base;
+    for (const auto &[vm, index] : m_removed) {
+        if (base::rendezvousWeight(workspace.value(), vm.value()) < mine) {
+            continue;
+        }
+        if (!m_changes[index].settledAt) {
+            return std::nullopt;
+        }
+        since = std::max(since, *m_changes[index].settledAt + guard());
+    }
+    return since;
+}
+
+std::uint64_t ZoneTenure::term() const
+{
+    return m_term;
+}
+
+void ZoneTenure::receive(const base::VmId &from, base::Incarnation incarnation, const TenureQuery &query)
+{
+    learnOf(query.listVersion, query.members);
+    TenureAnswer answer;
+    answer.asker = incarnation;
+    answer.query = query.query;
+    answer.listVersion = m_knownVersion;
+    answer.members = m_knownHash;
+    answer.unchangedFor = microseconds(m_clock.now() - m_unchangedSince);
+    m_outbox.push_back(wire::outgoing(from, wire::MessageKind::TenureAnswer, answer));
+}
+
+void ZoneTenure::receive(const base::VmId &from, const TenureAnswer &answer)
+{
+    const bool witness = std::find(m_witnesses.begin(), m_witnesses.end(), from) != m_witnesses.end();
+    if (answer.asker != m_self.incarnation || !m_round.open || answer.query != m_round.number || !witness) {
+        return;
+    }
+    learnOf(answer.listVersion, answer.members);
+    if (answer.members != m_membersHash) {
+        return;
+    }
+    m_round.agreed.insert(from);
+    m_round.unchangedFor = std::min(m_round.unchangedFor, fromMicroseconds(answer.unchangedFor));
+    countVotes();
+}
+
+void ZoneTenure::restart()
+{
+    ++m_term;
+    m_outSince = m_clock.now();
+    m_proven = false;
+    m_lapsed = true;
+    m_base.reset();
+    m_changes.clear();
+    m_removed.clear();
+    m_round = Round{m_round.number, m_outSince, {}, base::Duration::max(), false};
+}
+
+void ZoneTenure::tick()
+{
+    const base::TimePoint now = m_clock.now();
+    const bool unsettled = !m_base || (!m_changes.empty() && !m_changes.back().settledAt);
+    const bool old = now - m_provenAt >= m_settings.evidenceLifetime / 2;
+    const bool waiting = m_round.open && now - m_round.askedAt < askAgainAfter;
+    if (listed() && !waiting && (unsettled || m_lapsed || old)) {
+        ask();
+    }
+}
+
+std::optional<base::TimePoint> ZoneTenure::nextTick(bool active) const
+{
+    if (!listed()) {
+        return std::nullopt;
+    }
+    const bool unsettled = !m_base || (!m_changes.empty() && !m_changes.back().settledAt);
+    if (unsettled || (active && m_lapsed)) {
+        return m_round.open ? m_round.askedAt + askAgainAfter : m_clock.now();
+    }
+    if (!active) {
+        return std::nullopt;
+    }
+    const base::TimePoint renewal = m_provenAt + m_settings.evidenceLifetime / 2;
+    return m_round.open ? std::max(renewal, m_round.askedAt + askAgainAfter) : renewal;
+}
+
+std::vector<wire::Outgoing> ZoneTenure::takeMessages()
+{
+    return std::exchange(m_outbox, {});
+}
+
+std::uint64_t ZoneTenure::lapses() const
+{
+    return m_lapses;
+}
+
+bool ZoneTenure::listed() const
+{
+    return std::binary_search(m_members.begin(), m_members.end(), m_self.vm);
+}
+
+/// A newer list with other VMs in the zone is known to exist, but not held yet.
+bool ZoneTenure::contradicted() const
+{
+    return m_knownVersion > m_version && m_knownHash != m_membersHash;
+}
+
+bool ZoneTenure::inProof(base::TimePoint now) const
+{
+    return m_proven && now - m_provenAt <= m_settings.evidenceLifetime;
+}
+
+void ZoneTenure::learnOf(std::uint64_t version, std::uint64_t members)
+{
+    if (version <= m_knownVersion) {
+        return;
+    }
+    if (members != m_knownHash) {
+        m_unchangedSince = m_clock.now();
+    }
+    m_knownVersion = version;
+    m_knownHash = members;
+}
+
+void ZoneTenure::adoptMembers(std::vector<base::VmId> members)
+{
+    const bool wasListed = listed();
+    const std::vector<base::VmId> before = std::exchange(m_members, std::move(members));
+    m_membersHash = hashOf(m_members);
+    chooseWitnesses();
+    m_round.open = false;
+    if (!wasListed || !listed() || m_changes.size() >= maxRemembered) {
+        restart();
+        return;
+    }
+    m_changes.push_back(Change{m_clock.now(), std::nullopt});
+    for (const base::VmId &vm : before) {
+        if (!std::binary_search(m_members.begin(), m_members.end(), vm)) {
+            m_removed[vm] = m_changes.size() - 1;
+        }
+    }
+}
+
+void ZoneTenure::chooseWitnesses()
+{
+    m_witnesses = m_members;
+    std::sort(m_witnesses.begin(), m_witnesses.end(), [](const base::VmId &a, const base::VmId &b) {
+        return base::rendezvousWeight(witnessTopic, a.value()) > base::rendezvousWeight(witnessTopic, b.value());
+    });
+    m_witnesses.resize(std::min(m_witnesses.size(), maxWitnesses));
+}
+
+/// Twice the quorum exceeds the witnesses before and after a change of two of them, taken together.
+std::size_t ZoneTenure::quorum() const
+{
+    return std::min(m_witnesses.size(), m_witnesses.size() / 2 + 2);
+}
+
+void ZoneTenure::ask()
+{
+    const TenureQuery query{m_round.number + 1, m_version, m_membersHash};
+    m_round = Round{query.query, m_clock.now(), {}, base::Duration::max(), true};
+    for (const base::VmId &witness : m_witnesses) {
+        if (witness != m_self.vm) {
+            m_outbox.push_back(wire::outgoing(witness, wire::MessageKind::TenureQuery, query));
+        } else if (!contradicted()) {
+            m_round.agreed.insert(witness);
+        }
+    }
+    countVotes();
+}
+
+void ZoneTenure::countVotes()
+{
+    if (contradicted() || m_round.agreed.size() < quorum()) {
+        return;
+    }
+    const base::TimePoint now = m_clock.now();
+    const std::size_t others = m_round.agreed.size() - m_round.agreed.count(m_self.vm);
+    // The own word counts nothing for a time of which this process knows nothing.
+    const bool othersSuffice
+        = m_members.size() == 1 ? m_base.has_value() : others >= std::min(quorum(), m_members.size() - 1);
+    const base::Duration away = now - m_outSince;
+    if (!m_base) {
+        const bool nobodyStoodIn = othersSuffice && m_round.unchangedFor >= away + guard();
+        m_base = nobodyStoodIn ? m_outSince + surelyExpired(m_settings, m_settings.grantValidity) : now + guard();
+        PAPAYASTEP_LOG(INFO, "limits") << "Settled as holder." << base::field("vm", m_self.vm)
+                                       << base::field("list", m_version) << base::field("guarded", !nobodyStoodIn);
+    } else if (m_lapsed && m_proven) {
+        // Nobody can have stood in if the witnesses saw no change since well before the last proof.
+        const bool nobodyStoodIn = othersSuffice && m_round.unchangedFor >= now - m_provenAt + guard();
+        if (!nobodyStoodIn) {
+            restart();
+            m_base = now + guard();
+        }
+    }
+    m_lapsed = false;
+    m_proven = true;
+    m_provenAt = std::max(m_provenAt, m_round.askedAt);
+    settle(now);
+}
+
+void ZoneTenure::settle(base::TimePoint now)
+{
+    for (Change &change : m_changes) {
+        if (!change.settledAt) {
+            change.settledAt = now;
+        }
+    }
+    m_round.open = m_round.agreed.size() < m_witnesses.size() && m_round.open;
+}
+
+base::Duration ZoneTenure::guard() const
+{
+    // The proof runs out on one clock, the grants made on it on another.
+    return surelyExpired(m_settings, m_settings.evidenceLifetime) + surelyExpired(m_settings, m_settings.grantValidity);
+}
+
+base::Duration surelyExpired(const BrokerSettings &settings, base::Duration lifetime)
+{
+    const auto stretched = lifetime * (1 + 2 * settings.clockDriftBound);
+    return std::chrono::duration_cast<base::Duration>(stretched) + settings.clockStopBound;
+}
+
+}
