Decide routes, placement, retries and repeats without I/O

A request needs a route, a server, a verdict after each attempt, and for an idempotency key the certainty that it runs at most once.

Ruled out on the way: comparing revisions alone at the home. A home that skips a revision believes that it was home all the time, so earlier homes are asked and name each other. A refused hand-over between siblings shows as its own answer to a cancel, since 'never started' would be false there. A serving node's word that it has seen an attempt before is not taken as proof that it did not run.

--- a/src/include/papayastep/routing/attemptregistry.h
+++ b/src/include/papayastep/routing/attemptregistry.h
@@ -4,9 +4,11 @@
 #include "papayastep/base/identifiers.h"
 #include "papayastep/routing/hopdelay.h"
 
-#include <map>
+#include <functional>
+#include <queue>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 /// The serving node's memory of attempts, which makes `never started, never will` a promise that it can keep.
 namespace papayastep::routing {
@@ -44,6 +46,7 @@
     NeverStarted, ///< And never will.
     Started,
     Done,
+    HandedOver, ///< A sibling has it now: pass the cancel on to it, and let it answer the entry.
     NoPromise, ///< No room to remember a promise. The entry must treat it as unanswered.
 };
 
@@ -51,7 +54,7 @@
 
 struct AttemptRegistrySettings
 {
-    std::size_t capacity = 50'000; ///< Attempts remembered at once, open and past.
+    std::size_t capacity = 100'000; ///< Attempts remembered at once, open and past.
     std::size_t cancelReserve = 5'000; ///< Of those, kept for cancels that overtake their attempt.
 };
 
@@ -69,9 +72,13 @@
     /// passed, and it must not run.
     bool start(const AttemptId &id);
 
-    /// The attempt was taken out of the queue and will never start (shed, queue timeout, handed over).
+    /// The attempt was taken out of the queue and will never start (shed, queue timeout).
     void drop(const AttemptId &id);
 
+    /// The attempt is given to a sibling; call before the first byte goes to it. False: it was cancelled, so don't.
+    /// If the sibling refuses it as not-run, call drop().
+    bool handOver(const AttemptId &id);
+
     /// The backend server has answered, or the connection to it is closed.
     void finish(const AttemptId &id);
 
@@ -84,14 +91,21 @@
     std::size_t size() const;
 
 private:
-    enum class State { Queued, Started, Done, NeverStarts };
+    enum class State { Queued, Started, Done, HandedOver, NeverStarts };
 
     struct Entry
     {
         State state = State::Queued;
         base::TimePoint deadline;
     };
-    using Expiry = std::multimap<base::TimePoint, AttemptId>;
+    struct Expiry
+    {
+        base::TimePoint at;
+        AttemptId id;
+
+        auto operator<=>(const Expiry &) const = default;
+    };
+    using ExpiryQueue = std::priority_queue<Expiry, std::vector<Expiry>, std::greater<>>;
 
     void remember(const AttemptId &id, State state, base::TimePoint deadline);
 
@@ -99,7 +113,7 @@
     AttemptRegistrySettings m_settings;
     HopDelay m_delay;
     std::unordered_map<AttemptId, Entry, AttemptIdHash> m_entries;
-    Expiry m_expiry;
+    ExpiryQueue m_expiry;
 };
 
 }
--- a/src/include/papayastep/routing/idempotencyledger.h
+++ b/src/include/papayastep/routing/idempotencyledger.h
@@ -18,16 +18,17 @@
     std::size_t maxBytesOfWorkspace = 2u << 20; ///< So that one workspace can't fill the ledger for all.
     std::size_t maxAnswerBytes = 64u << 10; ///< Larger answers are not kept.
     base::Duration unknownAfter = std::chrono::seconds(2); ///< After its deadline a run without report is unknown.
-    base::Duration keyAhead = std::chrono::seconds(30); ///< A UUIDv7 key may be this far in the future.
-    base::Duration clockSkew = std::chrono::seconds(10); ///< Largest difference between two nodes' calendar clocks.
+    base::Duration keyAhead = std::chrono::seconds(20); ///< A UUIDv7 key may be this far in the future.
+    base::Duration clockSkew = std::chrono::seconds(5); ///< Largest difference between two nodes' calendar clocks.
     base::Duration resendEvery = std::chrono::milliseconds(100);
     base::Duration claimTimeout = std::chrono::seconds(2); ///< At the entry: then the home is unreachable.
     base::Duration askNextAfter = std::chrono::milliseconds(250); ///< At the entry: then the next home is asked too.
     base::Duration fetchPatience = std::chrono::seconds(1); ///< Claims wait this long for a fetch, then are refused.
     base::Duration completeTimeout = std::chrono::seconds(30); ///< At the entry: then a report is given up.
     std::size_t partBytes = 48u << 10; ///< Of one message with records.
-    /// No process served keys on this VM's behalf within the retention: a first installation. Set wrongly, a repeat
-    /// of a request that ran before the start runs again.
+    /// A first installation: no process has served keys before. Without it a new fleet refuses random keys for one
+    /// retention, since it can't tell its first start from a restart of all nodes. It has no effect where a sibling
+    /// has run for longer than this process. Set for a fleet that restarts as a whole, a repeat runs again.
     bool noEarlierRuns = false;
 };
 
@@ -54,11 +55,12 @@
     /// Records that `claim` runs and says so, or refuses because there is no room.
     ClaimAnswer grant(const LedgerClaim &claim);
 
-    /// Notes how a run ended. A report about another request than the one recorded changes nothing.
-    void complete(const LedgerRecord &report);
+    /// Notes how a run ended. A report about another request than the one recorded changes nothing. False: the run
+    /// is not recorded and there is no room to record it now.
+    bool complete(const LedgerRecord &report);
 
-    /// Takes a record of another home. The one that knows more wins.
-    void merge(const LedgerRecord &record);
+    /// Takes a record of another home. The one that knows more wins. False: no room, and nothing was taken.
+    bool merge(const LedgerRecord &record);
 
     /// Records with keys after `after`, in order, that `wanted` accepts, up to about partBytes. Sets `last`.
     std::vector<LedgerRecord> page(const KeyHash &after,
--- a/src/include/papayastep/routing/ledgerclient.h
+++ b/src/include/papayastep/routing/ledgerclient.h
@@ -64,7 +64,7 @@
     std::size_t size() const;
 
 private:
-    enum class Phase { Claiming, Running, Reporting };
+    enum class Phase { Claiming, Running, Reporting, Settled };
 
     struct Entry
     {
@@ -78,10 +78,11 @@
     using EntryMap = std::unordered_map<base::RequestId, Entry>;
 
     void sendClaim(Entry &entry);
-    void sendReport(EntryMap::iterator position);
+    void sendReport(Entry &entry);
     void decide(Entry &entry, const ClaimAnswer &answer);
     void report(const base::RequestId &request, RecordState state, StoredAnswer answer);
-    void giveUp(EntryMap::iterator position);
+    void giveUp(Entry &entry);
+    bool isForgotten(const Entry &entry) const;
     void refuse(const base::RequestId &request, const Refusal &refusal);
     const std::vector<base::VmId> &vmsOf(const base::ServiceId &service);
 
--- a/src/include/papayastep/routing/ledgerhome.h
+++ b/src/include/papayastep/routing/ledgerhome.h
@@ -48,20 +48,31 @@
     bool isCovered(const base::ServiceId &service) const;
 
 private:
+    using VmSet = std::shared_ptr<const std::vector<base::VmId>>;
+    using ServiceVm = std::pair<base::ServiceId, base::VmId>;
+
+    /// Which keys an earlier home could know.
+    enum class Scope {
+        HomeOf, ///< Those that it was home of by Predecessor::vms.
+        NextHomeOf, ///< Those that it is next home of: it may have acted for this VM while it was away.
+        Any,
+    };
+
     /// An earlier home of keys that are ours now. While it may still grant runs, or has records that we lack, a key
     /// that it could know must not be taken for new.
     struct Predecessor
     {
         base::VmId vm;
-        std::shared_ptr<const std::vector<base::VmId>> vms; ///< It was home by these; null: any key may be its.
-        bool asNextHome = false; ///< Applies to keys that it would be next home of (it acted for our earlier self).
-        base::Revision revision = 0; ///< Of the fetch.
-        base::Revision previousRevision = 0;
+        base::ServiceId heldAs;
+        Scope scope = Scope::Any;
+        bool atStart = false; ///< Asked because this process is new, not because a home moved.
+        VmSet vms;
         base::TimePoint asked; ///< First.
         base::TimePoint sent; ///< Last.
-        KeyHash after;
-        std::optional<base::TimePoint> lost; ///< It is gone, and what it knew before then with it.
+        KeyHash after; ///< Where the next page begins.
+        std::optional<base::TimePoint> lost; ///< What it knew before then is gone, and it has stopped.
     };
+    /// A VM that took records from us, since a later revision made it home.
     struct Fetcher
     {
         base::VmId vm;
@@ -70,19 +81,25 @@
     };
     struct ServiceState
     {
-        std::shared_ptr<const std::vector<base::VmId>> vms;
+        VmSet vms;
         std::vector<Predecessor> predecessors;
-        std::vector<Fetcher> fetchers; ///< Who took records from us.
+        std::vector<Fetcher> fetchers;
+        std::map<base::VmId, base::Revision> answered; ///< Who answered our fetch, at which revision of ours.
+        base::Revision previousRevision = 0; ///< The one before the last move.
+        base::Revision leastClaimRevision = 0; ///< Entries that are older may send us keys that have moved.
         base::Revision frozenUntil = 0; ///< Told of this revision: not home before we hold it.
-        base::TimePoint frozenAt;
         base::Duration retention{0}; ///< Longest of its routes.
     };
+    /// What another home gave us as it stopped.
     struct IncomingHandOver
     {
         base::Incarnation incarnation = 0;
         std::set<std::uint32_t> parts;
         std::optional<std::uint32_t> last;
-        bool complete = false;
+        std::optional<base::TimePoint> lost; ///< The stopped home's own gap.
+        std::optional<base::Incarnation> takenBack; ///< By the same VM after its restart.
+
+        bool isWhole() const;
     };
     struct OutgoingPart
     {
@@ -90,26 +107,49 @@
         LedgerHandOver part;
         base::TimePoint sent;
     };
-    using ServiceVm = std::pair<base::ServiceId, base::VmId>;
+    /// Why a claim can't be granted for want of knowledge. Nothing in `refusal`: wait a little.
+    struct Gap
+    {
+        std::optional<ClaimAnswer> refusal;
+    };
 
+    void receiveClaim(const base::VmId &from, const LedgerClaim &claim);
+    void receiveComplete(const base::VmId &from, const LedgerComplete &report);
     void receiveFetch(const base::VmId &from, const LedgerFetch &fetch);
     void receiveFetchResult(const base::VmId &from, const LedgerFetchResult &result);
     void receiveHandOver(const base::VmId &from, const LedgerHandOver &part);
     void receiveHandOverResult(const base::VmId &from, const LedgerHandOverResult &result);
 
-    void startService(const base::ServiceId &service, ServiceState &state);
-    void moveService(const base::ServiceId &service,
-                     ServiceState &state,
-                     const std::shared_ptr<const std::vector<base::VmId>> &before,
-                     base::Revision previousRevision);
+    void askSiblings(const base::ServiceId &service, ServiceState &state);
+    void moveHome(const base::ServiceId &service,
+                  ServiceState &state,
+                  const base::ServiceId &heldAs,
+                  const VmSet &before);
+    void askSkippedHomes(const base::ServiceId &service, ServiceState &state, base::Revision from, base::Revision to);
     void addPredecessor(const base::ServiceId &service, ServiceState &state, Predecessor predecessor);
-    void ask(const base::ServiceId &service, ServiceState &state, Predecessor &predecessor);
+    void ask(const base::ServiceId &service, const ServiceState &state, Predecessor &predecessor);
+    void settle(Predecessor &predecessor, const LedgerFetchResult &result, bool &isSettled) const;
     bool concerns(const Predecessor &predecessor, const ServiceState &state, const KeyHash &key) const;
-    std::optional<std::optional<ClaimAnswer>> uncovered(const ServiceState &state, const LedgerClaim &claim) const;
-    bool isHomeFor(const ServiceState &state, const base::ServiceId &service, const KeyHash &key) const;
-    std::int64_t lostAgo(const ServiceState &state) const;
+
+    const IncomingHandOver *actingFor(const ServiceState &state,
+                                      const base::ServiceId &service,
+                                      const KeyHash &key) const;
+    const IncomingHandOver *handedOver(const Predecessor &predecessor, const KeyHash &key) const;
+    bool isHome(const ServiceState &state, const KeyHash &key) const;
+    std::optional<Gap> gapFor(const base::ServiceId &service,
+                              const ServiceState &state,
+                              const LedgerClaim &claim) const;
+    std::optional<Gap> gapSince(base::TimePoint lost, const ServiceState &state, const LedgerClaim &claim) const;
+    std::optional<base::TimePoint> lostAt(const base::ServiceId &service, const ServiceState &state) const;
+    std::int64_t agoOf(const std::optional<base::TimePoint> &at) const;
+    std::optional<base::TimePoint> timeOf(std::int64_t ago) const;
+
     void handOverService(const base::ServiceId &service, const ServiceState &state);
     void queuePart(const base::VmId &to, LedgerHandOver part);
+    void noteFetcher(ServiceState &state, const base::VmId &from, const LedgerFetch &fetch);
+    bool isGone(const Predecessor &predecessor) const;
+    bool neverWas(const Predecessor &predecessor) const;
+    void tickService(const base::ServiceId &service, ServiceState &state);
 
     template<typename Value>
     void send(const base::VmId &to, wire::MessageKind kind, const Value &value);
--- a/src/include/papayastep/routing/ledgermessages.h
+++ b/src/include/papayastep/routing/ledgermessages.h
@@ -111,6 +111,7 @@
 struct LedgerFetch
 {
     base::ServiceId service;
+    base::ServiceId heldAs; ///< The service that the records belong to at the earlier home; a route may have moved.
     base::Revision revision = 0;
     base::Revision previousRevision = 0; ///< The one that the asker held before; 0 after a start.
     base::Incarnation incarnation = 0; ///< Of the asker.
@@ -118,13 +119,14 @@
     KeyHash after; ///< Records with greater keys are wanted.
 
     auto operator<=>(const LedgerFetch &) const = default;
-    MSGPACK_DEFINE(service, revision, previousRevision, incarnation, vms, after)
+    MSGPACK_DEFINE(service, heldAs, revision, previousRevision, incarnation, vms, after)
 };
 
 /// A page of records for the asker.
 struct LedgerFetchResult
 {
     base::ServiceId service;
+    base::ServiceId heldAs;
     base::Revision revision = 0; ///< Of the fetch.
     base::Incarnation incarnation = 0; ///< Of the asker.
     KeyHash after; ///< Of the fetch.
@@ -135,7 +137,7 @@
     std::vector<base::VmId> others; ///< VMs that may hold records too: homes of revisions that the asker skipped.
 
     auto operator<=>(const LedgerFetchResult &) const = default;
-    MSGPACK_DEFINE(service, revision, incarnation, after, records, last, vouches, lostAgo, others)
+    MSGPACK_DEFINE(service, heldAs, revision, incarnation, after, records, last, vouches, lostAgo, others)
 };
 
 /// A stopping home to the next one: numbered parts, each acknowledged. The whole hand-over is there when all parts up
--- a/src/include/papayastep/routing/placement.h
+++ b/src/include/papayastep/routing/placement.h
@@ -109,7 +109,8 @@
     base::Duration staleAfter = std::chrono::seconds(3); ///< Older load figures count as the average ones.
 };
 
-/// Draws two usable servers, one of them of the own zone where there is one, and takes the better by score().
+/// Draws two usable servers, one of them of the own zone where there is one, each as often as its weight says, and
+/// takes the better by score().
 ///
 /// A server that looks idle because it fails fast or lies about its load gains at most the draws in which it takes
 /// part: twice an equal share, not all traffic (choosing the best of all would give it everything).
@@ -123,7 +124,7 @@
                     const PlacementRequest &request,
                     std::mt19937_64 &random) const override;
 
-    /// Expected milliseconds for one more request: latency, stretched by slots in use and queue, over the weight.
+    /// Expected milliseconds for one more request: latency, stretched by slots in use and queue.
     double score(const Candidate &candidate) const;
 
     /// All candidates with scores, and one sentence about `placement`.
--- a/src/include/papayastep/routing/retrypolicy.h
+++ b/src/include/papayastep/routing/retrypolicy.h
@@ -123,7 +123,8 @@
                          base::ResultCode code,
                          base::Duration retryAfter,
                          std::string_view reason) const;
-    bool mayRetry(const RequestProgress &progress) const;
+    /// Whether another attempt may follow; takes it from the budget.
+    bool takeRetry(const RequestProgress &progress);
 
     const base::Clock &m_clock;
     RetryBudget &m_budget;
--- /dev/null
+++ b/src/routing/placement.cpp
@@ -0,0 +1,326 @@
+#include "papayastep/routing/placement.h"
+
+#include <boost/container/small_vector.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+namespace papayastep::routing {
+
+namespace {
+
+using Indexes = boost::container::small_vector<std::uint32_t, 256>;
+
+constexpr int maxWeightedDraws = 8; ///< Then the last draw stands: bounds the work when all weights are small.
+
+double milliseconds(base::Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+/// A number in [0, size). The bias of the multiplication is below 2^-32 for any real number of servers.
+std::uint32_t draw(std::mt19937_64 &random, std::size_t size)
+{
+    return static_cast<std::uint32_t>(((random() >> 32) * size) >> 32);
+}
+
+double drawShare(std::mt19937_64 &random)
+{
+    constexpr double steps = 1.0 / (1ull << 53);
+    return static_cast<double>(random() >> 11) * steps;
+}
+
+bool wasTried(const Candidate &candidate, const std::vector<base::BackendServerId> &tried)
+{
+    return std::find(tried.begin(), tried.end(), candidate.server) != tried.end();
+}
+
+/// Gets ordinary traffic, as far as its own state goes.
+bool isWell(const Candidate &candidate)
+{
+    return candidate.usable && candidate.pathUsable && !candidate.trial && !candidate.drained;
+}
+
+std::uint32_t drawWeighted(std::span<const Candidate> candidates, const Indexes &from, std::mt19937_64 &random)
+{
+    std::uint32_t index = 0;
+    for (int i = 0; i < maxWeightedDraws; ++i) {
+        index = from[draw(random, from.size())];
+        if (candidates[index].weight >= 1 || drawShare(random) < candidates[index].weight) {
+            break;
+        }
+    }
+    return index;
+}
+
+Placement only(std::uint32_t index, PlacementReason reason)
+{
+    return Placement{index, std::nullopt, reason};
+}
+
+/// Nobody is well: a wrong verdict about all must not stop the service, so everybody shares the traffic. A path
+/// known to be broken is the last resort.
+Placement placeWhenAllAreBad(std::span<const Candidate> candidates,
+                             const PlacementRequest &request,
+                             std::mt19937_64 &random)
+{
+    Indexes reachable;
+    Indexes others;
+    for (std::uint32_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].drained || wasTried(candidates[i], request.tried)) {
+            continue;
+        }
+        (candidates[i].pathUsable ? reachable : others).push_back(i);
+    }
+    const Indexes &from = reachable.empty() ? others : reachable;
+    if (from.empty()) {
+        return {};
+    }
+    return only(from[draw(random, from.size())], PlacementReason::AllBad);
+}
+
+/// A trial server gets its weight's part of an equal share, and only of requests that can be repeated elsewhere.
+std::optional<std::uint32_t> placeOnTrial(std::span<const Candidate> candidates,
+                                          const Indexes &trials,
+                                          std::mt19937_64 &random)
+{
+    double point = drawShare(random) * static_cast<double>(candidates.size());
+    for (const std::uint32_t index : trials) {
+        point -= candidates[index].weight;
+        if (point < 0) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+}
+
+std::string_view name(PlacementReason reason)
+{
+    switch (reason) {
+    case PlacementReason::BetterOfTwo:
+        return "better-of-two";
+    case PlacementReason::SameZone:
+        return "same-zone";
+    case PlacementReason::OnlyOne:
+        return "only-one";
+    case PlacementReason::Trial:
+        return "trial";
+    case PlacementReason::AllBad:
+        return "all-bad";
+    case PlacementReason::Random:
+        return "random";
+    case PlacementReason::Nobody:
+        return "nobody";
+    }
+    return "nobody";
+}
+
+std::string_view RandomPlacement::name() const
+{
+    return "random";
+}
+
+Placement RandomPlacement::place(std::span<const Candidate> candidates,
+                                 const PlacementRequest &request,
+                                 std::mt19937_64 &random) const
+{
+    Indexes from;
+    for (std::uint32_t i = 0; i < candidates.size(); ++i) {
+        if (!candidates[i].drained && !wasTried(candidates[i], request.tried)) {
+            from.push_back(i);
+        }
+    }
+    if (from.empty()) {
+        return {};
+    }
+    return only(from[draw(random, from.size())], PlacementReason::Random);
+}
+
+TwoChoicePlacement::TwoChoicePlacement(TwoChoiceSettings settings)
+    : m_settings(settings)
+{
+}
+
+std::string_view TwoChoicePlacement::name() const
+{
+    return "two-choices";
+}
+
+double TwoChoicePlacement::score(const Candidate &candidate) const
+{
+    const bool known = candidate.latency > base::Duration::zero();
+    const double latency = milliseconds(known ? candidate.latency : m_settings.defaultLatency);
+    const double slots = std::max(candidate.slots, 1);
+    // Figures that are too old are worth no more than the guess that half of the slots are busy.
+    const bool stale = candidate.freshness > m_settings.staleAfter;
+    const double load = stale ? 0.5 : (candidate.slotsInUse + candidate.queueLength) / slots;
+    const double queueing = stale ? 0 : candidate.queueLength / slots;
+    return latency * (1 + load + queueing);
+}
+
+Placement TwoChoicePlacement::place(std::span<const Candidate> candidates,
+                                    const PlacementRequest &request,
+                                    std::mt19937_64 &random) const
+{
+    Indexes well;
+    Indexes nearby;
+    Indexes trials;
+    bool anybodyWell = false;
+    for (std::uint32_t i = 0; i < candidates.size(); ++i) {
+        const Candidate &candidate = candidates[i];
+        const bool isTrial = candidate.trial && candidate.pathUsable && !candidate.drained;
+        anybodyWell = anybodyWell || isWell(candidate);
+        if (wasTried(candidate, request.tried)) {
+            continue;
+        }
+        if (isTrial && request.idempotent) {
+            trials.push_back(i);
+        }
+        if (isWell(candidate)) {
+            well.push_back(i);
+            if (candidate.zone == request.zone) {
+                nearby.push_back(i);
+            }
+        }
+    }
+    if (!anybodyWell) {
+        return placeWhenAllAreBad(candidates, request, random);
+    }
+    if (!trials.empty()) {
+        if (const auto trial = placeOnTrial(candidates, trials, random)) {
+            return only(*trial, PlacementReason::Trial);
+        }
+    }
+    if (well.empty()) {
+        return {};
+    }
+    if (well.size() == 1) {
+        return only(well.front(), PlacementReason::OnlyOne);
+    }
+
+    const std::uint32_t first = drawWeighted(candidates, nearby.empty() ? well : nearby, random);
+    std::uint32_t second = drawWeighted(candidates, well, random);
+    if (second == first) {
+        // The next one in order: still each other server with some chance, without drawing for ever.
+        const auto position = std::find(well.begin(), well.end(), first) - well.begin();
+        second = well[(static_cast<std::size_t>(position) + 1 + draw(random, well.size() - 1)) % well.size()];
+    }
+    const bool prefersFirst = !nearby.empty() && candidates[second].zone != request.zone;
+    const double tolerance = prefersFirst ? 1 + m_settings.sameZoneTolerance : 1;
+    const double scoreOfFirst = score(candidates[first]);
+    const double scoreOfSecond = score(candidates[second]);
+    if (scoreOfFirst <= scoreOfSecond * tolerance) {
+        const auto reason = prefersFirst ? PlacementReason::SameZone : PlacementReason::BetterOfTwo;
+        return Placement{first, second, reason};
+    }
+    return Placement{second, first, PlacementReason::BetterOfTwo};
+}
+
+namespace {
+
+std::string noteOn(const Candidate &candidate, const PlacementRequest &request)
+{
+    if (candidate.drained) {
+        return "draining or leaving";
+    }
+    if (wasTried(candidate, request.tried)) {
+        return "tried before";
+    }
+    if (!candidate.pathUsable) {
+        return "path broken";
+    }
+    if (candidate.trial) {
+        return request.idempotent ? "on trial, gets a trickle" : "on trial, idempotent requests only";
+    }
+    return candidate.usable ? "" : "ejected";
+}
+
+std::string sentenceOn(std::span<const ScoredCandidate> scored, const Placement &placement)
+{
+    if (!placement.candidate) {
+        return "No backend server can take the request.";
+    }
+    std::ostringstream sentence;
+    sentence.precision(3);
+    const ScoredCandidate &chosen = scored[*placement.candidate];
+    sentence << "Chose " << chosen.candidate.server << ' ';
+    switch (placement.reason) {
+    case PlacementReason::BetterOfTwo:
+    case PlacementReason::SameZone: {
+        const ScoredCandidate &other = scored[*placement.other];
+        const bool sameZone = placement.reason == PlacementReason::SameZone;
+        sentence << (sameZone ? "in the same zone, no worse than " : "as the better of two, before ");
+        sentence << other.candidate.server << " (" << chosen.score << " ms against " << other.score << " ms).";
+        break;
+    }
+    case PlacementReason::OnlyOne:
+        sentence << "as the only one left.";
+        break;
+    case PlacementReason::Trial:
+        sentence << "on trial, to see whether it is well again.";
+        break;
+    case PlacementReason::AllBad:
+        sentence << "at random, since no backend server looks well.";
+        break;
+    case PlacementReason::Random:
+    case PlacementReason::Nobody:
+        sentence << "at random.";
+        break;
+    }
+    return sentence.str();
+}
+
+}
+
+PlacementExplanation TwoChoicePlacement::explain(std::span<const Candidate> candidates,
+                                                 const PlacementRequest &request,
+                                                 const Placement &placement) const
+{
+    PlacementExplanation explanation;
+    for (const Candidate &candidate : candidates) {
+        const std::string note = noteOn(candidate, request);
+        const bool eligible = note.empty() || (candidate.trial && request.idempotent && !candidate.drained);
+        explanation.candidates.push_back(ScoredCandidate{candidate, score(candidate), eligible, note});
+    }
+    explanation.sentence = sentenceOn(explanation.candidates, placement);
+    return explanation;
+}
+
+std::optional<std::size_t> handOver(const Candidate &own,
+                                    std::span<const Candidate> siblings,
+                                    const HandOverRequest &request,
+                                    std::mt19937_64 &random,
+                                    const HandOverSettings &settings)
+{
+    if (request.handedOverBefore || own.latency <= base::Duration::zero()) {
+        return std::nullopt;
+    }
+    const double slots = std::max(own.slots, 1);
+    const double ownTime = milliseconds(own.latency) * (1 + (request.queuedBefore + 1) / slots);
+    const double limit = std::min(ownTime / settings.factor, milliseconds(request.remaining));
+    const auto timeOf
+        = [&](const Candidate &sibling) { return milliseconds(sibling.latency) + milliseconds(settings.hopCost); };
+
+    Indexes better;
+    for (std::uint32_t i = 0; i < siblings.size(); ++i) {
+        const Candidate &sibling = siblings[i];
+        const bool hasFreeSlot = sibling.slotsInUse + sibling.queueLength < sibling.slots;
+        const bool isKnown = sibling.freshness <= settings.staleAfter && sibling.latency > base::Duration::zero();
+        if (isWell(sibling) && hasFreeSlot && isKnown && !wasTried(sibling, request.tried) && timeOf(sibling) < limit) {
+            better.push_back(i);
+        }
+    }
+    if (better.empty()) {
+        return std::nullopt;
+    }
+    // Two choices here too: if all full servers chose the same best sibling it would be flooded within a second.
+    const std::uint32_t first = drawWeighted(siblings, better, random);
+    const std::uint32_t second = drawWeighted(siblings, better, random);
+    const auto freeSlots = [&](std::uint32_t index) { return siblings[index].slots - siblings[index].slotsInUse; };
+    return freeSlots(first) >= freeSlots(second) ? first : second;
+}
+
+}
--- /dev/null
+++ b/src/routing/retrybudget.cpp
@@ -0,0 +1,85 @@
+#include "papayastep/routing/retrybudget.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace papayastep::routing {
+
+namespace {
+
+double seconds(base::Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+constexpr double epsilon = 1e-9; ///< So that five fifths make a whole.
+
+}
+
+RetryBudget::RetryBudget(const base::Clock &clock, RetryBudgetSettings settings)
+    : m_clock(clock)
+    , m_settings(settings)
+{
+}
+
+template<typename Map, typename Id>
+RetryBudget::Account &RetryBudget::refreshed(Map &accounts, const Id &id)
+{
+    const auto now = m_clock.now();
+    const auto [position, isNew] = accounts.try_emplace(id, Account{0, m_settings.reserve, now});
+    Account &account = position->second;
+    if (!isNew) {
+        const double elapsed = seconds(now - account.updated);
+        account.earned *= std::exp(-elapsed / seconds(m_settings.window));
+        account.reserve = std::min(m_settings.reserve, account.reserve + elapsed * m_settings.reservePerSecond);
+        account.updated = now;
+    }
+    return account;
+}
+
+bool RetryBudget::canSpend(const Account &account)
+{
+    return account.earned + epsilon >= 1 || account.reserve + epsilon >= 1;
+}
+
+void RetryBudget::take(Account &account)
+{
+    double &from = account.earned + epsilon >= 1 ? account.earned : account.reserve;
+    from -= 1;
+}
+
+void RetryBudget::countRequest(const base::ServiceId &service, const base::WorkspaceId &workspace)
+{
+    refreshed(m_services, service).earned += m_settings.share;
+    refreshed(m_workspaces, workspace).earned += m_settings.share;
+}
+
+bool RetryBudget::spend(const base::ServiceId &service, const base::WorkspaceId &workspace)
+{
+    Account &ofService = refreshed(m_services, service);
+    Account &ofWorkspace = refreshed(m_workspaces, workspace);
+    if (!canSpend(ofService) || !canSpend(ofWorkspace)) {
+        return false;
+    }
+    take(ofService);
+    take(ofWorkspace);
+    return true;
+}
+
+void RetryBudget::tick()
+{
+    // After ten windows nothing earned is left, and the reserve is full by then unless it fills slower still.
+    const double refill = m_settings.reserve / std::max(m_settings.reservePerSecond, epsilon);
+    const double idle = std::max(10 * seconds(m_settings.window), refill);
+    const auto now = m_clock.now();
+    const auto isIdle = [&](const auto &entry) { return seconds(now - entry.second.updated) > idle; };
+    std::erase_if(m_services, isIdle);
+    std::erase_if(m_workspaces, isIdle);
+}
+
+std::size_t RetryBudget::size() const
+{
+    return m_services.size() + m_workspaces.size();
+}
+
+}
--- /dev/null
+++ b/src/routing/retrypolicy.cpp
@@ -0,0 +1,275 @@
+#include "papayastep/routing/retrypolicy.h"
+
+#include <algorithm>
+
+namespace papayastep::routing {
+
+namespace {
+
+using base::ResultCode;
+
+/// Refusals that another server would repeat: the request, the key or the entry is at fault.
+bool isFinal(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::HopRevisionBehind:
+    case ResultCode::HopUnauthenticated:
+    case ResultCode::HopMalformed:
+    case ResultCode::KeyUnknown:
+    case ResultCode::RouteUnknown:
+    case ResultCode::RequestMalformed:
+    case ResultCode::RequestBodyTooLarge:
+    case ResultCode::DeadlineExceeded:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/// Refusals that the same request would meet again later.
+bool isHopeless(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::KeyUnknown:
+    case ResultCode::RouteUnknown:
+    case ResultCode::RequestMalformed:
+    case ResultCode::RequestBodyTooLarge:
+    case ResultCode::HopMalformed:
+    case ResultCode::AnswerTooLarge:
+        return true;
+    default:
+        return false;
+    }
+}
+
+RetryDecision plain(RetryAction action, std::string_view reason)
+{
+    return RetryDecision{action, false, {}, reason};
+}
+
+}
+
+std::string_view name(AttemptEvent event)
+{
+    switch (event) {
+    case AttemptEvent::ConnectionRefused:
+        return "connection-refused";
+    case AttemptEvent::NotAcknowledged:
+        return "not-acknowledged";
+    case AttemptEvent::AcknowledgedThenSilent:
+        return "acknowledged-then-silent";
+    case AttemptEvent::RefusedNotRun:
+        return "refused-not-run";
+    case AttemptEvent::ShedByServer:
+        return "shed-by-server";
+    case AttemptEvent::ServerError:
+        return "server-error";
+    case AttemptEvent::Partial:
+        return "partial";
+    case AttemptEvent::PartialForwarded:
+        return "partial-forwarded";
+    case AttemptEvent::Complete:
+        return "complete";
+    case AttemptEvent::DeadlinePassed:
+        return "deadline-passed";
+    case AttemptEvent::CancelNeverStarted:
+        return "cancel-never-started";
+    case AttemptEvent::CancelStarted:
+        return "cancel-started";
+    case AttemptEvent::CancelDone:
+        return "cancel-done";
+    case AttemptEvent::CancelUnanswered:
+        return "cancel-unanswered";
+    }
+    return "unknown";
+}
+
+std::string_view name(RetryAction action)
+{
+    switch (action) {
+    case RetryAction::AnswerCaller:
+        return "answer-caller";
+    case RetryAction::RetryElsewhere:
+        return "retry-elsewhere";
+    case RetryAction::CancelFirst:
+        return "cancel-first";
+    case RetryAction::Wait:
+        return "wait";
+    case RetryAction::Refuse:
+        return "refuse";
+    case RetryAction::BreakOff:
+        return "break-off";
+    }
+    return "unknown";
+}
+
+RetryPolicy::RetryPolicy(const base::Clock &clock, RetryBudget &budget, RetrySettings settings)
+    : m_clock(clock)
+    , m_budget(budget)
+    , m_settings(settings)
+{
+}
+
+void RetryPolicy::beginAttempt(RequestProgress &progress)
+{
+    if (progress.attempts == 0) {
+        m_budget.countRequest(progress.service, progress.workspace);
+    }
+    ++progress.attempts;
+}
+
+bool RetryPolicy::takeRetry(const RequestProgress &progress)
+{
+    return progress.attempts < m_settings.maxAttempts && m_clock.now() < progress.deadline
+        && m_budget.spend(progress.service, progress.workspace);
+}
+
+RetryDecision RetryPolicy::decide(RequestProgress &progress, const AttemptResult &result)
+{
+    switch (result.event) {
+    case AttemptEvent::ConnectionRefused:
+    case AttemptEvent::CancelNeverStarted:
+        return onProof(progress, result);
+    case AttemptEvent::RefusedNotRun:
+        // A serving node that has seen the attempt before doesn't say what became of the first copy.
+        return result.code == ResultCode::HopReplayed ? onPossibleRun(progress, result) : onProof(progress, result);
+    case AttemptEvent::NotAcknowledged:
+    case AttemptEvent::AcknowledgedThenSilent:
+        return onSilence(progress, result);
+    case AttemptEvent::ShedByServer:
+    case AttemptEvent::ServerError:
+    case AttemptEvent::Partial:
+    case AttemptEvent::DeadlinePassed:
+    case AttemptEvent::CancelUnanswered:
+        return onPossibleRun(progress, result);
+    case AttemptEvent::CancelStarted:
+        // Still open: it may yet end with proof, when the backend server refuses the connection.
+        return plain(RetryAction::Wait, "The attempt has started, so its answer is awaited.");
+    case AttemptEvent::CancelDone:
+        progress.mayHaveRun = true;
+        return plain(RetryAction::Wait, "The attempt has run, so its answer is awaited.");
+    case AttemptEvent::PartialForwarded:
+        progress.mayHaveRun = true;
+        return plain(RetryAction::BreakOff, "The answer broke off after a part of it was passed on.");
+    case AttemptEvent::Complete:
+        progress.mayHaveRun = true;
+        return plain(RetryAction::AnswerCaller, "The answer is whole.");
+    }
+    return refuse(progress, ResultCode::Internal, base::Duration::zero(), "The event is not known.");
+}
+
+RetryDecision RetryPolicy::onProof(RequestProgress &progress, const AttemptResult &result)
+{
+    ResultCode code = result.code;
+    if (code == ResultCode::Ok) {
+        const bool refused = result.event == AttemptEvent::ConnectionRefused;
+        code = refused ? ResultCode::NoBackendServer : ResultCode::HopUnacknowledged;
+    }
+    if (m_clock.now() >= progress.deadline) {
+        return refuse(progress, ResultCode::DeadlineExceeded, result.retryAfter, "The deadline passed.");
+    }
+    if (isFinal(code)) {
+        return refuse(progress, code, result.retryAfter, "Another backend server would refuse it too.");
+    }
+    if (progress.mayHaveRun && !progress.idempotent) {
+        return refuse(progress, code, result.retryAfter, "An earlier attempt may have run.");
+    }
+    if (takeRetry(progress)) {
+        return plain(RetryAction::RetryElsewhere, "The attempt did not run, which is proved.");
+    }
+    return refuse(progress, code, result.retryAfter, "No attempt or no retry budget is left.");
+}
+
+RetryDecision RetryPolicy::onSilence(RequestProgress &progress, const AttemptResult &result)
+{
+    if (!progress.idempotent) {
+        const bool acknowledged = result.event == AttemptEvent::AcknowledgedThenSilent;
+        return plain(RetryAction::CancelFirst,
+                     acknowledged ? "No answer came in time, and only a cancel shows whether it started."
+                                  : "No acknowledgement came in time, and only a cancel shows whether it started.");
+    }
+    if (!takeRetry(progress)) {
+        return plain(RetryAction::Wait, "No attempt or no retry budget is left, so this one is awaited.");
+    }
+    progress.mayHaveRun = true;
+    RetryDecision decision = plain(RetryAction::RetryElsewhere, "The attempt is silent and safe to repeat.");
+    decision.cancelPrevious = true;
+    return decision;
+}
+
+RetryDecision RetryPolicy::onPossibleRun(RequestProgress &progress, const AttemptResult &result)
+{
+    progress.mayHaveRun = true;
+    const bool hasAnswer = result.event == AttemptEvent::ShedByServer || result.event == AttemptEvent::ServerError;
+    if (result.event == AttemptEvent::DeadlinePassed) {
+        RetryDecision decision
+            = refuse(progress, ResultCode::DeadlineExceeded, result.retryAfter, "The deadline passed.");
+        decision.cancelPrevious = true;
+        return decision;
+    }
+    if (progress.idempotent && takeRetry(progress)) {
+        return plain(RetryAction::RetryElsewhere, "The attempt failed and is safe to repeat.");
+    }
+    if (hasAnswer) {
+        return plain(RetryAction::AnswerCaller, "The backend server's own answer is whole.");
+    }
+    const bool partial = result.event == AttemptEvent::Partial;
+    const ResultCode code = partial ? ResultCode::AnswerIncomplete : ResultCode::OutcomeUnknown;
+    return refuse(progress, code, result.retryAfter, "The attempt may have run.");
+}
+
+RetryDecision RetryPolicy::refuse(const RequestProgress &progress,
+                                  ResultCode code,
+                                  base::Duration retryAfter,
+                                  std::string_view reason) const
+{
+    return RetryDecision{RetryAction::Refuse, false, refuseInstead(progress, code, retryAfter), reason};
+}
+
+Refusal RetryPolicy::refuseInstead(const RequestProgress &progress, ResultCode code, base::Duration retryAfter) const
+{
+    Refusal refusal;
+    refusal.code = code;
+    refusal.retryAfter = retryAfter > base::Duration::zero() ? retryAfter : m_settings.defaultRetryAfter;
+    refusal.outcome = progress.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+    if (refusal.outcome == Outcome::NotRun) {
+        refusal.retryClass = progress.hasIdempotencyKey ? RetryClass::WithSameKey : RetryClass::Later;
+    } else if (progress.idempotent) {
+        refusal.retryClass = RetryClass::Later;
+    } else if (progress.hasIdempotencyKey) {
+        // The ledger holds the key as running until the deadline; an earlier repeat would only be told so.
+        refusal.retryClass = RetryClass::WithSameKey;
+        refusal.retryAfter = std::max(refusal.retryAfter, progress.deadline - m_clock.now());
+    } else {
+        refusal.retryClass = RetryClass::AfterCheck;
+        refusal.retryAfter = base::Duration::zero();
+    }
+    if (isHopeless(code) && refusal.outcome == Outcome::NotRun) {
+        refusal.retryClass = RetryClass::Never;
+        refusal.retryAfter = base::Duration::zero();
+    }
+    return refusal;
+}
+
+AttemptTimeouts RetryPolicy::timeouts(const RequestProgress &progress, base::Duration typicalLatency) const
+{
+    const base::Duration remaining = std::max(progress.deadline - m_clock.now(), base::Duration::zero());
+    AttemptTimeouts timeouts;
+    timeouts.acknowledge = std::min(m_settings.acknowledge, remaining / 2);
+    timeouts.cancel = std::min(m_settings.cancel, remaining);
+    timeouts.answer = remaining;
+
+    const bool isLast = progress.attempts >= m_settings.maxAttempts;
+    if (isLast || typicalLatency <= base::Duration::zero()) {
+        return timeouts;
+    }
+    const auto multiple = std::chrono::duration_cast<base::Duration>(typicalLatency * m_settings.answerMultiple);
+    const base::Duration patience = std::min(std::max(multiple, m_settings.minAnswer), remaining / 2);
+    // Giving up when little more than a usual answer's time is left would only cut the answer short.
+    if (patience >= 2 * typicalLatency) {
+        timeouts.answer = patience;
+    }
+    return timeouts;
+}
+
+}
