--- a/src/limits/workspacetokens.cpp
+++ b/src/limits/workspacetokens.cpp
@@ -226,7 +226,7 @@
 
 base::TimePoint WorkspaceTokens::nextDue() const
 {
-    base::TimePoint due = std::min(m_wallet.nextDue(), m_lastUse + forgetAfter);
+    base::TimePoint due = m_wallet.nextDue();
     for (const Need &need : m_needs) {
         due = std::min(due, need.until);
     }
@@ -234,10 +234,18 @@
         const base::Duration patience = ask.loan ? m_context.settings.loanTimeout : m_context.settings.askTimeout;
         due = std::min(due, ask.askedAt + (ask.timedOut ? m_context.settings.grantValidity : patience));
     }
-    if (m_share && !m_share->untouched() && due > m_context.clock.now() + forgetAfter) {
-        due = std::max(m_share->timeOfLevel(m_share->terms().burst), m_context.clock.now() + forgetAfter);
+    return due != base::TimePoint::max() ? due : idleAt();
+}
+
+/// When it is next worth a look whether this workspace can be forgotten.
+base::TimePoint WorkspaceTokens::idleAt() const
+{
+    const base::TimePoint unused = m_lastUse + forgetAfter;
+    if (!m_share || m_share->untouched()) {
+        return unused;
     }
-    return due;
+    const base::TimePoint full = m_share->timeOfLevel(m_share->terms().burst);
+    return std::max({unused, full, m_context.clock.now() + forgetAfter});
 }
 
 bool WorkspaceTokens::idle() const
--- a/src/limits/workspacetokens.h
+++ b/src/limits/workspacetokens.h
@@ -90,6 +90,7 @@
         base::TimePoint askedAt;
     };
 
+    base::TimePoint idleAt() const;
     void refresh();
     void rebuildSites(const config::Workspace &workspace);
     void refreshShare();
