Spread configuration and VM list from node to node

Two readers a zone, chosen by rendezvous over the VM list, alternate a watch at the platform with a plain read (a watch that ends empty does not tell a quiet platform from a stale one). What they accept goes down a tree over their zone as a patch that is encoded once, and to the readers of the other zones; revision numbers on envelopes and notices to random peers repair the rest by one pull at a time. A change above 128 KiB is not pushed but announced and pulled, and a node that has just started announces only. A node takes a revision only if it is whole, valid and greater, and never builds one twice. Tests run 20 nodes over lost, repeated and late messages, partitions, pauses and a stale platform.

--- a/src/include/papayastep/membership/configspread.h
+++ b/src/include/papayastep/membership/configspread.h
@@ -4,6 +4,9 @@
 #include "papayastep/base/error.h"
 #include "papayastep/config/configstore.h"
 #include "papayastep/membership/messages.h"
+#include "papayastep/membership/peerrepair.h"
+#include "papayastep/membership/platformschedule.h"
+#include "papayastep/membership/transfer.h"
 #include "papayastep/membership/vmdirectory.h"
 #include "papayastep/wire/message.h"
 
@@ -45,26 +48,14 @@
     base::Duration pullTimeout = std::chrono::seconds(1);
     int treeFanOut = 3;
     std::size_t partBytes = 700'000;
+    std::size_t largestPush
+        = 128u << 10; ///< Bytes; of a larger change only notices are pushed, and peers pull it once.
     std::size_t largestTransfer = 24u << 20; ///< Bytes of one transfer that a peer can make this node hold.
     std::size_t answersPerSecond = 16; ///< Transfers sent on request; bounds what one peer can cost.
 
     auto operator<=>(const SpreadSettings &) const = default;
 };
 
-enum class PlatformCallKind { None, Read, Watch };
-
-/// What to ask of the platform next. Re-ask at least once a second while waiting: a change of the VM list may make a
-/// node a reader or end that.
-struct PlatformCall
-{
-    PlatformCallKind kind = PlatformCallKind::None;
-    base::TimePoint notBefore{};
-    std::uint64_t after = 0; ///< For a watch: the revision or version that the answer must exceed.
-    std::chrono::seconds wait{0};
-
-    auto operator<=>(const PlatformCall &) const = default;
-};
-
 /// The files to fetch for a revision that the platform offers. Empty `files` with `worthwhile`: all are held already,
 /// and platformFiles() may be called at once.
 struct FetchPlan
@@ -105,6 +96,9 @@
     ConfigSpread(
         Self self, VmDirectory &directory, const base::Clock &clock, std::uint64_t seed, SpreadSettings settings = {});
 
+    ConfigSpread(const ConfigSpread &) = delete;
+    ConfigSpread &operator=(const ConfigSpread &) = delete;
+
     // The platform.
     PlatformCall configurationCall() const;
     PlatformCall vmListCall() const;
@@ -146,98 +140,62 @@
     SpreadStatus status() const;
 
 private:
-    struct Assembly
+    /// An encoded answer to a request, kept since many nodes ask for the same after a large change.
+    struct CachedAnswer
     {
-        base::VmId from;
-        std::uint64_t checksum = 0;
+        std::string baseDigest;
+        std::uint64_t version = 0;
         std::vector<std::string> parts;
-        std::size_t missing = 0;
-        std::size_t bytes = 0;
-        base::TimePoint lastProgress{};
     };
-    struct Pull
-    {
-        base::VmId peer;
-        base::TimePoint deadline{};
-    };
-    /// What drives the reading of one of the platform's two things.
-    struct PlatformSchedule
-    {
-        base::TimePoint notBefore{};
-        base::Duration backoff{};
-    };
-    /// The pull of one of the two things from peers that are ahead.
-    struct Repair
-    {
-        std::map<base::VmId, std::uint64_t> ahead;
-        base::TimePoint notBefore{};
-        std::optional<Pull> pull;
-    };
-
-    PlatformCall callFor(const PlatformSchedule &schedule, std::uint64_t after) const;
-    void scheduleNext(PlatformSchedule &schedule);
-    void scheduleRetry(PlatformSchedule &schedule);
-    base::Duration jittered(base::Duration interval);
-    bool isReaderOf(const base::ZoneId &zone, const base::VmId &vm) const;
-    std::vector<base::VmId> readersOf(const base::ZoneId &zone) const;
 
     bool adopt(config::ConfigStore store, const std::string &source);
-    bool adoptVmList(config::VmList list);
+    bool adoptVmList(config::VmList list, bool fromPlatform);
     void spreadConfiguration(const config::ConfigStore &older);
     void spreadVmList(const config::VmList &older);
     void push(TransferContent content, std::uint64_t version, const std::string &bytes);
-    void sendParts(const std::vector<base::VmId> &peers,
-                   TransferContent content,
-                   std::uint64_t version,
-                   const std::string &bytes,
-                   const base::VmId &treeRoot,
-                   wire::MessageKind kind);
-    std::vector<base::VmId> treeChildren(const std::vector<base::VmId> &members,
-                                         const base::VmId &root,
-                                         std::uint64_t salt) const;
+    void sendParts(const std::vector<base::VmId> &peers, wire::MessageKind kind, const std::vector<std::string> &parts);
 
     void receiveNotice(const base::VmId &from, const RevisionNotice &notice);
     void receiveRequest(const base::VmId &from, const ConfigurationRequest &request);
     void receivePart(const base::VmId &from, wire::MessageKind kind, std::string_view payload);
     void receiveLeaving(const VmLeaving &leaving);
-    void completeTransfer(const base::VmId &from, TransferContent content, const std::string &bytes);
-    void forwardParts(const base::VmId &from,
-                      const TransferPart &part,
-                      wire::MessageKind kind,
-                      const Assembly &assembly);
-    void completeConfiguration(const base::VmId &from, const std::string &bytes);
-    void completeVmList(const base::VmId &from, const std::string &bytes);
-
-    void noteAhead(Repair &repair, const base::VmId &from, std::uint64_t version);
-    void tickRepair(Repair &repair, std::uint64_t have, TransferContent content);
+    void forward(const CompletedTransfer &transfer, wire::MessageKind kind);
+    void completeConfiguration(const base::VmId &from, const CompletedTransfer &transfer);
+    void completeVmList(const base::VmId &from, const CompletedTransfer &transfer);
+    void answerConfiguration(const base::VmId &to, const config::FileListing &have);
+    void answerVmList(const base::VmId &to);
+
     void request(const base::VmId &peer, TransferContent content);
     void sendNotice(const base::VmId &peer);
-    void sendNotices(int count);
+    void sendNoticesToSome(int count);
     bool mayNotify(const base::VmId &peer);
     bool mayAnswer();
-    void dropStaleAssemblies();
+    base::Duration startSpread(std::size_t files);
+    std::vector<base::VmId> otherPeers() const;
 
     Self m_self;
     VmDirectory &m_directory;
     const base::Clock &m_clock;
     std::mt19937_64 m_random;
-    SpreadSettings m_settings;
+    const SpreadSettings m_settings;
 
     config::ConfigStore m_store;
     config::ConfigStore m_previous; ///< Base of patches for nodes that are one revision behind.
     std::optional<base::TimePoint> m_confirmed; ///< When m_store's revision was known to be the newest.
     std::optional<Accepted> m_accepted;
     bool m_vmListChanged = false;
-    SpreadStatus m_counters;
+    SpreadStatus m_status; ///< The counters; the rest is filled in by status().
     base::Revision m_highestRejected = 0;
 
     PlatformSchedule m_configurationSchedule;
     PlatformSchedule m_vmListSchedule;
-    Repair m_configurationRepair;
-    Repair m_vmListRepair;
-    std::map<std::pair<TransferContent, std::uint64_t>, Assembly> m_assemblies;
+    PeerRepair m_configurationRepair;
+    PeerRepair m_vmListRepair;
+    TransferAssembler m_assembler;
+    std::optional<CachedAnswer> m_configurationAnswer;
+    std::optional<CachedAnswer> m_vmListAnswer;
     std::map<base::VmId, base::TimePoint> m_notified;
-    std::set<std::pair<base::VmId, base::Incarnation>> m_leavingSeen;
+    std::set<VmLeaving> m_leavingSeen;
     base::TimePoint m_nextNotice{};
     base::TimePoint m_answerWindow{};
     std::size_t m_answers = 0;
--- /dev/null
+++ b/src/include/papayastep/membership/peerrepair.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "papayastep/base/clock.h"
+#include "papayastep/base/identifiers.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace papayastep::membership {
+
+struct SpreadSettings;
+
+/// Fetches from peers what a push missed: remembers who said to be ahead and asks one of them at a time.
+class PeerRepair
+{
+public:
+    /// `settings` must outlive this.
+    explicit PeerRepair(const SpreadSettings &settings);
+
+    /// `peer` said to hold `version`, which is greater than ours.
+    void noteAhead(const base::VmId &peer, std::uint64_t version, base::TimePoint now);
+
+    /// A part of the answer came: be patient.
+    void noteProgress(const base::VmId &peer, base::TimePoint now);
+
+    /// `have` is held now: forget who is not ahead of it.
+    void noteHave(std::uint64_t have);
+
+    /// The peer to ask now, if one is due. A peer that did not answer in time is dropped until it says again that it
+    /// is ahead.
+    std::optional<base::VmId> due(base::TimePoint now);
+
+    /// When due() may have an answer, if ever.
+    std::optional<base::TimePoint> nextDue() const;
+
+private:
+    struct Pull
+    {
+        base::VmId peer;
+        base::TimePoint deadline{};
+    };
+    static constexpr std::size_t maxPeers = 8;
+
+    const SpreadSettings &m_settings;
+    std::map<base::VmId, std::uint64_t> m_ahead;
+    base::TimePoint m_notBefore{};
+    std::optional<Pull> m_pull;
+};
+
+}
--- a/src/include/papayastep/membership/vmdirectory.h
+++ b/src/include/papayastep/membership/vmdirectory.h
@@ -54,6 +54,7 @@
     struct Evidence
     {
         base::Incarnation incarnation = 0;
+        base::Incarnation replaced = 0; ///< The one before; its late messages prove nothing.
         std::optional<base::TimePoint> lastHeard;
         std::optional<base::Incarnation> leaving;
     };
--- /dev/null
+++ b/src/membership/configspread.cpp
@@ -0,0 +1,601 @@
+#include "papayastep/membership/configspread.h"
+#include "vmlistupdate.h"
+
+#include "papayastep/base/log.h"
+#include "papayastep/membership/spreadtree.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace papayastep::membership {
+
+namespace {
+
+constexpr std::string_view logPrefix = "membership";
+constexpr std::size_t maxFiles = 2000;
+constexpr base::Duration notifyOnceEvery = std::chrono::milliseconds(500);
+constexpr std::uint64_t leavingTrees = 2;
+constexpr std::size_t rememberedLeaving = 4096;
+
+std::uint64_t milliseconds(base::Duration duration)
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}
+
+ConfigSpread::ConfigSpread(
+    Self self, VmDirectory &directory, const base::Clock &clock, std::uint64_t seed, SpreadSettings settings)
+    : m_self(std::move(self))
+    , m_directory(directory)
+    , m_clock(clock)
+    , m_random(seed)
+    , m_settings(settings)
+    , m_configurationSchedule(m_settings)
+    , m_vmListSchedule(m_settings)
+    , m_configurationRepair(m_settings)
+    , m_vmListRepair(m_settings)
+    , m_assembler(clock, m_settings.largestTransfer)
+{
+}
+
+// The platform.
+
+PlatformCall ConfigSpread::configurationCall() const
+{
+    return m_configurationSchedule.call(isReader(), std::max(m_store.revision(), m_highestRejected));
+}
+
+PlatformCall ConfigSpread::vmListCall() const
+{
+    return m_vmListSchedule.call(isReader(), m_directory.list().version);
+}
+
+FetchPlan ConfigSpread::platformListing(const config::FileListing &listing)
+{
+    const base::TimePoint now = m_clock.now();
+    m_configurationSchedule.readAnswered(now, m_directory.list().vms.size(), m_random);
+    m_status.platformRevision = listing.revision;
+    m_status.platformStale = listing.revision < m_store.revision();
+    if (m_status.platformStale) {
+        PAPAYASTEP_LOG(WARNING, logPrefix)
+            << "The platform offers an older revision." << base::field("offered", listing.revision)
+            << base::field("revision", m_store.revision());
+    }
+    if (listing.revision == m_store.revision()) {
+        m_confirmed = now;
+    }
+    if (listing.revision <= std::max(m_store.revision(), m_highestRejected)) {
+        return {};
+    }
+    if (listing.files.size() > maxFiles) {
+        PAPAYASTEP_LOG(WARNING, logPrefix)
+            << "The platform lists too many files." << base::field("files", listing.files.size());
+        platformFailed();
+        return {};
+    }
+    FetchPlan plan{true, now, {}};
+    std::copy_if(listing.files.begin(),
+                 listing.files.end(),
+                 std::back_inserter(plan.files),
+                 [this](const config::FileReference &file) { return !m_store.holds(file); });
+    if (!isReader()) {
+        plan.notBefore += startSpread(plan.files.size());
+    }
+    return plan;
+}
+
+/// When a whole fleet starts at once, all nodes read the listing; the files would be tens of thousands of reads. So
+/// most nodes wait a random part of the time that those reads may take, and get the files from a peer before.
+base::Duration ConfigSpread::startSpread(std::size_t files)
+{
+    const double reads = static_cast<double>(m_directory.list().vms.size() * files);
+    const std::chrono::duration<double> longest(reads / m_settings.fetchesPerSecond);
+    std::uniform_real_distribution<double> part(0, 1);
+    return std::chrono::duration_cast<base::Duration>(longest * part(m_random));
+}
+
+void ConfigSpread::platformFiles(const config::FileListing &listing,
+                                 const std::vector<config::ConfigurationFile> &fetched)
+{
+    if (listing.revision <= m_store.revision()) {
+        return;
+    }
+    try {
+        if (adopt(m_store.assemble(listing, fetched), "platform")) {
+            m_confirmed = m_clock.now();
+        }
+    } catch (const base::Error &error) {
+        PAPAYASTEP_LOG(WARNING, logPrefix)
+            << "A revision of the platform is not whole." << base::field("revision", listing.revision)
+            << base::field("error", error.what());
+        platformFailed();
+    }
+}
+
+void ConfigSpread::platformUnchanged()
+{
+    m_configurationSchedule.watchEnded();
+}
+
+void ConfigSpread::platformFailed()
+{
+    m_configurationSchedule.failed(m_clock.now(), m_random);
+}
+
+void ConfigSpread::platformVmList(config::VmList list)
+{
+    if (list.vms.empty() && !m_directory.list().vms.empty()) {
+        // A platform that lists nobody would cut each node off from all others, and so from every repair.
+        PAPAYASTEP_LOG(WARNING, logPrefix) << "The platform lists no VM.";
+        platformVmListFailed();
+        return;
+    }
+    m_vmListSchedule.readAnswered(m_clock.now(), list.vms.size(), m_random);
+    adoptVmList(std::move(list), true);
+}
+
+void ConfigSpread::platformVmListUnchanged()
+{
+    m_vmListSchedule.watchEnded();
+}
+
+void ConfigSpread::platformVmListFailed()
+{
+    m_vmListSchedule.failed(m_clock.now(), m_random);
+}
+
+// Acceptance.
+
+bool ConfigSpread::adopt(config::ConfigStore store, const std::string &source)
+{
+    if (store.revision() <= std::max(m_store.revision(), m_highestRejected)) {
+        return false;
+    }
+    config::ConfigurationPtr configuration;
+    try {
+        ++m_status.built;
+        configuration = config::buildConfiguration(store.revision(), store.files());
+    } catch (const base::Error &error) {
+        ++m_status.rejected;
+        m_status.rejection = error.what();
+        m_highestRejected = store.revision();
+        m_configurationRepair.noteHave(m_highestRejected);
+        PAPAYASTEP_LOG(ERROR, logPrefix) << "Rejected a revision." << base::field("revision", store.revision())
+                                         << base::field("source", source) << base::field("error", error.what());
+        return false;
+    }
+    m_previous = std::move(m_store);
+    m_store = std::move(store);
+    m_accepted = Accepted{std::move(configuration), source};
+    m_configurationRepair.noteHave(m_store.revision());
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Accepted a revision." << base::field("revision", m_store.revision())
+                                    << base::field("source", source);
+    if (isReader() || source == "platform") {
+        spreadConfiguration(m_previous);
+    }
+    sendNoticesToSome(m_settings.noticeFanOut);
+    return true;
+}
+
+bool ConfigSpread::adoptVmList(config::VmList list, bool fromPlatform)
+{
+    const config::VmList older = m_directory.list();
+    if (!m_directory.accept(std::move(list))) {
+        return false;
+    }
+    m_vmListChanged = true;
+    const std::uint64_t version = m_directory.list().version;
+    m_vmListRepair.noteHave(version);
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Took a VM list." << base::field("version", version)
+                                    << base::field("vms", m_directory.list().vms.size());
+    if (isReader() || fromPlatform) {
+        spreadVmList(older);
+    }
+    sendNoticesToSome(m_settings.noticeFanOut);
+    return true;
+}
+
+void ConfigSpread::spreadConfiguration(const config::ConfigStore &older)
+{
+    if (older.revision() == 0) {
+        // Just started: most nodes hold this already, and a push would carry all files to all of them.
+        sendNoticesToSome(m_settings.treeFanOut);
+        return;
+    }
+    const std::string bytes = wire::encode(m_store.patchFor(older.listing(), older));
+    push(TransferContent::Configuration, m_store.revision(), bytes);
+}
+
+void ConfigSpread::spreadVmList(const config::VmList &older)
+{
+    if (older.version == 0) {
+        sendNoticesToSome(m_settings.treeFanOut);
+        return;
+    }
+    const std::string bytes = wire::encode(updateBetween(older, m_directory.list()));
+    push(TransferContent::VmList, m_directory.list().version, bytes);
+}
+
+/// Sends `bytes` down a tree over the own zone and to the readers of the other zones, which do the same there.
+void ConfigSpread::push(TransferContent content, std::uint64_t version, const std::string &bytes)
+{
+    if (bytes.size() > m_settings.largestPush) {
+        sendNoticesToSome(m_settings.treeFanOut);
+        return;
+    }
+    const wire::MessageKind kind = content == TransferContent::Configuration ? wire::MessageKind::ConfigurationDelta
+                                                                             : wire::MessageKind::VmListNotice;
+    const auto children
+        = treeChildren(m_directory.presentInZone(m_self.zone), m_self.vm, version, m_self.vm, m_settings.treeFanOut);
+    sendParts(children, kind, splitTransfer(content, version, m_self.vm, bytes, m_settings.partBytes));
+    const std::vector<std::string> parts = splitTransfer(content, version, base::VmId(), bytes, m_settings.partBytes);
+    for (const base::ZoneId &zone : m_directory.zones()) {
+        if (zone != m_self.zone) {
+            sendParts(readersOfZone(m_directory, zone, m_settings.readersPerZone), kind, parts);
+        }
+    }
+}
+
+void ConfigSpread::sendParts(const std::vector<base::VmId> &peers,
+                             wire::MessageKind kind,
+                             const std::vector<std::string> &parts)
+{
+    for (const base::VmId &peer : peers) {
+        for (const std::string &part : parts) {
+            m_messages.push_back({peer, kind, part});
+        }
+    }
+}
+
+// Other nodes.
+
+void ConfigSpread::receive(const base::VmId &from, wire::MessageKind kind, std::string_view payload)
+{
+    // A VM that is newer than our list may bring us the list that names it, and nothing else.
+    if (!m_directory.isListed(from) && kind != wire::MessageKind::VmListNotice) {
+        throw base::Error(base::ResultCode::MessageFromStranger, "the VM " + from.value() + " is not listed");
+    }
+    switch (kind) {
+    case wire::MessageKind::RevisionNotice:
+        receiveNotice(from, wire::decode<RevisionNotice>(payload));
+        break;
+    case wire::MessageKind::ConfigurationRequest:
+        receiveRequest(from, wire::decode<ConfigurationRequest>(payload));
+        break;
+    case wire::MessageKind::ConfigurationDelta:
+    case wire::MessageKind::ConfigurationPart:
+    case wire::MessageKind::VmListNotice:
+        receivePart(from, kind, payload);
+        break;
+    case wire::MessageKind::VmLeaving:
+        receiveLeaving(wire::decode<VmLeaving>(payload));
+        break;
+    default:
+        throw base::Error(base::ResultCode::MessageUnknownKind, "not a message of configuration or membership");
+    }
+}
+
+void ConfigSpread::noteRevision(const base::VmId &from, base::Revision revision)
+{
+    if (revision > std::max(m_store.revision(), m_highestRejected) && m_directory.isListed(from)) {
+        m_configurationRepair.noteAhead(from, revision, m_clock.now());
+    } else if (revision < m_store.revision() && mayNotify(from)) {
+        sendNotice(from);
+    }
+}
+
+void ConfigSpread::receiveNotice(const base::VmId &from, const RevisionNotice &notice)
+{
+    const base::TimePoint now = m_clock.now();
+    const std::uint64_t listVersion = m_directory.list().version;
+    if (notice.revision == m_store.revision() && notice.newsAgeMilliseconds < milliseconds(std::chrono::hours(10000))) {
+        const base::TimePoint confirmed = now - std::chrono::milliseconds(notice.newsAgeMilliseconds);
+        m_confirmed = std::max(m_confirmed.value_or(confirmed), confirmed);
+    }
+    if (notice.vmListVersion > listVersion) {
+        m_vmListRepair.noteAhead(from, notice.vmListVersion, now);
+    }
+    if (notice.vmListVersion < listVersion && notice.revision >= m_store.revision() && mayNotify(from)) {
+        sendNotice(from);
+    }
+    noteRevision(from, notice.revision);
+}
+
+void ConfigSpread::receiveRequest(const base::VmId &from, const ConfigurationRequest &request)
+{
+    if (request.have.files.size() > maxFiles) {
+        throw base::Error(base::ResultCode::MessageMalformed, "a request names too many files");
+    }
+    if (request.wantConfiguration && request.have.revision < m_store.revision() && mayAnswer()) {
+        answerConfiguration(from, request.have);
+    }
+    if (request.wantVmList && request.vmListVersion < m_directory.list().version && mayAnswer()) {
+        answerVmList(from);
+    }
+}
+
+void ConfigSpread::answerConfiguration(const base::VmId &to, const config::FileListing &have)
+{
+    const std::string baseDigest = have.digest();
+    const bool isCached = m_configurationAnswer && m_configurationAnswer->version == m_store.revision()
+        && m_configurationAnswer->baseDigest == baseDigest;
+    if (!isCached) {
+        const std::string bytes = wire::encode(m_store.patchFor(have, m_previous));
+        m_configurationAnswer = CachedAnswer{
+            baseDigest,
+            m_store.revision(),
+            splitTransfer(
+                TransferContent::Configuration, m_store.revision(), base::VmId(), bytes, m_settings.partBytes)};
+    }
+    sendParts({to}, wire::MessageKind::ConfigurationPart, m_configurationAnswer->parts);
+}
+
+void ConfigSpread::answerVmList(const base::VmId &to)
+{
+    const config::VmList &list = m_directory.list();
+    if (!m_vmListAnswer || m_vmListAnswer->version != list.version) {
+        const std::string bytes = wire::encode(updateBetween({}, list));
+        m_vmListAnswer = CachedAnswer{
+            {},
+            list.version,
+            splitTransfer(TransferContent::VmList, list.version, base::VmId(), bytes, m_settings.partBytes)};
+    }
+    sendParts({to}, wire::MessageKind::VmListNotice, m_vmListAnswer->parts);
+}
+
+void ConfigSpread::receivePart(const base::VmId &from, wire::MessageKind kind, std::string_view payload)
+{
+    const auto part = wire::decode<TransferPart>(payload);
+    const bool isVmList = part.content == static_cast<std::uint8_t>(TransferContent::VmList);
+    const bool mayBeVmList = kind == wire::MessageKind::VmListNotice;
+    if (part.content > static_cast<std::uint8_t>(TransferContent::VmList) || isVmList != mayBeVmList) {
+        throw base::Error(base::ResultCode::MessageMalformed, "a transfer has an unexpected content");
+    }
+    const std::uint64_t have = isVmList ? m_directory.list().version : m_store.revision();
+    // What is held already still goes down the tree once: the node may have it from elsewhere and the next one not.
+    if (part.version < have || (part.version == have && part.treeRoot.empty())) {
+        return;
+    }
+    (isVmList ? m_vmListRepair : m_configurationRepair).noteProgress(from, m_clock.now());
+    try {
+        const auto transfer = m_assembler.add(from, part, payload);
+        if (!transfer) {
+            return;
+        }
+        forward(*transfer, kind);
+        if (isVmList) {
+            completeVmList(from, *transfer);
+        } else {
+            completeConfiguration(from, *transfer);
+        }
+    } catch (const base::Error &) {
+        ++m_status.transfersRefused;
+        throw;
+    }
+}
+
+void ConfigSpread::forward(const CompletedTransfer &transfer, wire::MessageKind kind)
+{
+    if (transfer.treeRoot.empty() || transfer.treeRoot == m_self.vm) {
+        return;
+    }
+    sendParts(treeChildren(m_directory.presentInZone(m_self.zone),
+                           transfer.treeRoot,
+                           transfer.version,
+                           m_self.vm,
+                           m_settings.treeFanOut),
+              kind,
+              transfer.payloads);
+}
+
+void ConfigSpread::completeConfiguration(const base::VmId &from, const CompletedTransfer &transfer)
+{
+    if (transfer.version <= std::max(m_store.revision(), m_highestRejected)) {
+        return;
+    }
+    const auto patch = wire::decode<config::ConfigurationPatch>(transfer.bytes);
+    if (patch.target != transfer.version) {
+        throw base::Error(base::ResultCode::MessageMalformed, "a transfer is of another revision than it says");
+    }
+    if (patch.baseDigest == m_store.listing().digest()) {
+        adopt(m_store.apply(patch), from.value());
+    } else if (patch.baseDigest == config::FileListing().digest()) {
+        adopt(config::ConfigStore().apply(patch), from.value());
+    } else {
+        noteRevision(from, patch.target);
+    }
+}
+
+void ConfigSpread::completeVmList(const base::VmId &from, const CompletedTransfer &transfer)
+{
+    const auto update = wire::decode<VmListUpdate>(transfer.bytes);
+    if (update.to <= m_directory.list().version) {
+        return;
+    }
+    auto list = applyUpdate(m_directory.list(), update);
+    if (list && list->vms.empty()) {
+        throw base::Error(base::ResultCode::MessageMalformed, "a VM list names nobody");
+    }
+    if (list) {
+        adoptVmList(std::move(*list), false);
+    } else if (m_directory.isListed(from)) {
+        m_vmListRepair.noteAhead(from, update.to, m_clock.now());
+    }
+}
+
+void ConfigSpread::announceLeaving()
+{
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Announcing that this VM is leaving." << base::field("vm", m_self.vm);
+    for (std::uint64_t tree = 0; tree < leavingTrees; ++tree) {
+        const VmLeaving leaving{m_self.vm, m_self.incarnation, tree};
+        for (const base::VmId &child :
+             treeChildren(m_directory.present(), m_self.vm, tree, m_self.vm, m_settings.treeFanOut)) {
+            m_messages.push_back(wire::outgoing(child, wire::MessageKind::VmLeaving, leaving));
+        }
+    }
+}
+
+void ConfigSpread::receiveLeaving(const VmLeaving &leaving)
+{
+    if (m_leavingSeen.size() >= rememberedLeaving) {
+        m_leavingSeen.clear();
+    }
+    if (leaving.vm == m_self.vm || leaving.tree >= leavingTrees || !m_leavingSeen.insert(leaving).second) {
+        return;
+    }
+    if (m_directory.noteLeaving(leaving.vm, leaving.incarnation)) {
+        m_vmListChanged = true;
+        PAPAYASTEP_LOG(INFO, logPrefix) << "A VM is leaving." << base::field("vm", leaving.vm);
+    }
+    for (const base::VmId &child :
+         treeChildren(m_directory.present(), leaving.vm, leaving.tree, m_self.vm, m_settings.treeFanOut)) {
+        m_messages.push_back(wire::outgoing(child, wire::MessageKind::VmLeaving, leaving));
+    }
+}
+
+// Repair.
+
+void ConfigSpread::request(const base::VmId &peer, TransferContent content)
+{
+    ConfigurationRequest request;
+    request.vmListVersion = m_directory.list().version;
+    request.wantConfiguration = content == TransferContent::Configuration;
+    request.wantVmList = content == TransferContent::VmList;
+    if (request.wantConfiguration) {
+        request.have = m_store.listing();
+    }
+    m_messages.push_back(wire::outgoing(peer, wire::MessageKind::ConfigurationRequest, request));
+}
+
+void ConfigSpread::sendNotice(const base::VmId &peer)
+{
+    RevisionNotice notice{m_store.revision(), m_directory.list().version, RevisionNotice::noNews};
+    if (m_confirmed) {
+        notice.newsAgeMilliseconds = milliseconds(m_clock.now() - *m_confirmed);
+    }
+    m_messages.push_back(wire::outgoing(peer, wire::MessageKind::RevisionNotice, notice));
+}
+
+void ConfigSpread::sendNoticesToSome(int count)
+{
+    const std::vector<base::VmId> peers = otherPeers();
+    std::vector<base::VmId> chosen;
+    std::sample(peers.begin(), peers.end(), std::back_inserter(chosen), count, m_random);
+    for (const base::VmId &peer : chosen) {
+        sendNotice(peer);
+    }
+}
+
+std::vector<base::VmId> ConfigSpread::otherPeers() const
+{
+    std::vector<base::VmId> peers = m_directory.present();
+    std::erase(peers, m_self.vm);
+    return peers;
+}
+
+/// A notice answers a notice, so without this limit two nodes could talk to each other without end.
+bool ConfigSpread::mayNotify(const base::VmId &peer)
+{
+    if (!m_directory.isListed(peer)) {
+        return false;
+    }
+    const base::TimePoint now = m_clock.now();
+    const auto [entry, isNew] = m_notified.emplace(peer, now);
+    if (!isNew && now - entry->second < notifyOnceEvery) {
+        return false;
+    }
+    entry->second = now;
+    return true;
+}
+
+bool ConfigSpread::mayAnswer()
+{
+    const base::TimePoint now = m_clock.now();
+    if (now - m_answerWindow >= std::chrono::seconds(1)) {
+        m_answerWindow = now;
+        m_answers = 0;
+    }
+    return ++m_answers <= m_settings.answersPerSecond;
+}
+
+// Time.
+
+void ConfigSpread::tick()
+{
+    const base::TimePoint now = m_clock.now();
+    m_assembler.expire();
+    if (const auto peer = m_configurationRepair.due(now)) {
+        request(*peer, TransferContent::Configuration);
+    }
+    if (const auto peer = m_vmListRepair.due(now)) {
+        request(*peer, TransferContent::VmList);
+    }
+    if (now >= m_nextNotice) {
+        const bool isStarting = m_store.revision() == 0;
+        sendNoticesToSome(isStarting ? m_settings.startPeers : 1);
+        const base::Duration interval = isStarting ? m_settings.pullTimeout : m_settings.noticeInterval;
+        std::uniform_int_distribution<base::Duration::rep> jitter(interval.count() / 2, interval.count() * 3 / 2);
+        m_nextNotice = now + base::Duration(jitter(m_random));
+        std::erase_if(m_notified, [this](const auto &entry) { return !m_directory.isListed(entry.first); });
+    }
+}
+
+base::TimePoint ConfigSpread::nextTick() const
+{
+    base::TimePoint next = m_nextNotice;
+    for (const PeerRepair *repair : {&m_configurationRepair, &m_vmListRepair}) {
+        if (const auto due = repair->nextDue()) {
+            next = std::min(next, *due);
+        }
+    }
+    return next;
+}
+
+// Results.
+
+std::vector<wire::Outgoing> ConfigSpread::takeMessages()
+{
+    return std::exchange(m_messages, {});
+}
+
+std::optional<Accepted> ConfigSpread::takeAccepted()
+{
+    return std::exchange(m_accepted, std::nullopt);
+}
+
+bool ConfigSpread::takeVmListChanged()
+{
+    return std::exchange(m_vmListChanged, false);
+}
+
+base::Revision ConfigSpread::revision() const
+{
+    return m_store.revision();
+}
+
+const config::ConfigStore &ConfigSpread::store() const
+{
+    return m_store;
+}
+
+bool ConfigSpread::isReader() const
+{
+    const auto readers = readersOfZone(m_directory, m_self.zone, m_settings.readersPerZone);
+    return std::find(readers.begin(), readers.end(), m_self.vm) != readers.end();
+}
+
+SpreadStatus ConfigSpread::status() const
+{
+    SpreadStatus status = m_status;
+    status.revision = m_store.revision();
+    status.reader = isReader();
+    status.vmListVersion = m_directory.list().version;
+    status.storeBytes = m_store.residentBytes();
+    if (m_confirmed) {
+        status.newsAge = m_clock.now() - *m_confirmed;
+    }
+    return status;
+}
+
+}
--- /dev/null
+++ b/src/membership/configspread_test.cpp
@@ -0,0 +1,263 @@
+#include "testfleet.h"
+
+#include "papayastep/base/error.h"
+#include "papayastep/base/log.h"
+#include "papayastep/membership/configspread.h"
+#include "papayastep/membership/spreadtree.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace papayastep;
+using namespace papayastep::membership;
+using papayastep::membership::testing::TestFleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct SpreadFixture
+{
+    TestFleet fleet{20, 4, 17};
+
+    SpreadFixture()
+    {
+        FLAGS_minloglevel = google::GLOG_FATAL;
+        fleet.publishRate(1);
+        fleet.run(5s);
+    }
+};
+
+std::vector<int> halves()
+{
+    std::vector<int> sides(20, 0);
+    std::fill(sides.begin() + 10, sides.end(), 1);
+    return sides;
+}
+
+}
+
+BOOST_FIXTURE_TEST_CASE(fleet_afterStart_holdsTheFirstRevision, SpreadFixture)
+{
+    BOOST_TEST(fleet.nodesAt(1) == 20);
+    BOOST_TEST(fleet.nodesAtVmList(1) == 20);
+}
+
+BOOST_FIXTURE_TEST_CASE(publication_withGoodLinks_isEverywhereWithinASecond, SpreadFixture)
+{
+    fleet.publishRate(2);
+    fleet.run(1s);
+    BOOST_TEST(fleet.nodesAt(2) == 20);
+    for (int node = 0; node < 20; ++node) {
+        BOOST_TEST(fleet.spread(node).status().built == 2u);
+    }
+}
+
+// The platform fails right after one reader has read. The others must learn from it, or a withdrawn key would stay
+// alive wherever that reader's pushes did not go.
+BOOST_FIXTURE_TEST_CASE(publication_readByOneNodeBeforeThePlatformFails_isEverywhere, SpreadFixture)
+{
+    for (int node = 0; node < 20; ++node) {
+        fleet.platformUp[static_cast<std::size_t>(node)] = false;
+    }
+    int reader = 0;
+    while (!fleet.spread(reader).isReader()) {
+        ++reader;
+    }
+    fleet.platformUp[static_cast<std::size_t>(reader)] = true;
+    fleet.publishRate(2);
+    fleet.run(40ms);
+    fleet.platformUp[static_cast<std::size_t>(reader)] = false;
+    fleet.run(2s);
+    BOOST_TEST(fleet.nodesAt(2) == 20);
+}
+
+// A replica of the platform that lags answers with an old revision. A node that took it would bring a withdrawn key
+// back to life.
+BOOST_FIXTURE_TEST_CASE(platform_thatIsStale_neverRevertsANode, SpreadFixture)
+{
+    fleet.publishRate(2);
+    fleet.run(1s);
+    for (int node = 0; node < 20; ++node) {
+        fleet.platformStale[static_cast<std::size_t>(node)] = true;
+    }
+    fleet.run(60s);
+    BOOST_TEST(fleet.nodesAt(2) == 20);
+    BOOST_TEST(!fleet.wentBack);
+    int seen = 0;
+    for (int node = 0; node < 20; ++node) {
+        seen += fleet.spread(node).status().platformStale ? 1 : 0;
+    }
+    BOOST_TEST(seen > 0);
+}
+
+// Half of the fleet is cut off from the other half and from the platform while a key is withdrawn. It can't know; but
+// it must hear of it soon after the links heal, though the platform stays away.
+BOOST_FIXTURE_TEST_CASE(island_afterItsLinksHeal_catchesUpFromPeers, SpreadFixture)
+{
+    fleet.partition(halves());
+    for (int node = 10; node < 20; ++node) {
+        fleet.platformUp[static_cast<std::size_t>(node)] = false;
+    }
+    fleet.publishRate(2);
+    fleet.run(20s);
+    BOOST_TEST(fleet.nodesAt(2) == 10);
+    BOOST_TEST((*fleet.spread(15).status().newsAge > 15s));
+    fleet.platformUp.assign(20, false);
+    fleet.heal();
+    fleet.run(10s);
+    BOOST_TEST(fleet.nodesAt(2) == 20);
+}
+
+// An operator's tool publishes an invalid revision past the check. It must not stop what is in force, nor be read over
+// and over, and the next valid one must pass.
+BOOST_FIXTURE_TEST_CASE(publication_thatIsInvalid_isLeftAndTheNextOneTaken, SpreadFixture)
+{
+    fleet.publish({{"10-a.json", "{"}});
+    fleet.run(60s);
+    BOOST_TEST(fleet.nodesAt(1) == 20);
+    for (int node = 0; node < 20; ++node) {
+        BOOST_TEST(fleet.spread(node).status().built <= 2u);
+    }
+    fleet.publishRate(3);
+    fleet.run(2s);
+    BOOST_TEST(fleet.nodesAt(3) == 20);
+}
+
+BOOST_FIXTURE_TEST_CASE(platform_ofAQuietFleet_seesFewReads, SpreadFixture)
+{
+    const auto before = fleet.platformReads;
+    fleet.run(100s);
+    const auto perNodeAndSecond = static_cast<double>(fleet.platformReads - before) / 20 / 100;
+    BOOST_TEST(perNodeAndSecond < 0.2);
+}
+
+// A node starts while the platform is away for hours. Without its peers it could not serve until the platform is back.
+BOOST_FIXTURE_TEST_CASE(node_startedWithoutConfiguration_getsItFromPeers, SpreadFixture)
+{
+    VmDirectory directory(fleet.clock);
+    directory.accept(fleet.directory(0).list());
+    ConfigSpread fresh({TestFleet::vm(0), base::ZoneId("a"), 77}, directory, fleet.clock, 5);
+    fresh.tick();
+    const auto notices = fresh.takeMessages();
+    BOOST_TEST(notices.size() == 3u);
+    fleet.spread(7).receive(TestFleet::vm(0), notices[0].kind, notices[0].payload);
+    for (const auto &answer : fleet.spread(7).takeMessages()) {
+        fresh.receive(TestFleet::vm(7), answer.kind, answer.payload);
+    }
+    fleet.clock.advance(1s);
+    fresh.tick();
+    for (const auto &request : fresh.takeMessages()) {
+        fleet.spread(7).receive(TestFleet::vm(0), request.kind, request.payload);
+    }
+    for (const auto &part : fleet.spread(7).takeMessages()) {
+        fresh.receive(TestFleet::vm(7), part.kind, part.payload);
+    }
+    BOOST_TEST(fresh.revision() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(vmList_afterAChange_isEverywhereWithinASecond, SpreadFixture)
+{
+    config::VmList list = fleet.directory(0).list();
+    list.version = 2;
+    list.vms[3].leaving = true;
+    fleet.publishVmList(list);
+    fleet.run(1s);
+    BOOST_TEST(fleet.nodesAtVmList(2) == 20);
+    BOOST_TEST(fleet.directory(9).isLeaving(list.vms[3].id));
+}
+
+// A VM stops as planned. The platform's list lags by minutes, so without its own word it would get new work until then.
+BOOST_FIXTURE_TEST_CASE(leaving_announcedByAVm_reachesAllOthers, SpreadFixture)
+{
+    fleet.spread(5).announceLeaving();
+    fleet.run(1s);
+    for (int node = 0; node < 20; ++node) {
+        BOOST_TEST((node == 5 || fleet.directory(node).isLeaving(TestFleet::vm(5))));
+    }
+}
+
+// A machine that is not in the list of VMs, or not any more, sends a configuration. Taken, it would decide whose keys
+// are good.
+BOOST_FIXTURE_TEST_CASE(configuration_fromAStranger_isRefused, SpreadFixture)
+{
+    const config::ConfigStore newer(9, TestFleet::filesWithRate(9));
+    const auto bytes = wire::encode(newer.patchFor({}, {}));
+    const auto parts = splitTransfer(TransferContent::Configuration, 9, {}, bytes, 1000);
+    const base::VmId stranger("vm-999");
+    BOOST_CHECK_THROW(fleet.spread(0).receive(stranger, wire::MessageKind::ConfigurationPart, parts[0]), base::Error);
+    BOOST_CHECK_THROW(fleet.spread(0).receive(stranger, wire::MessageKind::VmListNotice, parts[0]), base::Error);
+    BOOST_TEST(fleet.spread(0).revision() == 1u);
+}
+
+// A faulty peer announces transfers without end and never finishes one. What it can make a node hold is bounded, and
+// the others' transfers still pass.
+BOOST_FIXTURE_TEST_CASE(transfers_neverFinished_doNotKeepOthersOut, SpreadFixture)
+{
+    for (std::uint64_t number = 0; number < 1000; ++number) {
+        TransferPart part{0, 50, number, 0, 200, {}, std::string(1000, 'x')};
+        fleet.spread(0).receive(TestFleet::vm(1), wire::MessageKind::ConfigurationPart, wire::encode(part));
+    }
+    fleet.publishRate(2);
+    fleet.run(2s);
+    BOOST_TEST(fleet.nodesAt(2) == 20);
+}
+
+BOOST_FIXTURE_TEST_CASE(readers_ofEachZone_areAFew, SpreadFixture)
+{
+    int readers = 0;
+    for (int node = 0; node < 20; ++node) {
+        readers += fleet.spread(node).isReader() ? 1 : 0;
+    }
+    BOOST_TEST(readers == 8);
+}
+
+RC_BOOST_PROP(tree_ofAnyMembers_reachesEachOnce, (std::uint64_t salt))
+{
+    const int count = *rc::gen::inRange(1, 60);
+    std::vector<base::VmId> members;
+    members.reserve(static_cast<std::size_t>(count));
+    for (int node = 0; node < count; ++node) {
+        members.push_back(TestFleet::vm(node));
+    }
+    std::map<base::VmId, int> reached;
+    for (const base::VmId &member : members) {
+        for (const base::VmId &child : treeChildren(members, members[0], salt, member, 3)) {
+            ++reached[child];
+        }
+    }
+    RC_ASSERT(reached.size() == members.size() - 1);
+    RC_ASSERT(std::all_of(reached.begin(), reached.end(), [](const auto &entry) { return entry.second == 1; }));
+}
+
+// Messages are lost, repeated and late, nodes pause, links break, and the platform fails for some and is stale for
+// others, all at random, while operators publish. A user must never see a withdrawn key come back (no node goes back to
+// an older revision), and once all is well again every node must obey the newest revision.
+RC_BOOST_PROP(fleet_underAnyFaults_neverGoesBackAndConvergesAfterwards, (std::uint64_t seed))
+{
+    FLAGS_minloglevel = google::GLOG_FATAL;
+    TestFleet fleet(20, 4, seed);
+    std::mt19937_64 random(seed);
+    fleet.publishRate(1);
+    fleet.run(2s);
+    for (int round = 2; round < 6; ++round) {
+        fleet.faults = {0.3, 0.3, 400ms};
+        std::vector<int> sides(20);
+        for (std::size_t node = 0; node < 20; ++node) {
+            sides[node] = static_cast<int>(random() % 2);
+            fleet.platformUp[node] = random() % 2 == 0;
+            fleet.platformStale[node] = random() % 3 == 0;
+            fleet.paused[node] = random() % 5 == 0;
+        }
+        fleet.partition(sides);
+        fleet.publishRate(round);
+        fleet.run(std::chrono::milliseconds(random() % 3000));
+    }
+    fleet.heal();
+    fleet.faults = {};
+    fleet.platformStale.assign(20, false);
+    fleet.platformUp.assign(20, true);
+    fleet.paused.assign(20, false);
+    fleet.run(40s);
+    RC_ASSERT(!fleet.wentBack);
+    RC_ASSERT(fleet.nodesAt(fleet.platformRevision) == 20);
+}
--- /dev/null
+++ b/src/membership/peerrepair.cpp
@@ -0,0 +1,61 @@
+#include "papayastep/membership/peerrepair.h"
+
+#include "papayastep/membership/configspread.h"
+
+#include <algorithm>
+
+namespace papayastep::membership {
+
+PeerRepair::PeerRepair(const SpreadSettings &settings)
+    : m_settings(settings)
+{
+}
+
+void PeerRepair::noteAhead(const base::VmId &peer, std::uint64_t version, base::TimePoint now)
+{
+    if (m_ahead.empty() && !m_pull) {
+        m_notBefore = now + m_settings.pullDelay;
+    }
+    if (m_ahead.size() < maxPeers || m_ahead.contains(peer)) {
+        std::uint64_t &known = m_ahead[peer];
+        known = std::max(known, version);
+    }
+}
+
+void PeerRepair::noteProgress(const base::VmId &peer, base::TimePoint now)
+{
+    if (m_pull && m_pull->peer == peer) {
+        m_pull->deadline = now + m_settings.pullTimeout;
+    }
+}
+
+void PeerRepair::noteHave(std::uint64_t have)
+{
+    std::erase_if(m_ahead, [have](const auto &entry) { return entry.second <= have; });
+    m_pull.reset();
+}
+
+std::optional<base::VmId> PeerRepair::due(base::TimePoint now)
+{
+    if (m_pull && now >= m_pull->deadline) {
+        m_ahead.erase(m_pull->peer);
+        m_pull.reset();
+    }
+    if (m_pull || m_ahead.empty() || now < m_notBefore) {
+        return std::nullopt;
+    }
+    const auto best = std::max_element(
+        m_ahead.begin(), m_ahead.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+    m_pull = Pull{best->first, now + m_settings.pullTimeout};
+    return best->first;
+}
+
+std::optional<base::TimePoint> PeerRepair::nextDue() const
+{
+    if (m_pull) {
+        return m_pull->deadline;
+    }
+    return m_ahead.empty() ? std::nullopt : std::optional(m_notBefore);
+}
+
+}
--- /dev/null
+++ b/src/membership/vmdirectory.cpp
@@ -0,0 +1,135 @@
+#include "papayastep/membership/vmdirectory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayastep::membership {
+
+VmDirectory::VmDirectory(const base::Clock &clock)
+    : m_clock(clock)
+{
+}
+
+bool VmDirectory::accept(config::VmList list)
+{
+    if (list.version <= m_list.version) {
+        return false;
+    }
+    m_list = std::move(list);
+    std::sort(m_list.vms.begin(), m_list.vms.end(), [](const auto &a, const auto &b) { return a.id < b.id; });
+    forgetUnlisted();
+    return true;
+}
+
+void VmDirectory::forgetUnlisted()
+{
+    std::erase_if(m_evidence, [this](const auto &entry) { return !isListed(entry.first); });
+}
+
+void VmDirectory::noteHeard(const base::VmId &vm, base::Incarnation incarnation)
+{
+    if (!isListed(vm)) {
+        return;
+    }
+    Evidence &evidence = m_evidence[vm];
+    if (incarnation == evidence.replaced) {
+        return;
+    }
+    if (incarnation != evidence.incarnation) {
+        evidence.replaced = evidence.incarnation;
+        evidence.incarnation = incarnation;
+    }
+    evidence.lastHeard = m_clock.now();
+}
+
+bool VmDirectory::noteLeaving(const base::VmId &vm, base::Incarnation incarnation)
+{
+    if (!isListed(vm)) {
+        return false;
+    }
+    Evidence &evidence = m_evidence[vm];
+    const bool isReplaced = evidence.incarnation != 0 && evidence.incarnation != incarnation;
+    if (isReplaced || evidence.leaving == incarnation) {
+        return false;
+    }
+    evidence.incarnation = incarnation;
+    evidence.leaving = incarnation;
+    return true;
+}
+
+const config::VmList &VmDirectory::list() const
+{
+    return m_list;
+}
+
+const config::VmEntry *VmDirectory::find(const base::VmId &vm) const
+{
+    return m_list.find(vm);
+}
+
+bool VmDirectory::isListed(const base::VmId &vm) const
+{
+    return find(vm) != nullptr;
+}
+
+bool VmDirectory::isLeaving(const base::VmId &vm) const
+{
+    const config::VmEntry *entry = find(vm);
+    if (entry && entry->leaving) {
+        return true;
+    }
+    const auto found = m_evidence.find(vm);
+    return found != m_evidence.end() && found->second.leaving == found->second.incarnation;
+}
+
+std::vector<base::VmId> VmDirectory::present() const
+{
+    std::vector<base::VmId> vms;
+    for (const config::VmEntry &entry : m_list.vms) {
+        if (!isLeaving(entry.id)) {
+            vms.push_back(entry.id);
+        }
+    }
+    return vms;
+}
+
+std::vector<base::VmId> VmDirectory::presentInZone(const base::ZoneId &zone) const
+{
+    std::vector<base::VmId> vms;
+    for (const config::VmEntry &entry : m_list.vms) {
+        if (entry.zone == zone && !isLeaving(entry.id)) {
+            vms.push_back(entry.id);
+        }
+    }
+    return vms;
+}
+
+std::vector<base::ZoneId> VmDirectory::zones() const
+{
+    std::vector<base::ZoneId> zones;
+    for (const config::VmEntry &entry : m_list.vms) {
+        if (!isLeaving(entry.id)) {
+            zones.push_back(entry.zone);
+        }
+    }
+    std::sort(zones.begin(), zones.end());
+    zones.erase(std::unique(zones.begin(), zones.end()), zones.end());
+    return zones;
+}
+
+std::optional<base::Duration> VmDirectory::silence(const base::VmId &vm) const
+{
+    const auto found = m_evidence.find(vm);
+    if (found == m_evidence.end() || !found->second.lastHeard) {
+        return std::nullopt;
+    }
+    return m_clock.now() - *found->second.lastHeard;
+}
+
+std::optional<base::Incarnation> VmDirectory::incarnation(const base::VmId &vm) const
+{
+    const auto found = m_evidence.find(vm);
+    return found != m_evidence.end() ? std::optional(found->second.incarnation) : std::nullopt;
+}
+
+}
--- /dev/null
+++ b/src/membership/vmdirectory_test.cpp
@@ -0,0 +1,84 @@
+#include "papayastep/membership/vmdirectory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace papayastep;
+using namespace papayastep::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::VmId first("vm-1");
+const base::VmId second("vm-2");
+
+config::VmList listOf(std::uint64_t version, const std::vector<base::VmId> &vms)
+{
+    config::VmList list{version, {}};
+    for (const base::VmId &vm : vms) {
+        list.vms.push_back({vm, base::ZoneId("a"), "127.0.0.1", 1, 2, 3, 4, false});
+    }
+    return list;
+}
+
+struct DirectoryFixture
+{
+    base::ManualClock clock;
+    VmDirectory directory{clock};
+
+    DirectoryFixture()
+    {
+        directory.accept(listOf(5, {second, first}));
+    }
+};
+
+}
+
+// Two sources of the list contradict each other, and the older one comes last. Taken, it would send work to a VM that
+// is gone.
+BOOST_FIXTURE_TEST_CASE(list_thatIsOlder_isNotTaken, DirectoryFixture)
+{
+    BOOST_TEST(!directory.accept(listOf(4, {first})));
+    BOOST_TEST(!directory.accept(listOf(5, {first})));
+    BOOST_TEST(directory.present().size() == 2u);
+    BOOST_TEST(directory.accept(listOf(6, {first})));
+    BOOST_TEST(directory.present().size() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(vm_thatAnnouncesItsLeaving_isNotPresent, DirectoryFixture)
+{
+    directory.noteHeard(first, 11);
+    BOOST_TEST(directory.noteLeaving(first, 11));
+    BOOST_TEST(!directory.noteLeaving(first, 11));
+    BOOST_TEST(directory.isLeaving(first));
+    BOOST_TEST((directory.present() == std::vector{second}));
+}
+
+// A VM restarts under its old name, and the farewell of its old self comes late. Taken for the new one's, the VM would
+// stand idle until the platform's next list.
+BOOST_FIXTURE_TEST_CASE(leaving_ofAReplacedIncarnation_isDropped, DirectoryFixture)
+{
+    directory.noteHeard(first, 11);
+    directory.noteLeaving(first, 11);
+    directory.noteHeard(first, 12);
+    BOOST_TEST(!directory.isLeaving(first));
+    BOOST_TEST(!directory.noteLeaving(first, 11));
+    directory.noteHeard(first, 11);
+    BOOST_TEST(!directory.isLeaving(first));
+}
+
+BOOST_FIXTURE_TEST_CASE(silence_ofAVm_countsFromItsLastMessage, DirectoryFixture)
+{
+    BOOST_TEST(!directory.silence(first).has_value());
+    directory.noteHeard(first, 11);
+    clock.advance(3s);
+    BOOST_TEST((directory.silence(first) == base::Duration(3s)));
+}
+
+BOOST_FIXTURE_TEST_CASE(evidence_aboutUnlistedVms_isNotKept, DirectoryFixture)
+{
+    directory.noteHeard(base::VmId("vm-9"), 1);
+    BOOST_TEST(!directory.silence(base::VmId("vm-9")).has_value());
+    directory.noteHeard(first, 11);
+    directory.accept(listOf(6, {second}));
+    BOOST_TEST(!directory.silence(first).has_value());
+}
