Begin runs once every workspace is served

A fresh fleet refuses the first calls of each workspace (3010, with a wait): token shares start empty. The demo and the cases now begin after that.

--- a/scripts/lab/cases/gray.py
+++ b/scripts/lab/cases/gray.py
@@ -49,10 +49,7 @@
 
 def _lookups(fleet):
     """Idempotent calls of every workspace to the first service."""
-    service = fleet.configuration.services[0]["id"]
-    route = next(route for route in fleet.configuration.routes
-                 if route["service"] == service and "GET" in route.get("methods", ["GET"]) and not route.get("stream"))
-    return [fleet.stream(workspace["id"], LOAD_SHARE * workspace["rate"], path=route["pathPrefix"] + "/{n}")
+    return [fleet.stream(workspace["id"], LOAD_SHARE * workspace["rate"])
             for workspace in fleet.configuration.workspaces]
 
 
--- a/scripts/lab/cases/limits.py
+++ b/scripts/lab/cases/limits.py
@@ -69,9 +69,7 @@
 def _crowding_run(options, report, name, fault, seconds):
     with Fleet(lambda block: example(block, name), backends=["--service-time-ms", 8], seed=options.seed) as fleet:
         greedy = max(fleet.configuration.workspaces, key=lambda workspace: workspace["rate"])["id"]
-        path = _lookup_path(fleet.configuration)
-        streams = [fleet.stream(workspace["id"],
-                                workspace["rate"] * (OVERLOAD if workspace["id"] == greedy else 0.8), path=path)
+        streams = [fleet.stream(workspace["id"], workspace["rate"] * (OVERLOAD if workspace["id"] == greedy else 0.8))
                    for workspace in fleet.configuration.workspaces]
         fleet.load([{**stream, "rate": 0.3 * stream["rate"]} for stream in streams], 2).wait()
         if fault != "none":
@@ -88,10 +86,3 @@
         report("worst_served_ratio", ratios[worst], "ratio", fault=fault, fleet=name)
         report("wrongful_refusal_ratio", refused / len(inside), "ratio", fault=fault, fleet=name)
 
-
-def _lookup_path(configuration):
-    """A path that reaches the first service by GET."""
-    service = configuration.services[0]["id"]
-    route = next(route for route in configuration.routes
-                 if route["service"] == service and "GET" in route.get("methods", ["GET"]) and not route.get("stream"))
-    return route["pathPrefix"] + "/{n}"
--- a/scripts/lab/configuration.py
+++ b/scripts/lab/configuration.py
@@ -49,8 +49,11 @@
         changed.workspace(name)["keys"] = []
         return changed
 
-    def slots_of(self, service):
-        return sum(server["slots"] for server in self.servers if server["service"] == service)
+    def lookup_path(self):
+        """A path that a GET may ask the first service for; "{n}" stands for a number."""
+        service = self.services[0]["id"]
+        return next(route["pathPrefix"] for route in self.routes if route["service"] == service
+                    and "GET" in route.get("methods", ["GET"]) and not route.get("stream")) + "/{n}"
 
 
 def _vm(block, index, zone):
--- a/scripts/lab/fleet.py
+++ b/scripts/lab/fleet.py
@@ -166,9 +166,10 @@
         return Load(self, f"load-{self._loads}", streams, seconds, targets or self.targets(),
                     {"seed": self.seed * 1000 + self._loads, **options})
 
-    def stream(self, workspace, rate, method="GET", path="/balances/{n}", **more):
+    def stream(self, workspace, rate, method="GET", path=None, **more):
         key = more.pop("key", None) or self.configuration.keys[workspace]
-        return {"workspace": workspace, "key": key, "rate": rate, "method": method, "path": path, **more}
+        return {"workspace": workspace, "key": key, "rate": rate, "method": method,
+                "path": path or self.configuration.lookup_path(), **more}
 
     def start(self, name, arguments):
         """Starts a further process that ends with the fleet."""
@@ -232,6 +233,16 @@
             self.nodes[name] = Process(name, arguments, self.path(f"{name}.log"))
         for name in self.nodes:
             self.wait_ready(name)
+        self._wait_until_served()
+
+    def _wait_until_served(self):
+        """Token shares start empty (a restarted holder cannot know what it granted before), so the first calls of a
+        workspace are refused with a wait. Runs begin after that, except where the start itself is the matter."""
+        path = self.configuration.lookup_path()
+        node = next(iter(self.nodes))
+        for workspace, key in self.configuration.keys.items():
+            wait_until(lambda key=key: http.call_with_key(self.caller_port(node), key, "GET", path).status == 200,
+                       STARTED, f"{workspace} to be served")
 
     def _write_settings(self, vm, first_start):
         listen = {kind: f"127.0.0.1:{vm[kind + 'Port']}" for kind in ("caller", "hop", "peer", "admin")}
