--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -15,7 +15,7 @@
 add_compile_options(-Wall -Wextra -Wpedantic -Werror -Wno-psabi)
 if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU")
     # GCC 12 reports false positives inside the standard library and Beast at -O2.
-    add_compile_options(-Wno-maybe-uninitialized -Wno-restrict -Wno-array-bounds -Wno-stringop-overflow -Wno-stringop-overread -Wno-mismatched-new-delete -Wno-dangling-reference)
+    add_compile_options(-Wno-maybe-uninitialized -Wno-restrict -Wno-array-bounds -Wno-stringop-overflow -Wno-stringop-overread -Wno-mismatched-new-delete)
 endif()
 
 if(PAPAYASTEP_SANITIZE)
--- a/src/include/papayastep/net/httpmessage.h
+++ b/src/include/papayastep/net/httpmessage.h
@@ -12,8 +12,17 @@
 using ResponseHead = http::response_header<http::fields>;
 
 /// An answer with its whole body.
+///
+/// Not an aggregate: GCC 12 destroys a braced aggregate twice when it is a temporary inside a co_await expression.
 struct WholeAnswer
 {
+    WholeAnswer() = default;
+    WholeAnswer(ResponseHead answerHead, std::string answerBody)
+        : head(std::move(answerHead))
+        , body(std::move(answerBody))
+    {
+    }
+
     ResponseHead head;
     std::string body;
     bool close = false; ///< Close the connection after it.
--- /dev/null
+++ b/src/include/papayastep/node/configurationkeeper.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "papayastep/membership/configspread.h"
+#include "papayastep/net/platformclient.h"
+#include "papayastep/net/signal.h"
+#include "papayastep/node/nodecontext.h"
+
+namespace papayastep::node {
+
+/// Does the platform calls that membership::ConfigSpread decides on. Two loops, one for the configuration and one
+/// for the VM list, so that a waiting watch of the one does not hold up the other.
+class ConfigurationKeeper
+{
+public:
+    ConfigurationKeeper(NodeContext &context, membership::ConfigSpread &spread, net::PlatformClient &platform);
+
+    /// Starts both loops.
+    void start();
+    void stop();
+
+    /// The decisions may have changed: look at them again.
+    void wake();
+
+    /// When the platform last named the VM list in force, by when it was asked.
+    base::TimePoint vmListAskedAt() const;
+
+private:
+    net::Awaitable<void> configurationLoop();
+    net::Awaitable<void> vmListLoop();
+    net::Awaitable<void> readConfiguration(membership::PlatformCall call);
+    net::Awaitable<void> readVmList(membership::PlatformCall call);
+
+    NodeContext &m_context;
+    membership::ConfigSpread &m_spread;
+    net::PlatformClient &m_platform;
+    net::Signal m_configurationChanged;
+    net::Signal m_vmListChanged;
+    base::TimePoint m_vmListAskedAt;
+    bool m_stopped = false;
+};
+
+}
--- /dev/null
+++ b/src/include/papayastep/node/entryhandler.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "papayastep/net/httpserver.h"
+#include "papayastep/node/nodecontext.h"
+#include "papayastep/node/servingnode.h"
+
+#include <unordered_map>
+
+namespace papayastep::node {
+
+class EntryRequest;
+
+/// The entry side: takes requests of callers and is responsible for what they are told.
+class EntryHandler final : public net::RequestHandler
+{
+public:
+    EntryHandler(NodeContext &context, ServingNode &serving);
+
+    net::Awaitable<void> handle(net::ServerExchange &exchange) override;
+    net::WholeAnswer refusal(base::ResultCode code, const std::string &detail) override;
+
+    // Late decisions for open requests. Those for requests that have ended are dropped.
+    void deliver(const limits::AdmissionDecision &decision);
+    void deliver(const routing::LedgerDecision &decision);
+    void deliver(const wire::CancelResult &result);
+
+    std::size_t open() const;
+
+private:
+    friend class EntryRequest;
+
+    NodeContext &m_context;
+    ServingNode &m_serving;
+    std::unordered_map<base::RequestId, EntryRequest *> m_open;
+};
+
+}
--- /dev/null
+++ b/src/include/papayastep/node/hophandler.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "papayastep/net/httpserver.h"
+#include "papayastep/node/nodecontext.h"
+#include "papayastep/node/servingnode.h"
+
+namespace papayastep::node {
+
+/// Takes attempts from other nodes. Whatever does not carry a good hop header is refused before anything else is
+/// looked at, so nobody outside the fleet can step round the entry's checks.
+class HopHandler final : public net::RequestHandler
+{
+public:
+    HopHandler(NodeContext &context, ServingNode &serving);
+
+    net::Awaitable<void> handle(net::ServerExchange &exchange) override;
+    net::WholeAnswer refusal(base::ResultCode code, const std::string &detail) override;
+
+private:
+    net::Awaitable<bool> authenticate(net::ServerExchange &exchange, wire::HopRequest &hop, std::string &body);
+    net::Awaitable<void> pass(net::ServerExchange &exchange, ServedAnswer answer);
+
+    NodeContext &m_context;
+    ServingNode &m_serving;
+};
+
+}
--- /dev/null
+++ b/src/include/papayastep/node/nodecontext.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "papayastep/base/clock.h"
+#include "papayastep/config/configuration.h"
+#include "papayastep/health/healthmonitor.h"
+#include "papayastep/limits/tokenbroker.h"
+#include "papayastep/net/httpclient.h"
+#include "papayastep/node/metrics.h"
+#include "papayastep/node/settings.h"
+#include "papayastep/routing/ledgerclient.h"
+#include "papayastep/routing/ledgerhome.h"
+#include "papayastep/routing/placement.h"
+#include "papayastep/routing/retrypolicy.h"
+#include "papayastep/routing/routetable.h"
+#include "papayastep/wire/hop.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace papayastep::node {
+
+/// The configuration in force and what is derived from it once per revision.
+struct InForce
+{
+    config::ConfigurationPtr configuration;
+    std::shared_ptr<const routing::RouteTable> routes;
+};
+
+/// What the parts of a node share. One thread uses all of it, so nothing here is locked.
+struct NodeContext
+{
+    NodeContext(net::asio::io_context &ioContext,
+                const base::Clock &systemClock,
+                NodeSettings nodeSettings,
+                std::uint64_t seed);
+
+    net::asio::io_context &io;
+    const base::Clock &clock;
+    NodeSettings settings;
+    base::Incarnation incarnation;
+    std::mt19937_64 random;
+    wire::HopCodec hopCodec;
+    net::HttpPool hopPool;
+    net::HttpPool backendPool;
+    limits::TokenBroker tokens;
+    health::HealthMonitor health;
+    routing::RetryBudget retryBudget;
+    routing::RetryPolicy retryPolicy;
+    routing::LedgerHome ledgerHome;
+    routing::LedgerClient ledgerClient;
+    std::unique_ptr<routing::PlacementPolicy> placement;
+    NodeMetrics metrics;
+    InForce inForce; ///< Null pointers until the first configuration.
+    config::VmList vms;
+    bool draining = false;
+
+    /// Called after anything that may have left decisions or messages in the parts above.
+    std::function<void()> schedulePump;
+    /// Sends one message to a VM at once.
+    std::function<void(wire::Outgoing)> send;
+
+    base::RequestId newRequestId();
+};
+
+}
--- /dev/null
+++ b/src/include/papayastep/node/peerlink.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "papayastep/net/peerendpoint.h"
+#include "papayastep/node/nodecontext.h"
+#include "papayastep/wire/envelope.h"
+
+#include <functional>
+
+namespace papayastep::node {
+
+/// Messages between nodes: seals what goes out, opens what comes in, and drops what is forged, repeated or ours.
+class PeerLink
+{
+public:
+    /// Called with each good message.
+    using Receiver = std::function<void(const wire::Envelope &envelope)>;
+
+    PeerLink(NodeContext &context, Receiver receive);
+
+    /// Drops the message where the VM is not listed.
+    void send(const wire::Outgoing &message);
+    void sweep();
+
+    const net::PeerEndpoint::Counters &counters() const;
+    std::uint64_t refused() const;
+    std::size_t openSockets() const;
+
+private:
+    void received(const std::string &bytes);
+
+    NodeContext &m_context;
+    Receiver m_receive;
+    wire::EnvelopeCodec m_codec;
+    wire::ReplayWindow m_window;
+    net::PeerEndpoint m_endpoint;
+    std::map<base::VmId, wire::CapabilityBits> m_capabilities; ///< What each peer said it can do.
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_refused = 0;
+};
+
+}
--- /dev/null
+++ b/src/include/papayastep/node/servingnode.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "papayastep/limits/slotqueue.h"
+#include "papayastep/net/httpclient.h"
+#include "papayastep/net/signal.h"
+#include "papayastep/node/nodecontext.h"
+#include "papayastep/node/servedanswer.h"
+#include "papayastep/routing/attemptregistry.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace papayastep::node {
+
+/// The serving side: takes attempts for the backend servers of this VM, queues them fairly, runs them, and can say
+/// of each whether it was started. It says `not-run` only of an attempt that it will never start.
+class ServingNode
+{
+public:
+    explicit ServingNode(NodeContext &context);
+    ~ServingNode();
+
+    /// Runs one attempt. `request` holds the caller's end-to-end headers without any key.
+    net::Awaitable<ServedAnswer> serve(wire::HopRequest hop, net::ClientRequest request);
+
+    /// The entry asks to cancel; the attempt may not have come yet.
+    routing::CancelAnswer cancel(const wire::CancelAttempt &cancel, const routing::SentStamp &stamp);
+
+    /// The entry that waits for this attempt is gone, so an idempotent one need not go on.
+    void entryGone(const base::RequestId &request, int attempt);
+
+    void applyConfiguration();
+
+    /// Starts and drops queued attempts that are due.
+    void poll();
+    void tick();
+    std::optional<base::TimePoint> nextTick() const;
+
+    /// Attempts queued or running.
+    std::size_t inFlight() const;
+    std::size_t queued() const;
+
+private:
+    struct Work;
+    struct Lane;
+    class BackendBody;
+    using WorkPtr = std::shared_ptr<Work>;
+
+    Lane *laneOf(const base::BackendServerId &server);
+    std::optional<base::ResultCode> checkKey(const wire::HopRequest &hop) const;
+    std::optional<base::ResultCode> checkServer(const wire::HopRequest &hop);
+    std::optional<base::ResultCode> beginWork(Work &work);
+    net::Awaitable<void> waitForSlot(WorkPtr work);
+    net::Awaitable<void> runOnBackend(WorkPtr work, net::ClientRequest request);
+    void finishWork(Work &work, health::AttemptOutcome outcome);
+    ServedAnswer answerOf(const WorkPtr &work);
+    ServedAnswer refusalOf(const Work &work, base::ResultCode code, base::Duration retryAfter);
+    wire::HopReply replyOf(const Work &work) const;
+    base::BackendServerId advise(const Work &work);
+
+    NodeContext &m_context;
+    routing::AttemptRegistry m_registry;
+    std::map<base::BackendServerId, std::unique_ptr<Lane>> m_lanes;
+    std::map<limits::AttemptId, WorkPtr> m_work;
+};
+
+}
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -128,14 +128,14 @@
     {
         http::response<http::string_body> response(std::move(answer.head), std::move(answer.body));
         prepareHead(response.base(), answer.close);
-        if (mayHaveBody(response.result())) {
+        // The answer to a HEAD keeps the length that a GET would have brought.
+        if (mayHaveBody(response.result()) && head().method() != http::verb::head) {
             response.content_length(response.body().size());
         }
         m_answered = true;
         beast::error_code error;
         m_stream.expires_after(m_server.m_limits.writeTimeout);
         if (head().method() == http::verb::head) {
-            // The length is that of the body a GET would bring, but no body follows.
             http::response<http::empty_body> headOnly(std::move(response.base()));
             http::response_serializer<http::empty_body> serializer(headOnly);
             co_await http::async_write_header(m_stream, serializer, into(error));
--- /dev/null
+++ b/src/node/candidates.cpp
@@ -0,0 +1,64 @@
+#include "papayastep/node/candidates.h"
+
+#include <algorithm>
+
+namespace papayastep::node {
+
+namespace {
+
+routing::Candidate candidateOf(const NodeContext &context, const config::BackendServer &server)
+{
+    routing::Candidate candidate;
+    candidate.server = server.id;
+    candidate.vm = server.vm;
+    candidate.zone = server.zone;
+    candidate.slots = server.slots;
+    const health::ServerView view = context.health.view(server.id);
+    candidate.slotsInUse = view.slotsInUse;
+    candidate.queueLength = view.queueLength;
+    candidate.latency = view.latency;
+    candidate.freshness = view.age.value_or(base::Duration::zero());
+    candidate.drained = server.drain || view.availability == health::Availability::Draining
+        || view.availability == health::Availability::Gone;
+    const bool reachable = server.vm == context.settings.vm || context.vms.find(server.vm) != nullptr;
+    candidate.pathUsable = reachable;
+    if (!context.settings.ejection) {
+        return candidate;
+    }
+    candidate.pathUsable = reachable && view.path != health::PathState::Broken;
+    candidate.trial = view.availability == health::Availability::Trial;
+    candidate.usable = view.availability == health::Availability::Usable || candidate.trial || view.spread;
+    candidate.weight = view.weight;
+    return candidate;
+}
+
+}
+
+std::vector<routing::Candidate> candidatesOf(const NodeContext &context, const base::ServiceId &service)
+{
+    const auto &servers = context.inForce.configuration->serversOf(service);
+    std::vector<routing::Candidate> candidates;
+    candidates.reserve(servers.size());
+    for (const config::BackendServer *server : servers) {
+        candidates.push_back(candidateOf(context, *server));
+    }
+    return candidates;
+}
+
+base::Duration typicalLatency(const std::vector<routing::Candidate> &candidates)
+{
+    std::vector<base::Duration> latencies;
+    for (const routing::Candidate &candidate : candidates) {
+        if (candidate.latency > base::Duration::zero()) {
+            latencies.push_back(candidate.latency);
+        }
+    }
+    if (latencies.empty()) {
+        return base::Duration::zero();
+    }
+    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+    std::nth_element(latencies.begin(), middle, latencies.end());
+    return *middle;
+}
+
+}
--- /dev/null
+++ b/src/node/configurationkeeper.cpp
@@ -0,0 +1,149 @@
+#include "papayastep/node/configurationkeeper.h"
+
+#include "papayastep/base/error.h"
+#include "papayastep/base/log.h"
+
+namespace papayastep::node {
+
+namespace {
+
+constexpr std::string_view logPrefix = "platform";
+constexpr base::Duration lookAgainEvery = std::chrono::seconds(1);
+
+config::FileListing listingOf(const net::PublishedIndex &index)
+{
+    config::FileListing listing;
+    listing.revision = index.revision;
+    for (const net::PublishedFile &file : index.files) {
+        listing.files.push_back({file.name, file.digest, file.bytes});
+    }
+    std::sort(listing.files.begin(), listing.files.end());
+    return listing;
+}
+
+/// How long a call waits: a watch as long as it says, a read not at all.
+std::chrono::seconds waitOf(const membership::PlatformCall &call)
+{
+    return call.kind == membership::PlatformCallKind::Watch ? call.wait : std::chrono::seconds(0);
+}
+
+}
+
+ConfigurationKeeper::ConfigurationKeeper(NodeContext &context,
+                                         membership::ConfigSpread &spread,
+                                         net::PlatformClient &platform)
+    : m_context(context)
+    , m_spread(spread)
+    , m_platform(platform)
+    , m_configurationChanged(context.io)
+    , m_vmListChanged(context.io)
+{
+}
+
+void ConfigurationKeeper::start()
+{
+    net::asio::co_spawn(m_context.io, configurationLoop(), net::asio::detached);
+    net::asio::co_spawn(m_context.io, vmListLoop(), net::asio::detached);
+}
+
+void ConfigurationKeeper::stop()
+{
+    m_stopped = true;
+    wake();
+}
+
+void ConfigurationKeeper::wake()
+{
+    m_configurationChanged.notify();
+    m_vmListChanged.notify();
+}
+
+base::TimePoint ConfigurationKeeper::vmListAskedAt() const
+{
+    return m_vmListAskedAt;
+}
+
+net::Awaitable<void> ConfigurationKeeper::configurationLoop()
+{
+    while (!m_stopped) {
+        const auto call = m_spread.configurationCall();
+        const auto now = m_context.clock.now();
+        if (call.kind == membership::PlatformCallKind::None || call.notBefore > now) {
+            co_await m_configurationChanged.waitUntil(
+                std::max(now + std::chrono::milliseconds(1), std::min(call.notBefore, now + lookAgainEvery)));
+            continue;
+        }
+        co_await readConfiguration(call);
+        m_context.schedulePump();
+    }
+}
+
+net::Awaitable<void> ConfigurationKeeper::vmListLoop()
+{
+    while (!m_stopped) {
+        const auto call = m_spread.vmListCall();
+        const auto now = m_context.clock.now();
+        if (call.kind == membership::PlatformCallKind::None || call.notBefore > now) {
+            co_await m_vmListChanged.waitUntil(
+                std::max(now + std::chrono::milliseconds(1), std::min(call.notBefore, now + lookAgainEvery)));
+            continue;
+        }
+        co_await readVmList(call);
+        m_context.schedulePump();
+    }
+}
+
+net::Awaitable<void> ConfigurationKeeper::readConfiguration(membership::PlatformCall call)
+{
+    try {
+        const auto index = co_await m_platform.configuration(call.after, waitOf(call));
+        if (!index) {
+            m_spread.platformUnchanged();
+            co_return;
+        }
+        const config::FileListing listing = listingOf(*index);
+        const membership::FetchPlan plan = m_spread.platformListing(listing);
+        if (!plan.worthwhile) {
+            co_return;
+        }
+        net::asio::steady_timer pause(m_context.io);
+        pause.expires_at(plan.notBefore);
+        net::beast::error_code ignored;
+        co_await pause.async_wait(net::into(ignored));
+        std::vector<config::ConfigurationFile> files;
+        for (const config::FileReference &file : plan.files) {
+            const net::PublishedFile published{file.name, file.digest, file.bytes};
+            std::string text = co_await m_platform.file(published);
+            files.push_back({file.name, std::move(text)});
+        }
+        m_spread.platformFiles(listing, files);
+    } catch (const base::Error &error) {
+        PAPAYASTEP_LOG(WARNING, logPrefix)
+            << "Could not read the configuration." << base::field("code", number(error.code()))
+            << base::field("detail", error.detail());
+        m_spread.platformFailed();
+    }
+}
+
+net::Awaitable<void> ConfigurationKeeper::readVmList(membership::PlatformCall call)
+{
+    const auto askedAt = m_context.clock.now();
+    try {
+        auto list = co_await m_platform.vms(call.after, waitOf(call));
+        if (list) {
+            m_vmListAskedAt = askedAt;
+            m_spread.platformVmList(std::move(*list));
+        } else {
+            // Unchanged at its end: the answer proves the list no longer than one empty watch ago.
+            m_vmListAskedAt = askedAt;
+            m_spread.platformVmListUnchanged();
+        }
+        m_context.tokens.applyVmList(m_context.vms, m_vmListAskedAt);
+    } catch (const base::Error &error) {
+        PAPAYASTEP_LOG(WARNING, logPrefix) << "Could not read the VM list." << base::field("code", number(error.code()))
+                                           << base::field("detail", error.detail());
+        m_spread.platformVmListFailed();
+    }
+}
+
+}
--- /dev/null
+++ b/src/node/entryhandler.cpp
@@ -0,0 +1,64 @@
+#include "entryrequest.h"
+
+#include "papayastep/node/entryhandler.h"
+#include "papayastep/node/refusals.h"
+
+namespace papayastep::node {
+
+EntryHandler::EntryHandler(NodeContext &context, ServingNode &serving)
+    : m_context(context)
+    , m_serving(serving)
+{
+}
+
+net::Awaitable<void> EntryHandler::handle(net::ServerExchange &exchange)
+{
+    EntryRequest request(*this, exchange);
+    co_await request.run();
+}
+
+net::WholeAnswer EntryHandler::refusal(base::ResultCode code, const std::string &detail)
+{
+    m_context.metrics.countRequest(base::ServiceId(), code, {});
+    return refusalAnswer(notRun(code), {}, detail);
+}
+
+void EntryHandler::deliver(const limits::AdmissionDecision &decision)
+{
+    const auto found = m_open.find(decision.request);
+    if (found != m_open.end()) {
+        found->second->admissionDecided(decision.admission);
+        return;
+    }
+    // The caller went away while it waited; its token goes back to the others.
+    if (const auto *admitted = std::get_if<limits::Admitted>(&decision.admission)) {
+        m_context.tokens.giveBack(admitted->token);
+    }
+}
+
+void EntryHandler::deliver(const routing::LedgerDecision &decision)
+{
+    const auto found = m_open.find(decision.request);
+    if (found != m_open.end()) {
+        found->second->ledgerDecided(decision.answer);
+    } else if (decision.answer.verdict == routing::ClaimVerdict::Run) {
+        m_context.ledgerClient.completeNotRun(decision.request);
+    }
+}
+
+void EntryHandler::deliver(const wire::CancelResult &result)
+{
+    const auto found = m_open.find({result.requestHigh, result.requestLow});
+    const bool known = result.answer <= static_cast<std::uint8_t>(routing::CancelAnswer::NoPromise);
+    if (found != m_open.end() && known) {
+        found->second->cancelAnswered(static_cast<int>(result.attempt),
+                                      static_cast<routing::CancelAnswer>(result.answer));
+    }
+}
+
+std::size_t EntryHandler::open() const
+{
+    return m_open.size();
+}
+
+}
--- /dev/null
+++ b/src/node/hophandler.cpp
@@ -0,0 +1,141 @@
+#include "papayastep/node/hophandler.h"
+
+#include "papayastep/base/error.h"
+#include "papayastep/base/log.h"
+#include "papayastep/net/signal.h"
+#include "papayastep/node/refusals.h"
+
+namespace papayastep::node {
+
+namespace {
+
+constexpr std::string_view logPrefix = "hop";
+
+std::string_view view(net::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/// The answer that the serving side is working on, shared by its coroutine and the one of the connection.
+struct Pending
+{
+    explicit Pending(net::asio::io_context &io)
+        : changed(io)
+    {
+    }
+    net::Signal changed;
+    std::optional<ServedAnswer> answer;
+};
+
+net::ClientRequest backendRequest(const net::RequestHead &head, std::string body)
+{
+    net::ClientRequest request;
+    request.head.method_string(head.method_string());
+    request.head.target(head.target());
+    net::copyEndToEnd(head, request.head);
+    request.head.erase(net::http::field::content_length);
+    request.body = std::move(body);
+    return request;
+}
+
+}
+
+HopHandler::HopHandler(NodeContext &context, ServingNode &serving)
+    : m_context(context)
+    , m_serving(serving)
+{
+}
+
+net::Awaitable<void> HopHandler::handle(net::ServerExchange &exchange)
+{
+    wire::HopRequest hop;
+    std::string body;
+    if (!co_await authenticate(exchange, hop, body)) {
+        co_return;
+    }
+    auto pending = std::make_shared<Pending>(m_context.io);
+    auto serve = [this,
+                  pending,
+                  hop,
+                  request = backendRequest(exchange.head(), std::move(body))]() mutable -> net::Awaitable<void> {
+        pending->answer = co_await m_serving.serve(std::move(hop), std::move(request));
+        pending->changed.notify();
+    };
+    net::asio::co_spawn(m_context.io, std::move(serve), net::asio::detached);
+    exchange.watchClient(
+        [this, id = hop.requestId(), attempt = static_cast<int>(hop.attempt)] { m_serving.entryGone(id, attempt); });
+
+    // An answer that comes at once is its own acknowledgement; only a slower one costs a message of its own.
+    const auto acknowledgeAt = m_context.clock.now() + m_context.settings.acknowledgeAfter;
+    const bool quick = pending->answer || co_await pending->changed.waitUntil(acknowledgeAt);
+    if (!quick) {
+        co_await exchange.acknowledge();
+    }
+    while (!pending->answer) {
+        co_await pending->changed.waitUntil(m_context.clock.now() + std::chrono::hours(1));
+    }
+    co_await pass(exchange, std::move(*pending->answer));
+}
+
+net::WholeAnswer HopHandler::refusal(base::ResultCode code, const std::string &detail)
+{
+    return refusalAnswer(notRun(code), {}, detail);
+}
+
+net::Awaitable<bool> HopHandler::authenticate(net::ServerExchange &exchange, wire::HopRequest &hop, std::string &body)
+{
+    auto code = base::ResultCode::HopUnauthenticated;
+    try {
+        const net::RequestHead &head = exchange.head();
+        const auto sealed = head[wire::hopHeader];
+        if (!sealed.empty()) {
+            body = co_await exchange.readBody();
+            hop = m_context.hopCodec.openRequest(view(sealed), view(head.method_string()), view(head.target()), body);
+            co_return true;
+        }
+    } catch (const base::Error &error) {
+        code = error.code();
+    }
+    PAPAYASTEP_LOG(WARNING, logPrefix) << "Refused a request that is no hop of this fleet."
+                                       << base::field("remote", exchange.remoteAddress())
+                                       << base::field("code", number(code));
+    net::WholeAnswer answer = refusal(code, {});
+    answer.close = true;
+    co_await exchange.answer(std::move(answer));
+    co_return false;
+}
+
+net::Awaitable<void> HopHandler::pass(net::ServerExchange &exchange, ServedAnswer answer)
+{
+    net::ResponseHead head;
+    net::copyEndToEnd(answer.head, head);
+    head.set(wire::hopReplyHeader, m_context.hopCodec.sealReply(answer.reply));
+    if (answer.outcome() != wire::HopOutcome::Answered) {
+        head.result(net::http::status::service_unavailable);
+        net::WholeAnswer empty(std::move(head), {});
+        co_await exchange.answer(std::move(empty));
+        co_return;
+    }
+    head.result(answer.head.result_int());
+    if (!answer.rest) {
+        net::WholeAnswer whole(std::move(head), std::move(answer.body));
+        co_await exchange.answer(std::move(whole));
+        co_return;
+    }
+    bool open = co_await exchange.beginStream(std::move(head));
+    if (open && !answer.body.empty()) {
+        open = co_await exchange.writePart(std::move(answer.body));
+    }
+    while (open && !answer.rest->complete()) {
+        std::string part = co_await answer.rest->readPart();
+        if (part.empty()) {
+            break;
+        }
+        open = co_await exchange.writePart(std::move(part));
+    }
+    if (open && answer.rest->complete()) {
+        co_await exchange.finishStream();
+    }
+}
+
+}
--- /dev/null
+++ b/src/node/main.cpp
@@ -0,0 +1,119 @@
+// papayastepd: one node of the fleet.
+
+#include "papayastep/base/error.h"
+#include "papayastep/base/log.h"
+#include "papayastep/node/node.h"
+#include "papayastep/routing/requestmachine.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+#include <sodium.h>
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+namespace options = boost::program_options;
+using papayastep::base::Error;
+using papayastep::base::ResultCode;
+
+constexpr int exitBadInput = 2;
+constexpr int exitFailure = 1;
+
+struct CommandLine
+{
+    std::string settingsFile;
+    papayastep::node::SettingsOverrides overrides;
+    bool checkOnly = false;
+    bool done = false; ///< Help or version was printed.
+};
+
+CommandLine parseCommandLine(int argc, char **argv)
+{
+    CommandLine line;
+    auto &over = line.overrides;
+    options::options_description description("papayastepd: one node of a papayastep proxy fleet");
+    description.add_options()("help", "print this text")("version", "print the version")(
+        "settings", options::value(&line.settingsFile), "settings file (JSON, docs/OPERATORS.md)")(
+        "check-settings", options::bool_switch(&line.checkOnly), "check the settings and exit")(
+        "vm", options::value(&over.vm), "name of this VM, instead of the file's")(
+        "zone", options::value(&over.zone), "availability zone, instead of the file's")(
+        "listen-caller", options::value(&over.caller), "address:port for callers")(
+        "listen-hop", options::value(&over.hop), "address:port for hops of other nodes")(
+        "listen-peer", options::value(&over.peer), "address:port for messages of other nodes")(
+        "listen-admin", options::value(&over.admin), "address:port for operators")(
+        "platform", options::value(&over.platform)->multitoken(), "address:port of the platform's service")(
+        "secret-file", options::value(&over.secretFile), "file with the fleet secret (never the secret itself)");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), values);
+        options::notify(values);
+    } catch (const options::error &error) {
+        throw Error(ResultCode::CommandLine, error.what());
+    }
+    if (values.count("help") > 0) {
+        std::cout << description;
+        line.done = true;
+    } else if (values.count("version") > 0) {
+        std::cout << "papayastepd " PAPAYASTEP_VERSION "\n";
+        line.done = true;
+    } else if (line.settingsFile.empty()) {
+        throw Error(ResultCode::CommandLine, "--settings FILE is needed (see --help)");
+    }
+    return line;
+}
+
+std::uint64_t randomSeed()
+{
+    std::uint64_t seed = 0;
+    randombytes_buf(&seed, sizeof(seed));
+    return seed;
+}
+
+void run(papayastep::node::NodeSettings settings)
+{
+    papayastep::net::asio::io_context io(1);
+    const papayastep::base::SystemClock clock;
+    papayastep::node::Node node(io, clock, std::move(settings), randomSeed());
+    papayastep::net::asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](const papayastep::net::beast::error_code &error, int) {
+        if (!error) {
+            node.requestStop();
+        }
+    });
+    io.run();
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        const CommandLine line = parseCommandLine(argc, argv);
+        if (line.done) {
+            return 0;
+        }
+        if (sodium_init() < 0) {
+            throw Error(ResultCode::Internal, "libsodium does not start");
+        }
+        auto settings = papayastep::node::readSettings(line.settingsFile, line.overrides);
+        if (line.checkOnly) {
+            std::cout << "The settings are good.\n";
+            return 0;
+        }
+        papayastep::routing::requestChart();
+        run(std::move(settings));
+        return 0;
+    } catch (const Error &error) {
+        std::cerr << "papayastepd: " << error.what() << "\n";
+        const bool badInput = number(error.code()) < number(ResultCode::RequestMalformed);
+        return badInput ? exitBadInput : exitFailure;
+    } catch (const std::exception &error) {
+        std::cerr << "papayastepd: " << error.what() << "\n";
+        return exitFailure;
+    }
+}
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,286 @@
+#include "papayastep/node/node.h"
+
+#include "papayastep/base/error.h"
+#include "papayastep/base/log.h"
+
+#include <algorithm>
+
+namespace papayastep::embedded {
+extern const std::string_view nodeChart;
+}
+
+namespace papayastep::node {
+
+namespace {
+
+constexpr std::string_view logPrefix = "node";
+constexpr base::Duration longestTick = std::chrono::seconds(1);
+constexpr base::Duration shortestTick = std::chrono::milliseconds(1);
+constexpr base::Duration sweepEvery = std::chrono::seconds(5);
+constexpr base::Duration drainPoll = std::chrono::milliseconds(20);
+
+// Between the announcement and the closing of the listeners: callers and siblings hear of it and turn away, so that
+// few requests have to be refused.
+constexpr base::Duration announceFirst = std::chrono::milliseconds(500);
+
+std::shared_ptr<const base::StateChart> nodeChart()
+{
+    return base::StateChart::parse(embedded::nodeChart,
+                                   {"starting", "serving", "draining", "stopped"},
+                                   {"configured", "stop-requested", "drained", "patience-ended"});
+}
+
+bool isBetween(wire::MessageKind kind, int first, int last)
+{
+    const int number = static_cast<int>(kind);
+    return number >= first && number <= last;
+}
+
+}
+
+Node::Node(net::asio::io_context &io, const base::Clock &clock, NodeSettings settings, std::uint64_t seed)
+    : m_context(io, clock, std::move(settings), seed)
+    , m_directory(clock)
+    , m_spread({m_context.settings.vm, m_context.settings.zone, m_context.incarnation}, m_directory, clock, seed + 1)
+    , m_platform(io, clock, m_context.settings.platform)
+    , m_keeper(m_context, m_spread, m_platform)
+    , m_serving(m_context)
+    , m_entry(m_context, m_serving)
+    , m_hop(m_context, m_serving)
+    , m_peers(m_context, [this](const wire::Envelope &envelope) { dispatch(envelope); })
+    , m_callerServer(io, m_context.settings.caller, m_context.settings.limits, m_entry)
+    , m_hopServer(io, m_context.settings.hop, m_context.settings.limits, m_hop)
+    , m_adminServer(io, m_context.settings.admin, {}, m_admin)
+    , m_tickSignal(io)
+    , m_life(nodeChart())
+{
+    m_context.schedulePump = [this] { schedulePump(); };
+    m_context.send = [this](const wire::Outgoing &message) { m_peers.send(message); };
+    addAdminPages();
+    m_keeper.start();
+    net::asio::co_spawn(io, tickLoop(), net::asio::detached);
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Started." << base::field("vm", m_context.settings.vm)
+                                    << base::field("zone", m_context.settings.zone)
+                                    << base::field("incarnation", m_context.incarnation)
+                                    << base::field("caller", net::toString(m_context.settings.caller))
+                                    << base::field("admin", net::toString(m_context.settings.admin));
+}
+
+Node::~Node() = default;
+
+void Node::requestStop()
+{
+    if (!m_life.handle(NodeEvent::StopRequested)) {
+        return;
+    }
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Draining for a planned stop." << base::field("open", m_entry.open())
+                                    << base::field("serving", m_serving.inFlight());
+    net::asio::co_spawn(m_context.io, drain(), net::asio::detached);
+}
+
+// Decisions and messages pile up in the packages while events come in; one pump after a burst of events takes them all.
+void Node::pump()
+{
+    m_pumpScheduled = false;
+    m_serving.poll();
+    sendAll(m_context.tokens.takeMessages());
+    for (const limits::AdmissionDecision &decision : m_context.tokens.takeDecisions()) {
+        m_entry.deliver(decision);
+    }
+    sendAll(m_context.ledgerHome.takeMessages());
+    sendAll(m_context.ledgerClient.takeMessages());
+    for (const routing::LedgerDecision &decision : m_context.ledgerClient.takeDecisions()) {
+        m_entry.deliver(decision);
+    }
+    sendAll(m_context.health.takeMessages());
+    logHealthEvents();
+    if (m_spread.takeVmListChanged()) {
+        applyVmList();
+    }
+    while (const auto accepted = m_spread.takeAccepted()) {
+        applyConfiguration(*accepted);
+    }
+    sendAll(m_spread.takeMessages());
+    if (nextTick() < m_armedTick) {
+        m_tickSignal.notify();
+    }
+}
+
+void Node::schedulePump()
+{
+    if (!m_pumpScheduled) {
+        m_pumpScheduled = true;
+        net::asio::post(m_context.io, [this] { pump(); });
+    }
+}
+
+void Node::dispatch(const wire::Envelope &envelope)
+{
+    const bool stranger = !m_directory.isListed(envelope.sender);
+    if (!stranger) {
+        m_directory.noteHeard(envelope.sender, envelope.incarnation);
+        m_spread.noteRevision(envelope.sender, envelope.revision);
+    }
+    if (isBetween(envelope.kind, 10, 19)) {
+        m_context.tokens.receive(envelope.sender, envelope.incarnation, envelope.kind, envelope.payload);
+    } else if (isBetween(envelope.kind, 20, 29)) {
+        m_context.health.receive(envelope.sender, envelope.incarnation, envelope.kind, envelope.payload);
+    } else if (isBetween(envelope.kind, 30, 39)) {
+        m_spread.receive(envelope.sender, envelope.kind, envelope.payload);
+        m_keeper.wake();
+    } else if (isBetween(envelope.kind, 40, 49)) {
+        handleCancel(envelope);
+    } else if (envelope.kind == wire::MessageKind::LedgerClaimResult
+               || envelope.kind == wire::MessageKind::LedgerCompleteResult) {
+        m_context.ledgerClient.receive(envelope.sender, envelope.kind, envelope.payload);
+    } else if (isBetween(envelope.kind, 50, 59)) {
+        m_context.ledgerHome.receive(envelope.sender, envelope.kind, envelope.payload);
+    } else {
+        throw base::Error(base::ResultCode::MessageUnknownKind, std::to_string(static_cast<int>(envelope.kind)));
+    }
+    schedulePump();
+}
+
+void Node::handleCancel(const wire::Envelope &envelope)
+{
+    if (envelope.kind == wire::MessageKind::CancelResult) {
+        m_entry.deliver(wire::decode<wire::CancelResult>(envelope.payload));
+        return;
+    }
+    const auto cancel = wire::decode<wire::CancelAttempt>(envelope.payload);
+    const routing::SentStamp stamp{envelope.sender, envelope.incarnation, base::Duration(cancel.sent)};
+    wire::CancelResult result;
+    result.requestHigh = cancel.requestHigh;
+    result.requestLow = cancel.requestLow;
+    result.attempt = cancel.attempt;
+    result.answer = static_cast<std::uint8_t>(m_serving.cancel(cancel, stamp));
+    m_peers.send(wire::outgoing(envelope.sender, wire::MessageKind::CancelResult, result));
+}
+
+void Node::sendAll(const std::vector<wire::Outgoing> &messages)
+{
+    for (const wire::Outgoing &message : messages) {
+        m_peers.send(message);
+    }
+}
+
+void Node::logHealthEvents()
+{
+    for (const health::HealthEvent &event : m_context.health.takeEvents()) {
+        VLOG(1) << logPrefix << ": " << event.sentence;
+        m_context.metrics.countAttempt(base::ServiceId("health"), health::name(event.kind));
+    }
+}
+
+void Node::applyConfiguration(const membership::Accepted &accepted)
+{
+    const auto &configuration = accepted.configuration;
+    m_context.inForce = {configuration, std::make_shared<routing::RouteTable>(configuration)};
+    m_context.tokens.applyConfiguration(configuration);
+    m_context.health.applyConfiguration(configuration);
+    m_context.ledgerClient.applyConfiguration(configuration);
+    m_context.ledgerHome.applyConfiguration(configuration);
+    m_serving.applyConfiguration();
+    m_life.handle(NodeEvent::Configured);
+    PAPAYASTEP_LOG(INFO, "config") << "Put a configuration in force."
+                                   << base::field("revision", configuration->revision())
+                                   << base::field("source", accepted.source)
+                                   << base::field("workspaces", configuration->workspaces().size())
+                                   << base::field("routes", configuration->routes().size());
+    schedulePump();
+}
+
+void Node::applyVmList()
+{
+    m_context.vms = m_directory.list();
+    m_context.tokens.applyVmList(m_context.vms, m_keeper.vmListAskedAt());
+    m_context.health.applyVmList(m_context.vms);
+    m_context.ledgerHome.applyVmList(m_context.vms);
+    PAPAYASTEP_LOG(INFO, "membership") << "Took a VM list." << base::field("version", m_context.vms.version)
+                                       << base::field("vms", m_context.vms.vms.size());
+    m_keeper.wake();
+    schedulePump();
+}
+
+void Node::tick()
+{
+    m_context.tokens.tick();
+    m_context.health.tick();
+    m_context.ledgerClient.tick();
+    m_context.ledgerHome.tick();
+    m_spread.tick();
+    m_serving.tick();
+    const auto now = m_context.clock.now();
+    if (now >= m_nextSweep) {
+        m_nextSweep = now + sweepEvery;
+        m_context.retryBudget.tick();
+        m_context.hopPool.sweep();
+        m_context.backendPool.sweep();
+        m_peers.sweep();
+    }
+}
+
+base::TimePoint Node::nextTick() const
+{
+    const auto now = m_context.clock.now();
+    auto next = now + longestTick;
+    next = std::min(next, m_context.tokens.nextTick().value_or(next));
+    next = std::min(next, m_context.health.nextTick());
+    next = std::min(next, m_context.ledgerClient.nextTick());
+    next = std::min(next, m_context.ledgerHome.nextTick());
+    next = std::min(next, m_spread.nextTick());
+    next = std::min(next, m_serving.nextTick().value_or(next));
+    return std::max(next, now + shortestTick);
+}
+
+net::Awaitable<void> Node::tickLoop()
+{
+    while (!m_stopped) {
+        m_armedTick = nextTick();
+        co_await m_tickSignal.waitUntil(m_armedTick);
+        tick();
+        pump();
+    }
+}
+
+net::Awaitable<void> Node::drain()
+{
+    m_context.health.setLeaving(m_context.settings.vm);
+    m_spread.announceLeaving();
+    schedulePump();
+
+    net::asio::steady_timer timer(m_context.io);
+    net::beast::error_code ignored;
+    timer.expires_after(announceFirst);
+    co_await timer.async_wait(net::into(ignored));
+
+    m_context.draining = true;
+    m_callerServer.stop();
+    m_context.tokens.drain();
+    m_context.ledgerHome.beginHandOver();
+    schedulePump();
+
+    const auto patience = m_context.clock.now() + m_context.settings.drainTimeout;
+    while (!isIdle() && m_context.clock.now() < patience) {
+        timer.expires_after(drainPoll);
+        co_await timer.async_wait(net::into(ignored));
+        tick();
+        pump();
+    }
+    m_hopServer.stop();
+    m_life.handle(isIdle() ? NodeEvent::Drained : NodeEvent::PatienceEnded);
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Stopped." << base::field("open", m_entry.open())
+                                    << base::field("serving", m_serving.inFlight());
+    m_stopped = true;
+    m_keeper.stop();
+    m_context.io.stop();
+}
+
+bool Node::isIdle() const
+{
+    const bool requestsDone
+        = m_callerServer.inFlight() == 0 && m_hopServer.inFlight() == 0 && m_serving.inFlight() == 0;
+    return requestsDone && m_context.ledgerClient.size() == 0 && m_context.ledgerHome.handOverDone();
+}
+
+}
--- /dev/null
+++ b/src/node/nodepages.cpp
@@ -0,0 +1,243 @@
+// The pages of a node for operators: /healthz, /readyz, /status, /explain and /metrics.
+
+#include "papayastep/node/candidates.h"
+#include "papayastep/node/node.h"
+
+#include <nlohmann/json.hpp>
+
+namespace papayastep::node {
+
+namespace {
+
+using Json = nlohmann::json;
+
+double milliseconds(base::Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+std::string_view name(health::Availability availability)
+{
+    switch (availability) {
+    case health::Availability::Usable:
+        return "usable";
+    case health::Availability::Trial:
+        return "trial";
+    case health::Availability::Ejected:
+        return "ejected";
+    case health::Availability::Draining:
+        return "draining";
+    case health::Availability::Gone:
+        return "gone";
+    }
+    return "unknown";
+}
+
+std::string_view name(health::PathState path)
+{
+    switch (path) {
+    case health::PathState::Good:
+        return "good";
+    case health::PathState::Trial:
+        return "trial";
+    case health::PathState::Broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
+Json serverJson(const NodeContext &context, const config::BackendServer &server)
+{
+    const health::ServerView view = context.health.view(server.id);
+    Json json{{"id", server.id.value()},
+              {"service", server.service.value()},
+              {"vm", server.vm.value()},
+              {"zone", server.zone.value()},
+              {"availability", name(view.availability)},
+              {"path", name(view.path)},
+              {"weight", view.weight},
+              {"slots", server.slots},
+              {"slotsInUse", view.slotsInUse},
+              {"queueLength", view.queueLength},
+              {"latencyMs", milliseconds(view.latency)},
+              {"reason", view.reason}};
+    if (view.age) {
+        json["ageMs"] = milliseconds(*view.age);
+    }
+    return json;
+}
+
+Json workspaceJson(const limits::WorkspaceStatus &status)
+{
+    Json shares = Json::array();
+    for (const limits::ShareStatus &share : status.shares) {
+        shares.push_back({{"zone", share.zone.value()},
+                          {"holder", share.holder.value()},
+                          {"held", share.held},
+                          {"rate", share.rate},
+                          {"burst", share.burst},
+                          {"level", share.level},
+                          {"outstanding", share.outstanding},
+                          {"borrowed", share.borrowed}});
+    }
+    return {{"id", status.workspace.value()},
+            {"entryTokens", status.entryTokens},
+            {"demand", status.demand},
+            {"shares", shares}};
+}
+
+net::WholeAnswer badQuery(const std::string &what)
+{
+    return net::jsonAnswer(net::http::status::bad_request, Json{{"error", what}}.dump() + "\n");
+}
+
+}
+
+void Node::addAdminPages()
+{
+    m_admin.addPage("/healthz",
+                    [](const auto &) { return net::jsonAnswer(net::http::status::ok, "{\"alive\": true}\n"); });
+    m_admin.addPage("/readyz", [this](const auto &) { return readyPage(); });
+    m_admin.addPage("/status", [this](const auto &query) { return statusPage(query); });
+    m_admin.addPage("/explain", [this](const auto &query) { return explainPage(query); });
+    m_admin.addPage("/metrics", [this](const auto &) { return metricsPage(); });
+}
+
+net::WholeAnswer Node::readyPage() const
+{
+    const bool ready = m_life.state() == NodeState::Serving;
+    const auto status = ready ? net::http::status::ok : net::http::status::service_unavailable;
+    return net::jsonAnswer(status, Json{{"ready", ready}, {"state", m_life.stateName()}}.dump() + "\n");
+}
+
+net::WholeAnswer Node::statusPage(const AdminHandler::Query &query) const
+{
+    const membership::SpreadStatus spread = m_spread.status();
+    Json status{{"vm", m_context.settings.vm.value()},
+                {"zone", m_context.settings.zone.value()},
+                {"incarnation", std::to_string(m_context.incarnation)},
+                {"state", m_life.stateName()},
+                {"revision", spread.revision},
+                {"platformRevision", spread.platformRevision},
+                {"platformStale", spread.platformStale},
+                {"reader", spread.reader},
+                {"rejection", spread.rejection},
+                {"vmListVersion", spread.vmListVersion},
+                {"vms", m_context.vms.vms.size()},
+                {"open", m_entry.open()},
+                {"serving", m_serving.inFlight()},
+                {"queued", m_serving.queued()}};
+    if (spread.newsAge) {
+        status["newsAgeMs"] = milliseconds(*spread.newsAge);
+    }
+    status["servers"] = Json::array();
+    const auto &configuration = m_context.inForce.configuration;
+    const auto workspace = query.find("workspace");
+    if (configuration && workspace == query.end()) {
+        for (const config::BackendServer &server : configuration->backendServers()) {
+            status["servers"].push_back(serverJson(m_context, server));
+        }
+    }
+    if (workspace != query.end()) {
+        status["workspace"] = workspaceJson(m_context.tokens.status(base::WorkspaceId(workspace->second)));
+    }
+    return net::jsonAnswer(net::http::status::ok, status.dump(2) + "\n");
+}
+
+net::WholeAnswer Node::explainPage(const AdminHandler::Query &query)
+{
+    const auto valueOf = [&](const char *name) {
+        const auto found = query.find(name);
+        return found != query.end() ? found->second : std::string();
+    };
+    if (!m_context.inForce.configuration) {
+        return badQuery("the node has no configuration yet");
+    }
+    const auto match = m_context.inForce.routes->match(valueOf("host"), valueOf("method"), valueOf("path"));
+    if (!match) {
+        return badQuery("no route matches");
+    }
+    const auto candidates = candidatesOf(m_context, match->route->service);
+    const routing::PlacementRequest request{m_context.settings.zone, match->idempotent, {}};
+    const routing::TwoChoicePlacement policy;
+    const auto placement = policy.place(candidates, request, m_context.random);
+    const auto explanation = policy.explain(candidates, request, placement);
+    Json rows = Json::array();
+    for (const routing::ScoredCandidate &row : explanation.candidates) {
+        rows.push_back({{"server", row.candidate.server.value()},
+                        {"vm", row.candidate.vm.value()},
+                        {"zone", row.candidate.zone.value()},
+                        {"eligible", row.eligible},
+                        {"score", row.score},
+                        {"note", row.note},
+                        {"reason", m_context.health.view(row.candidate.server).reason}});
+    }
+    const Json answer{{"route", match->route->id.value()},
+                      {"service", match->route->service.value()},
+                      {"idempotent", match->idempotent},
+                      {"explanation", explanation.sentence},
+                      {"candidates", rows}};
+    return net::jsonAnswer(net::http::status::ok, answer.dump(2) + "\n");
+}
+
+net::WholeAnswer Node::metricsPage()
+{
+    collectMetrics();
+    net::WholeAnswer answer = net::jsonAnswer(net::http::status::ok, m_context.metrics.text());
+    answer.head.set(net::http::field::content_type, "text/plain; version=0.0.4");
+    return answer;
+}
+
+void Node::collectMetrics()
+{
+    NodeMetrics &metrics = m_context.metrics;
+    const auto set = [&](const char *name, auto value) { metrics.set(name, static_cast<double>(value)); };
+    const membership::SpreadStatus spread = m_spread.status();
+    set("configuration_revision", spread.revision);
+    set("configuration_news_age_seconds", spread.newsAge ? milliseconds(*spread.newsAge) / 1000 : -1);
+    set("configurations_rejected", spread.rejected);
+    set("configuration_store_bytes", spread.storeBytes);
+    set("platform_stale", spread.platformStale);
+    set("vm_list_version", spread.vmListVersion);
+
+    const net::PeerEndpoint::Counters &peers = m_peers.counters();
+    set("peer_messages_sent", peers.messagesSent);
+    set("peer_bytes_sent", peers.bytesSent);
+    set("peer_messages_received", peers.messagesReceived);
+    set("peer_bytes_received", peers.bytesReceived);
+    set("peer_messages_dropped", peers.dropped);
+    set("peer_messages_refused", m_peers.refused());
+    set("peer_sockets", m_peers.openSockets());
+
+    const limits::BrokerCounters &tokens = m_context.tokens.counters();
+    set("tokens_admitted", tokens.admitted);
+    set("tokens_admitted_waiting", tokens.admittedWaiting);
+    set("tokens_refused", tokens.refused);
+    set("tokens_refused_silent", tokens.refusedSilent);
+    set("tokens_given_back", tokens.givenBack);
+    set("token_asks_sent", tokens.asksSent);
+    set("token_grants_made", tokens.grantsMade);
+    set("token_loans_made", tokens.loansMade);
+    set("token_messages_ignored", tokens.messagesIgnored);
+    set("token_tenures_lost", tokens.tenuresLost);
+    set("token_workspaces", m_context.tokens.activeWorkspaces());
+
+    const health::HealthCounters &health = m_context.health.counters();
+    set("health_ejections", health.ejections);
+    set("health_returns", health.returns);
+    set("health_trials", health.trials);
+    set("health_floor_holds", health.floorHolds);
+    set("health_path_ejections", health.pathEjections);
+    set("health_pauses", health.pauses);
+    set("health_messages_ignored", health.messagesIgnored);
+
+    set("ledger_records", m_context.ledgerHome.ledger().size());
+    set("ledger_bytes", m_context.ledgerHome.ledger().bytes());
+    set("requests_open", m_entry.open());
+    set("attempts_serving", m_serving.inFlight());
+    set("attempts_queued", m_serving.queued());
+    set("caller_connections", m_callerServer.connections());
+    set("caller_connections_refused", m_callerServer.refusedConnections());
+}
+
+}
--- /dev/null
+++ b/src/node/servingnode.cpp
@@ -0,0 +1,503 @@
+#include "papayastep/node/servingnode.h"
+
+#include "papayastep/base/log.h"
+#include "papayastep/node/candidates.h"
+
+namespace papayastep::node {
+
+namespace {
+
+constexpr std::string_view logPrefix = "serving";
+
+using base::ResultCode;
+
+std::int64_t microseconds(base::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+}
+
+std::uint32_t milliseconds(base::Duration duration)
+{
+    return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(duration).count());
+}
+
+health::AttemptOutcome outcomeOfStatus(net::http::status status)
+{
+    if (status == net::http::status::service_unavailable || status == net::http::status::too_many_requests) {
+        return health::AttemptOutcome::Shed;
+    }
+    return static_cast<unsigned>(status) >= 500 ? health::AttemptOutcome::Error : health::AttemptOutcome::Success;
+}
+
+}
+
+/// A backend server of this VM with its queue.
+struct ServingNode::Lane
+{
+    Lane(const base::Clock &clock, const config::BackendServer &configured)
+        : server(configured)
+        , queue(clock, configured.slots)
+    {
+    }
+
+    config::BackendServer server;
+    limits::SlotQueue queue;
+    bool gone = false; ///< No longer configured; kept until its attempts have ended.
+};
+
+/// One attempt from its arrival to the end of its answer.
+struct ServingNode::Work
+{
+    Work(net::asio::io_context &io, wire::HopRequest hopRequest, base::TimePoint arrival)
+        : hop(std::move(hopRequest))
+        , arrived(arrival)
+        , changed(io)
+    {
+    }
+
+    limits::AttemptId id() const
+    {
+        return {hop.requestId(), static_cast<int>(hop.attempt)};
+    }
+    health::AttemptKey healthKey() const
+    {
+        return {hop.requestId(), hop.attempt};
+    }
+
+    wire::HopRequest hop;
+    base::TimePoint arrived;
+    base::TimePoint deadline;
+    base::TimePoint started;
+    net::Signal changed;
+    std::optional<limits::QueueDecision> decision;
+    std::shared_ptr<net::HttpExchange> exchange;
+    bool running = false;
+    bool timedOut = false;
+    bool stopped = false; ///< Nobody wants the answer any more.
+};
+
+/// The rest of a large answer. Holds the slot of the backend server until its end.
+class ServingNode::BackendBody final : public AnswerBody
+{
+public:
+    BackendBody(ServingNode &serving, WorkPtr work)
+        : m_serving(serving)
+        , m_work(std::move(work))
+    {
+    }
+
+    ~BackendBody() override
+    {
+        finish();
+    }
+
+    net::Awaitable<std::string> readPart() override
+    {
+        std::string part = co_await m_work->exchange->readPart();
+        if (part.empty() || complete()) {
+            finish();
+        }
+        co_return part;
+    }
+
+    bool complete() const override
+    {
+        return m_work->exchange->progress() == net::ExchangeProgress::Complete;
+    }
+
+private:
+    void finish()
+    {
+        if (!m_work->running) {
+            return;
+        }
+        const bool whole = complete();
+        const bool broken = m_work->exchange->failure() != net::ExchangeFailure::None;
+        auto outcome = whole ? health::AttemptOutcome::Success : health::AttemptOutcome::CancelledByUs;
+        if (broken && !m_work->stopped) {
+            outcome = m_work->timedOut ? health::AttemptOutcome::Timeout : health::AttemptOutcome::Partial;
+        }
+        m_serving.finishWork(*m_work, outcome);
+    }
+
+    ServingNode &m_serving;
+    WorkPtr m_work;
+};
+
+ServingNode::ServingNode(NodeContext &context)
+    : m_context(context)
+    , m_registry(context.clock)
+{
+}
+
+ServingNode::~ServingNode() = default;
+
+net::Awaitable<ServedAnswer> ServingNode::serve(wire::HopRequest hop, net::ClientRequest request)
+{
+    auto work = std::make_shared<Work>(m_context.io, std::move(hop), m_context.clock.now());
+    auto refused = checkKey(work->hop);
+    if (!refused) {
+        refused = checkServer(work->hop);
+    }
+    if (!refused) {
+        refused = beginWork(*work);
+    }
+    if (refused) {
+        co_return refusalOf(*work, *refused, {});
+    }
+    const limits::Verdict verdict
+        = laneOf(work->hop.server)->queue.offer(work->id(), work->hop.workspace, work->deadline);
+    if (!verdict.accepted) {
+        m_registry.drop({work->hop.requestId(), static_cast<int>(work->hop.attempt)});
+        co_return refusalOf(*work, verdict.code, verdict.retryAfter);
+    }
+    m_work[work->id()] = work;
+    poll();
+    co_await waitForSlot(work);
+    if (!work->decision || !work->decision->start) {
+        m_work.erase(work->id());
+        const auto code = work->decision ? work->decision->code : ResultCode::HopCancelled;
+        const auto retryAfter = work->decision ? work->decision->retryAfter : base::Duration::zero();
+        co_return refusalOf(*work, code, retryAfter);
+    }
+    refused = checkKey(work->hop);
+    if (!refused && !m_registry.start({work->hop.requestId(), static_cast<int>(work->hop.attempt)})) {
+        refused = ResultCode::HopCancelled;
+    }
+    if (refused) {
+        m_registry.drop({work->hop.requestId(), static_cast<int>(work->hop.attempt)});
+        laneOf(work->hop.server)->queue.finished(work->id());
+        m_work.erase(work->id());
+        m_context.schedulePump();
+        co_return refusalOf(*work, *refused, {});
+    }
+    co_await runOnBackend(work, std::move(request));
+    co_return answerOf(work);
+}
+
+routing::CancelAnswer ServingNode::cancel(const wire::CancelAttempt &cancel, const routing::SentStamp &stamp)
+{
+    const base::RequestId request{cancel.requestHigh, cancel.requestLow};
+    const int attempt = static_cast<int>(cancel.attempt);
+    const auto answer = m_registry.cancel({request, attempt}, stamp, base::Duration(cancel.remaining));
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Answered a cancel." << base::field("request", request)
+                                    << base::field("attempt", attempt) << base::field("answer", routing::name(answer));
+    const auto found = m_work.find({request, attempt});
+    if (found == m_work.end()) {
+        return answer;
+    }
+    if (answer == routing::CancelAnswer::NeverStarted) {
+        Lane *lane = laneOf(found->second->hop.server);
+        lane->queue.cancel(found->second->id());
+        found->second->stopped = true;
+        found->second->changed.notify();
+    } else if (cancel.stop) {
+        entryGone(request, attempt);
+    }
+    return answer;
+}
+
+void ServingNode::entryGone(const base::RequestId &request, int attempt)
+{
+    const auto found = m_work.find({request, attempt});
+    if (found == m_work.end() || !found->second->hop.idempotent) {
+        return;
+    }
+    found->second->stopped = true;
+    if (found->second->exchange) {
+        found->second->exchange->cancel();
+    }
+}
+
+void ServingNode::applyConfiguration()
+{
+    const auto &configuration = *m_context.inForce.configuration;
+    for (auto &[id, lane] : m_lanes) {
+        const config::BackendServer *server = configuration.backendServer(id);
+        lane->gone = server == nullptr || server->vm != m_context.settings.vm;
+    }
+    for (const config::BackendServer &server : configuration.backendServers()) {
+        if (server.vm != m_context.settings.vm) {
+            continue;
+        }
+        auto &lane = m_lanes[server.id];
+        if (!lane) {
+            lane = std::make_unique<Lane>(m_context.clock, server);
+            PAPAYASTEP_LOG(INFO, logPrefix)
+                << "Serves a backend server." << base::field("server", server.id) << base::field("slots", server.slots);
+        }
+        lane->server = server;
+        lane->queue.setSlots(server.slots);
+    }
+    std::erase_if(m_lanes, [](const auto &entry) {
+        return entry.second->gone && entry.second->queue.running() == 0 && entry.second->queue.queued() == 0;
+    });
+}
+
+void ServingNode::poll()
+{
+    for (auto &[id, lane] : m_lanes) {
+        for (const limits::QueueDecision &decision : lane->queue.poll()) {
+            const auto found = m_work.find(decision.attempt);
+            if (found == m_work.end()) {
+                lane->queue.finished(decision.attempt);
+                continue;
+            }
+            if (!decision.start) {
+                m_registry.drop({decision.attempt.request, decision.attempt.attempt});
+            }
+            found->second->decision = decision;
+            found->second->changed.notify();
+        }
+        m_context.health.setQueueLength(id, static_cast<int>(lane->queue.queued()));
+    }
+}
+
+void ServingNode::tick()
+{
+    m_registry.tick();
+    poll();
+}
+
+std::optional<base::TimePoint> ServingNode::nextTick() const
+{
+    std::optional<base::TimePoint> next;
+    for (const auto &[id, lane] : m_lanes) {
+        const auto due = lane->queue.nextTick();
+        if (due && (!next || *due < *next)) {
+            next = due;
+        }
+    }
+    return next;
+}
+
+std::size_t ServingNode::inFlight() const
+{
+    return m_work.size();
+}
+
+std::size_t ServingNode::queued() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, lane] : m_lanes) {
+        count += lane->queue.queued();
+    }
+    return count;
+}
+
+ServingNode::Lane *ServingNode::laneOf(const base::BackendServerId &server)
+{
+    const auto found = m_lanes.find(server);
+    return found != m_lanes.end() ? found->second.get() : nullptr;
+}
+
+// The entry may hold an older configuration in which a withdrawn key still stands. The newer of the two nodes decides:
+// so a key stops as soon as either of them has heard.
+std::optional<ResultCode> ServingNode::checkKey(const wire::HopRequest &hop) const
+{
+    const auto &configuration = m_context.inForce.configuration;
+    if (!configuration) {
+        return ResultCode::NodeNotReady;
+    }
+    if (hop.revision > configuration->revision()) {
+        return std::nullopt;
+    }
+    const config::Workspace *workspace
+        = configuration->workspaceOfKey(config::KeyFingerprint::parse(hop.keyFingerprint));
+    if (workspace == nullptr || workspace->id != hop.workspace) {
+        return ResultCode::KeyUnknown;
+    }
+    return std::nullopt;
+}
+
+std::optional<ResultCode> ServingNode::checkServer(const wire::HopRequest &hop)
+{
+    Lane *lane = laneOf(hop.server);
+    if (lane == nullptr || lane->gone || lane->server.drain) {
+        return ResultCode::HopBackendServerGone;
+    }
+    if (m_context.draining) {
+        return ResultCode::NodeDraining;
+    }
+    if (!m_context.settings.ejection) {
+        return std::nullopt;
+    }
+    switch (m_context.health.admission(hop.server)) {
+    case health::Admission::Admit:
+    case health::Admission::Unknown:
+        return std::nullopt;
+    case health::Admission::TrialFull:
+        return ResultCode::HopQueueFull;
+    case health::Admission::Ejected:
+        return ResultCode::HopBackendServerEjected;
+    case health::Admission::Draining:
+        return ResultCode::HopBackendServerGone;
+    }
+    return std::nullopt;
+}
+
+std::optional<ResultCode> ServingNode::beginWork(Work &work)
+{
+    const routing::AttemptId id{work.hop.requestId(), static_cast<int>(work.hop.attempt)};
+    const routing::SentStamp stamp{work.hop.entry, work.hop.entryIncarnation, base::Duration(work.hop.sent)};
+    const routing::Begin begin = m_registry.begin(id, stamp, base::Duration(work.hop.remaining));
+    work.deadline = begin.deadline;
+    switch (begin.result) {
+    case routing::BeginResult::Accepted:
+        return std::nullopt;
+    case routing::BeginResult::Replayed:
+        return ResultCode::HopReplayed;
+    case routing::BeginResult::Cancelled:
+        return ResultCode::HopCancelled;
+    case routing::BeginResult::TooLate:
+        return ResultCode::HopQueueTimeout;
+    case routing::BeginResult::Full:
+        return ResultCode::HopQueueFull;
+    }
+    return ResultCode::Internal;
+}
+
+net::Awaitable<void> ServingNode::waitForSlot(WorkPtr work)
+{
+    while (!work->decision && !work->stopped) {
+        co_await work->changed.waitUntil(work->deadline + std::chrono::seconds(1));
+    }
+}
+
+net::Awaitable<void> ServingNode::runOnBackend(WorkPtr work, net::ClientRequest request)
+{
+    const config::BackendServer &server = laneOf(work->hop.server)->server;
+    const net::Endpoint endpoint{server.address, server.port};
+    work->started = m_context.clock.now();
+    work->running = true;
+    work->exchange = std::make_shared<net::HttpExchange>(m_context.io, m_context.backendPool, endpoint);
+    m_context.metrics.observeQueueWait(work->started - work->arrived);
+    m_context.health.attemptStarted(work->hop.server, work->healthKey(), work->hop.route);
+    VLOG(1) << logPrefix << ": Started an attempt." << base::field("request", work->hop.requestId())
+            << base::field("server", work->hop.server);
+
+    request.head.set("Papayastep-Request-Id", toString(work->hop.requestId()));
+    request.head.set("Papayastep-Workspace", work->hop.workspace.value());
+    request.head.set("Papayastep-Deadline-Ms", std::to_string(milliseconds(work->deadline - work->started)));
+
+    net::asio::steady_timer deadline(m_context.io);
+    deadline.expires_at(work->deadline);
+    deadline.async_wait([weak = std::weak_ptr<Work>(work)](const net::beast::error_code &error) {
+        const auto late = weak.lock();
+        if (!error && late && late->running) {
+            late->timedOut = true;
+            late->exchange->cancel();
+        }
+    });
+    const config::Route *route = m_context.inForce.configuration->route(work->hop.route);
+    const bool stream = route != nullptr && route->stream;
+    co_await work->exchange->run(std::move(request), stream ? holdBytesOfStream : holdBytes);
+}
+
+void ServingNode::finishWork(Work &work, health::AttemptOutcome outcome)
+{
+    work.running = false;
+    m_context.health.attemptFinished(work.hop.server, work.healthKey(), outcome, m_context.clock.now() - work.started);
+    m_registry.finish({work.hop.requestId(), static_cast<int>(work.hop.attempt)});
+    if (Lane *lane = laneOf(work.hop.server)) {
+        lane->queue.finished(work.id());
+    }
+    m_work.erase(work.id());
+    m_context.schedulePump();
+}
+
+ServedAnswer ServingNode::answerOf(const WorkPtr &work)
+{
+    const net::HttpExchange &exchange = *work->exchange;
+    ServedAnswer answer;
+    const bool headCame = exchange.progress() >= net::ExchangeProgress::HeadReceived;
+    if (headCame && exchange.failure() == net::ExchangeFailure::None) {
+        answer.head = exchange.head();
+        answer.body = std::move(work->exchange->body());
+        if (exchange.progress() == net::ExchangeProgress::Complete) {
+            finishWork(*work, outcomeOfStatus(exchange.head().result()));
+        } else {
+            answer.rest = std::make_unique<BackendBody>(*this, work);
+        }
+        answer.reply = replyOf(*work);
+        return answer;
+    }
+
+    // Not a byte was written before the connection stood, so this alone of the failures proves that nothing ran.
+    const bool neverSent = exchange.progress() == net::ExchangeProgress::Connecting;
+    auto outcome = neverSent ? health::AttemptOutcome::ConnectionRefused : health::AttemptOutcome::Partial;
+    auto code = neverSent ? ResultCode::HopBackendServerRefused : ResultCode::AnswerIncomplete;
+    if (work->timedOut) {
+        outcome = health::AttemptOutcome::Timeout;
+        code = ResultCode::DeadlineExceeded;
+    } else if (work->stopped) {
+        outcome = health::AttemptOutcome::CancelledByUs;
+        code = ResultCode::HopCancelled;
+    }
+    if (neverSent) {
+        finishWork(*work, outcome);
+        return refusalOf(*work, code, {});
+    }
+    finishWork(*work, outcome);
+    answer.reply = replyOf(*work);
+    answer.reply.outcome = static_cast<std::uint8_t>(wire::HopOutcome::Unknown);
+    answer.reply.code = number(code);
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Got no whole answer." << base::field("request", work->hop.requestId())
+                                    << base::field("server", work->hop.server) << base::field("code", number(code));
+    return answer;
+}
+
+ServedAnswer ServingNode::refusalOf(const Work &work, ResultCode code, base::Duration retryAfter)
+{
+    // A replay says nothing about what the first copy did, so it is the one refusal that is not a `not-run`.
+    const bool replayed = code == ResultCode::HopReplayed;
+    ServedAnswer answer;
+    answer.reply = replyOf(work);
+    answer.reply.outcome = static_cast<std::uint8_t>(replayed ? wire::HopOutcome::Unknown : wire::HopOutcome::NotRun);
+    answer.reply.code = number(code);
+    answer.reply.retryAfterMs = milliseconds(retryAfter);
+    answer.reply.advice = replayed ? base::BackendServerId() : advise(work);
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Refused an attempt." << base::field("request", work.hop.requestId())
+                                    << base::field("server", work.hop.server) << base::field("code", number(code))
+                                    << base::field("advice", answer.reply.advice);
+    return answer;
+}
+
+wire::HopReply ServingNode::replyOf(const Work &work) const
+{
+    wire::HopReply reply;
+    reply.requestHigh = work.hop.requestHigh;
+    reply.requestLow = work.hop.requestLow;
+    reply.attempt = work.hop.attempt;
+    reply.server = work.hop.server;
+    if (m_context.inForce.configuration) {
+        reply.revision = m_context.inForce.configuration->revision();
+    }
+    const auto now = m_context.clock.now();
+    if (work.started != base::TimePoint()) {
+        reply.queueMicros = static_cast<std::uint32_t>(microseconds(work.started - work.arrived));
+        reply.serverMicros = static_cast<std::uint32_t>(microseconds(now - work.started));
+    }
+    reply.report = wire::encode(m_context.health.report(work.hop.server));
+    return reply;
+}
+
+// An entry of a large fleet sees a service too seldom to know its servers well; this node hears of its siblings every
+// second. So a refusal names the sibling that should be asked next, and the entry need not guess again.
+base::BackendServerId ServingNode::advise(const Work &work)
+{
+    const auto &configuration = m_context.inForce.configuration;
+    if (!configuration || work.hop.redirected) {
+        return {};
+    }
+    const config::BackendServer *server = configuration->backendServer(work.hop.server);
+    if (server == nullptr) {
+        return {};
+    }
+    const auto candidates = candidatesOf(m_context, server->service);
+    routing::PlacementRequest request{m_context.settings.zone, work.hop.idempotent, {work.hop.server}};
+    const auto placement = m_context.placement->place(candidates, request, m_context.random);
+    return placement.candidate ? candidates[*placement.candidate].server : base::BackendServerId();
+}
+
+}
--- /dev/null
+++ b/src/node/settings.cpp
@@ -0,0 +1,212 @@
+#include "papayastep/node/settings.h"
+
+#include "papayastep/base/error.h"
+
+#include <nlohmann/json.hpp>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+namespace papayastep::embedded {
+extern const std::string_view settingsSchema;
+}
+
+namespace papayastep::node {
+
+namespace {
+
+using Json = nlohmann::json;
+using base::ResultCode;
+
+/// The pointer that valijson gives as `<root>[listen][caller]`, in the form of RFC 6901.
+std::string pointerOf(const std::string &context)
+{
+    std::string pointer;
+    for (const char c : context.substr(std::min(context.find('['), context.size()))) {
+        if (c == '[') {
+            pointer += '/';
+        } else if (c != ']') {
+            pointer += c;
+        }
+    }
+    return pointer;
+}
+
+void checkSchema(const Json &document, const std::string &file)
+{
+    const Json schemaDocument = Json::parse(embedded::settingsSchema);
+    valijson::Schema schema;
+    valijson::SchemaParser parser;
+    parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaDocument), schema);
+    valijson::Validator validator;
+    valijson::ValidationResults results;
+    if (validator.validate(schema, valijson::adapters::NlohmannJsonAdapter(document), &results)) {
+        return;
+    }
+    valijson::ValidationResults::Error error;
+    std::string context;
+    results.popError(error);
+    for (const std::string &part : error.context) {
+        context += part;
+    }
+    throw base::Error(ResultCode::SettingsSchema, error.description, {file, pointerOf(context)});
+}
+
+Json parseJson(std::string_view text, const std::string &file)
+{
+    try {
+        return Json::parse(text);
+    } catch (const Json::exception &error) {
+        throw base::Error(ResultCode::SettingsSchema, error.what(), {file, ""});
+    }
+}
+
+void override(Json &document, const Json::json_pointer &pointer, const std::string &value)
+{
+    if (!value.empty()) {
+        document[pointer] = value;
+    }
+}
+
+void applyOverrides(Json &document, const SettingsOverrides &overrides)
+{
+    override(document, Json::json_pointer("/vm"), overrides.vm);
+    override(document, Json::json_pointer("/zone"), overrides.zone);
+    override(document, Json::json_pointer("/listen/caller"), overrides.caller);
+    override(document, Json::json_pointer("/listen/hop"), overrides.hop);
+    override(document, Json::json_pointer("/listen/peer"), overrides.peer);
+    override(document, Json::json_pointer("/listen/admin"), overrides.admin);
+    override(document, Json::json_pointer("/secretFile"), overrides.secretFile);
+    if (!overrides.platform.empty()) {
+        document["platform"] = overrides.platform;
+    }
+}
+
+base::Duration milliseconds(const Json &parent, const char *name, base::Duration fallback)
+{
+    return parent.contains(name) ? base::Duration(std::chrono::milliseconds(parent[name].get<std::int64_t>()))
+                                 : fallback;
+}
+
+net::ServerLimits readLimits(const Json &document)
+{
+    net::ServerLimits limits;
+    if (!document.contains("limits")) {
+        return limits;
+    }
+    const Json &json = document["limits"];
+    limits.headerBytes = json.value("headerBytes", limits.headerBytes);
+    limits.bodyBytes = json.value("bodyBytes", limits.bodyBytes);
+    limits.connections = json.value("connections", limits.connections);
+    limits.headerTimeout = milliseconds(json, "headerTimeoutMs", limits.headerTimeout);
+    limits.bodyTimeout = milliseconds(json, "bodyTimeoutMs", limits.bodyTimeout);
+    limits.idleTimeout = milliseconds(json, "idleTimeoutMs", limits.idleTimeout);
+    limits.writeTimeout = milliseconds(json, "writeTimeoutMs", limits.writeTimeout);
+    return limits;
+}
+
+net::Endpoint endpointAt(const Json &document, const std::string &pointer, const std::string &file)
+{
+    try {
+        return net::parseEndpoint(document[Json::json_pointer(pointer)].get<std::string>());
+    } catch (const base::Error &error) {
+        throw base::Error(error.code(), error.detail(), {file, pointer});
+    }
+}
+
+NodeSettings settingsOf(const Json &document, const std::string &file)
+{
+    NodeSettings settings;
+    settings.vm = base::VmId(document["vm"].get<std::string>());
+    settings.zone = base::ZoneId(document["zone"].get<std::string>());
+    settings.caller = endpointAt(document, "/listen/caller", file);
+    settings.hop = endpointAt(document, "/listen/hop", file);
+    settings.peer = endpointAt(document, "/listen/peer", file);
+    settings.admin = endpointAt(document, "/listen/admin", file);
+    for (std::size_t index = 0; index < document["platform"].size(); ++index) {
+        settings.platform.push_back(endpointAt(document, "/platform/" + std::to_string(index), file));
+    }
+    if (document.value("placement", "two-choices") == "random") {
+        settings.placement = PlacementChoice::Random;
+    }
+    settings.ejection = document.value("ejection", "on") == "on";
+    settings.noEarlierRuns = document.value("noEarlierRuns", false);
+    settings.limits = readLimits(document);
+    settings.acknowledgeAfter = milliseconds(document, "acknowledgeAfterMs", settings.acknowledgeAfter);
+    settings.drainTimeout = milliseconds(document, "drainTimeoutMs", settings.drainTimeout);
+    return settings;
+}
+
+Json checkedDocument(std::string_view text, const std::string &file, const SettingsOverrides &overrides)
+{
+    Json document = parseJson(text, file);
+    if (document.is_object()) {
+        applyOverrides(document, overrides);
+    }
+    checkSchema(document, file);
+    return document;
+}
+
+std::string readFile(const std::string &path, ResultCode code)
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream) {
+        throw base::Error(code, path);
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+std::string trimmed(std::string text)
+{
+    while (!text.empty() && std::isspace(static_cast<unsigned char>(text.back())) != 0) {
+        text.pop_back();
+    }
+    return text;
+}
+
+std::string readSecret(const Json &document)
+{
+    constexpr std::size_t minSecretBytes = 16;
+    std::string secret;
+    if (document.contains("secretFile")) {
+        secret = trimmed(readFile(document["secretFile"].get<std::string>(), ResultCode::SettingsSecretMissing));
+    } else if (const char *value = std::getenv(secretVariable)) {
+        secret = value;
+    }
+    if (secret.size() < minSecretBytes) {
+        throw base::Error(ResultCode::SettingsSecretMissing,
+                          "give at least 16 bytes in secretFile or " + std::string(secretVariable));
+    }
+    return secret;
+}
+
+std::string nameOf(const std::string &path)
+{
+    return path.substr(path.rfind('/') + 1);
+}
+
+}
+
+NodeSettings parseSettings(std::string_view json, const std::string &file, const SettingsOverrides &overrides)
+{
+    return settingsOf(checkedDocument(json, file, overrides), file);
+}
+
+NodeSettings readSettings(const std::string &path, const SettingsOverrides &overrides)
+{
+    const std::string file = nameOf(path);
+    const Json document = checkedDocument(readFile(path, ResultCode::SettingsUnreadable), file, overrides);
+    NodeSettings settings = settingsOf(document, file);
+    settings.secret = readSecret(document);
+    return settings;
+}
+
+}
