--- a/src/config/entryreader.cpp
+++ b/src/config/entryreader.cpp
@@ -63,26 +63,46 @@
     }
 }
 
-void readKeys(const json &entry, std::vector<KeyFingerprint> &into, const EntryContext &context)
+/// Calls `take` with each fingerprint of the list `name` and its place.
+template<typename Take>
+void forEachKey(const json &entry, const char *name, const EntryContext &context, const Take &take)
 {
-    const json *field = fieldOf(entry, "keys");
-    if (!field) {
-        return;
-    }
-    into.clear();
-    into.reserve(field->size());
-    for (std::size_t index = 0; index < field->size(); ++index) {
-        const std::string place = "keys/" + std::to_string(index);
+    const json *field = fieldOf(entry, name);
+    for (std::size_t index = 0; field && index < field->size(); ++index) {
+        const std::string place = std::string(name) + "/" + std::to_string(index);
         try {
-            into.push_back(KeyFingerprint::parse((*field)[index].get_ref<const std::string &>()));
+            take(KeyFingerprint::parse((*field)[index].get_ref<const std::string &>()), place);
         } catch (const base::Error &error) {
             context.fail(error.code(), place, error.detail());
-            continue;
         }
-        if (std::count(into.begin(), into.end(), into.back()) > 1) {
-            context.fail(ResultCode::ConfigDuplicate, place, "the workspace names this key twice");
+    }
+}
+
+void readKeys(const json &entry, std::vector<KeyFingerprint> &keys, const EntryContext &context)
+{
+    const auto add = [&](const KeyFingerprint &key, const std::string &place) {
+        if (std::find(keys.begin(), keys.end(), key) != keys.end()) {
+            context.fail(ResultCode::ConfigDuplicate, place, "the workspace has this key already");
+        }
+        keys.push_back(key);
+    };
+    const auto withdraw = [&](const KeyFingerprint &key, const std::string &place) {
+        if (std::erase(keys, key) == 0) {
+            context.fail(ResultCode::ConfigUnknownReference, place, "the workspace has no such key");
+        }
+    };
+    if (const json *field = fieldOf(entry, "keys")) {
+        keys.clear();
+        keys.reserve(field->size());
+    }
+    for (const char *name : {"addKeys", "withdrawKeys"}) {
+        if (fieldOf(entry, name) && !entry.value("override", false)) {
+            context.fail(ResultCode::ConfigContradiction, name, "this needs \"override\": true");
         }
     }
+    forEachKey(entry, "keys", context, add);
+    forEachKey(entry, "addKeys", context, add);
+    forEachKey(entry, "withdrawKeys", context, withdraw);
 }
 
 bool isPathCharacter(char character)
--- a/src/config/errors_test.cpp
+++ b/src/config/errors_test.cpp
@@ -79,6 +79,15 @@
     {R"({"workspaces":[{"id":"x","keys":["sha256:)" + std::string(64, 'a') + R"("],"rate":1,"burst":1}]})",
      ResultCode::ConfigContradiction,
      "/workspaces/0/keys"},
+    {R"({"workspaces":[{"id":"w","override":true,"withdrawKeys":["sha256:)" + std::string(64, 'b') + R"("]}]})",
+     ResultCode::ConfigUnknownReference,
+     "/workspaces/0/withdrawKeys/0"},
+    {R"({"workspaces":[{"id":"w","override":true,"addKeys":["sha256:)" + std::string(64, 'a') + R"("]}]})",
+     ResultCode::ConfigDuplicate,
+     "/workspaces/0/addKeys/0"},
+    {R"({"workspaces":[{"id":"x","keys":[],"rate":1,"burst":1,"addKeys":[]}]})",
+     ResultCode::ConfigContradiction,
+     "/workspaces/0/addKeys"},
     {R"({"routes":[{"id":"x","pathPrefix":"/x","service":"z"}]})",
      ResultCode::ConfigUnknownReference,
      "/routes/0/service"},
@@ -193,6 +202,22 @@
     BOOST_TEST(configuration->workspace(base::WorkspaceId("w"))->rate == 5);
 }
 
+BOOST_AUTO_TEST_CASE(override_withAddedAndWithdrawnKeys_changesOnlyThose)
+{
+    const auto drop = [](const std::string &field, char digit) {
+        return R"({"workspaces":[{"id":"w","override":true,")" + field + R"(":["sha256:)" + std::string(64, digit)
+            + R"("]}]})";
+    };
+    const auto configuration = buildConfiguration(1,
+                                                  {{"10-base.json", goodBase},
+                                                   {"50-add.json", drop("addKeys", 'b')},
+                                                   {"51-add.json", drop("addKeys", 'c')},
+                                                   {"60-withdraw.json", drop("withdrawKeys", 'b')}});
+    BOOST_TEST(configuration->workspaceOfKey(KeyFingerprint::parse(std::string(64, 'a'))));
+    BOOST_TEST(!configuration->workspaceOfKey(KeyFingerprint::parse(std::string(64, 'b'))));
+    BOOST_TEST(configuration->workspaceOfKey(KeyFingerprint::parse(std::string(64, 'c'))));
+}
+
 BOOST_AUTO_TEST_CASE(override_ofOverride_followsTheOrderOfNames)
 {
     const std::vector<ConfigurationFile> files{
--- /dev/null
+++ b/src/ctl/table.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace papayastep::ctl {
+
+/// Rows of text with aligned columns; the first row is the heading.
+class Table
+{
+public:
+    explicit Table(std::vector<std::string> heading);
+
+    void addRow(std::vector<std::string> cells);
+    void print(std::ostream &out) const;
+
+private:
+    std::vector<std::vector<std::string>> m_rows;
+};
+
+}
