--- a/src/config/entryreader.cpp
+++ b/src/config/entryreader.cpp
@@ -78,7 +78,7 @@
     }
 }
 
-void readKeys(const json &entry, std::vector<KeyFingerprint> &keys, const EntryContext &context)
+void readKeys(const json &entry, KeyFingerprints &keys, const EntryContext &context)
 {
     const auto add = [&](const KeyFingerprint &key, const std::string &place) {
         if (std::find(keys.begin(), keys.end(), key) != keys.end()) {
@@ -87,8 +87,11 @@
         keys.push_back(key);
     };
     const auto withdraw = [&](const KeyFingerprint &key, const std::string &place) {
-        if (std::erase(keys, key) == 0) {
+        const auto found = std::find(keys.begin(), keys.end(), key);
+        if (found == keys.end()) {
             context.fail(ResultCode::ConfigUnknownReference, place, "the workspace has no such key");
+        } else {
+            keys.erase(found);
         }
     };
     if (const json *field = fieldOf(entry, "keys")) {
--- a/src/config/fileparser.cpp
+++ b/src/config/fileparser.cpp
@@ -1,7 +1,11 @@
 #include "fileparser.h"
 
+#include "papayastep/base/hashing.h"
+
 #include <algorithm>
-#include <set>
+#include <array>
+#include <string_view>
+#include <unordered_set>
 
 namespace papayastep::config {
 
@@ -26,9 +30,40 @@
         && name.front() != '-' && std::all_of(name.begin(), name.end(), isNameCharacter);
 }
 
-/// Watches the parser for keys that stand twice in one object. JSON libraries keep the last one silently, so an
-/// operator who pastes a second "rate" would see the first in the file and the other one in force.
-class DuplicateKeyWatch
+/// The keys seen in one object, as hashes: most objects have a handful, and there are hundreds of thousands of them.
+class KeySet
+{
+public:
+    /// Whether `key` is new. Remembers it.
+    bool insert(std::string_view key)
+    {
+        const std::uint64_t hash = base::stableHash(key);
+        if (m_few.size() < manyKeys) {
+            if (std::find(m_few.begin(), m_few.end(), hash) != m_few.end()) {
+                return false;
+            }
+            m_few.push_back(hash);
+            return true;
+        }
+        return std::find(m_few.begin(), m_few.end(), hash) == m_few.end() && m_many.insert(hash).second;
+    }
+    void clear()
+    {
+        m_few.clear();
+        m_many.clear();
+    }
+
+private:
+    static constexpr std::size_t manyKeys = 16;
+
+    std::vector<std::uint64_t> m_few;
+    std::unordered_set<std::uint64_t> m_many;
+};
+
+/// Walks a text for keys that stand twice in one object, before it is parsed. JSON libraries keep the last one
+/// silently, so an operator who pastes a second "rate" would see the first in the file and the other one in force.
+/// A pass of its own takes half the time of the library's parser with a callback.
+class DuplicateKeyWatch final : public nlohmann::json_sax<json>
 {
 public:
     DuplicateKeyWatch(const std::string &file, ErrorList &errors)
@@ -37,27 +72,67 @@
     {
     }
 
-    bool operator()(json::parse_event_t event, const json &parsed)
-    {
-        switch (event) {
-        case json::parse_event_t::object_start:
-        case json::parse_event_t::array_start:
-            enter(event == json::parse_event_t::array_start);
-            break;
-        case json::parse_event_t::object_end:
-        case json::parse_event_t::array_end:
-            m_levels.pop_back();
-            finishValue();
-            break;
-        case json::parse_event_t::key:
-            noteKey(parsed.get_ref<const std::string &>());
-            break;
-        case json::parse_event_t::value:
-            finishValue();
-            break;
+    bool null() override
+    {
+        return finishValue();
+    }
+    bool boolean(bool) override
+    {
+        return finishValue();
+    }
+    bool number_integer(number_integer_t) override
+    {
+        return finishValue();
+    }
+    bool number_unsigned(number_unsigned_t) override
+    {
+        return finishValue();
+    }
+    bool number_float(number_float_t, const string_t &) override
+    {
+        return finishValue();
+    }
+    bool string(string_t &) override
+    {
+        return finishValue();
+    }
+    bool binary(binary_t &) override
+    {
+        return finishValue();
+    }
+    bool start_object(std::size_t) override
+    {
+        return enter(false);
+    }
+    bool start_array(std::size_t) override
+    {
+        return enter(true);
+    }
+    bool end_object() override
+    {
+        return leave();
+    }
+    bool end_array() override
+    {
+        return leave();
+    }
+    bool key(string_t &key) override
+    {
+        Level &level = m_levels[m_depth - 1];
+        level.key = key;
+        if (!level.keys.insert(key)) {
+            m_errors.add(base::ResultCode::ConfigDuplicate, "the key stands twice in one object", {m_file, pointer()});
         }
         return true;
     }
+    bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &error) override
+    {
+        const bool isNumber = dynamic_cast<const json::out_of_range *>(&error) != nullptr;
+        m_errors.add(isNumber ? base::ResultCode::ConfigOutOfRange : base::ResultCode::ConfigNotJson,
+                     error.what(),
+                     {m_file, {}});
+        return false;
+    }
 
 private:
     struct Level
@@ -65,37 +140,41 @@
         bool isArray = false;
         std::size_t index = 0;
         std::string key;
-        std::set<std::string> keys;
+        KeySet keys;
     };
 
-    void enter(bool isArray)
+    bool enter(bool isArray)
     {
-        if (m_levels.size() == maxDepth) {
-            throw base::Error(base::ResultCode::ConfigSchema, "nested too deeply", {m_file, pointer()});
+        if (m_depth == maxDepth) {
+            m_errors.add(base::ResultCode::ConfigSchema, "nested too deeply", {m_file, pointer()});
+            return false;
         }
-        m_levels.push_back(Level{isArray, 0, {}, {}});
+        Level &level = m_levels[m_depth++];
+        level.isArray = isArray;
+        level.index = 0;
+        level.keys.clear();
+        return true;
     }
 
-    void noteKey(const std::string &key)
+    bool leave()
     {
-        Level &level = m_levels.back();
-        level.key = key;
-        if (!level.keys.insert(key).second) {
-            m_errors.add(base::ResultCode::ConfigDuplicate, "the key stands twice in one object", {m_file, pointer()});
-        }
+        --m_depth;
+        return finishValue();
     }
 
-    void finishValue()
+    bool finishValue()
     {
-        if (!m_levels.empty() && m_levels.back().isArray) {
-            ++m_levels.back().index;
+        if (m_depth > 0 && m_levels[m_depth - 1].isArray) {
+            ++m_levels[m_depth - 1].index;
         }
+        return true;
     }
 
     std::string pointer() const
     {
         json::json_pointer path;
-        for (const Level &level : m_levels) {
+        for (std::size_t depth = 0; depth < m_depth; ++depth) {
+            const Level &level = m_levels[depth];
             path = level.isArray ? path / level.index : path / level.key;
         }
         return path.to_string();
@@ -103,27 +182,18 @@
 
     const std::string &m_file;
     ErrorList &m_errors;
-    std::vector<Level> m_levels;
+    std::array<Level, maxDepth> m_levels; ///< Reused, so that a key costs no allocation.
+    std::size_t m_depth = 0;
 };
 
 std::optional<json> parseText(const ConfigurationFile &file, ErrorList &errors)
 {
-    DuplicateKeyWatch watch(file.name, errors);
     const std::size_t before = errors.size();
-    try {
-        json parsed = json::parse(
-            file.text, [&watch](int, json::parse_event_t event, const json &value) { return watch(event, value); });
-        if (errors.size() == before) {
-            return parsed;
-        }
-    } catch (const json::out_of_range &error) {
-        errors.add(base::ResultCode::ConfigOutOfRange, error.what(), {file.name, {}});
-    } catch (const json::exception &error) {
-        errors.add(base::ResultCode::ConfigNotJson, error.what(), {file.name, {}});
-    } catch (const base::Error &error) {
-        errors.add(error.code(), error.detail(), error.location());
-    }
-    return std::nullopt;
+    DuplicateKeyWatch watch(file.name, errors);
+    if (!json::sax_parse(file.text, &watch) || errors.size() != before) {
+        return std::nullopt;
+    }
+    return json::parse(file.text);
 }
 
 }
--- a/src/config/merger.cpp
+++ b/src/config/merger.cpp
@@ -43,9 +43,9 @@
         }
     }
     readEntry(json, entry, context);
-    const auto place = static_cast<std::uint32_t>(section.entries.size());
-    if (!section.indexOf.emplace(entry.id.value(), place).second) {
-        const Origin first = section.origins[section.indexOf[entry.id.value()]];
+    const std::uint32_t found = section.index.find(entry.id.value(), section.entries);
+    if (found != IdIndex<Entry>::none) {
+        const Origin first = section.origins[found - 1];
         context.fail(ResultCode::ConfigDuplicate,
                      "id",
                      "\"" + entry.id.value() + "\" stands in " + m_files[first.file]
@@ -54,23 +54,24 @@
     }
     section.entries.push_back(std::move(entry));
     section.origins.push_back({currentFile(), index});
+    section.index.noteLast(section.entries);
 }
 
 template<typename Entry>
 void Merger::override(const nlohmann::json &json, Section<Entry> &section, std::uint32_t index)
 {
     const EntryContext context(m_errors, m_files.back(), section.name, index);
-    const auto found = section.indexOf.find(json.at("id").get_ref<const std::string &>());
-    if (found == section.indexOf.end()) {
+    const std::uint32_t found = section.index.find(json.at("id").get_ref<const std::string &>(), section.entries);
+    if (found == IdIndex<Entry>::none) {
         context.fail(ResultCode::ConfigUnknownReference, "id", "no earlier file defines what this overrides");
         return;
     }
-    Origin &origin = section.origins[found->second];
+    Origin &origin = section.origins[found - 1];
     if (origin.file == currentFile()) {
         context.fail(ResultCode::ConfigContradiction, "id", "this file has an entry of the same id already");
         return;
     }
-    readEntry(json, section.entries[found->second], context);
+    readEntry(json, section.entries[found - 1], context);
     origin = {currentFile(), index};
 }
 
--- a/src/config/merger.h
+++ b/src/config/merger.h
@@ -2,13 +2,13 @@
 
 #include "entryreader.h"
 #include "errorlist.h"
+#include "idindex.h"
 
 #include "papayastep/config/configuration.h"
 
 #include <nlohmann/json.hpp>
 
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace papayastep::config {
@@ -27,12 +27,12 @@
     std::string_view name;
     std::vector<Entry> entries;
     std::vector<Origin> origins; ///< One for each entry.
-    std::unordered_map<std::string, std::uint32_t> indexOf;
+    IdIndex<Entry> index;
 
     const Entry *find(const std::string &id) const
     {
-        const auto found = indexOf.find(id);
-        return found != indexOf.end() ? &entries[found->second] : nullptr;
+        const std::uint32_t found = index.find(id, entries);
+        return found != IdIndex<Entry>::none ? &entries[found - 1] : nullptr;
     }
 };
 
--- /dev/null
+++ b/src/health/assessment.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "ejectionplan.h"
+#include "entryknowledge.h"
+#include "ownserver.h"
+#include "siblingbook.h"
+
+#include "papayastep/health/healthmonitor.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace papayastep::health {
+
+/// A VM that is about to go.
+struct Leaving
+{
+    base::Incarnation incarnation = 0; ///< 0: any; the platform does not know incarnations.
+    base::TimePoint since;
+};
+
+/// Everything a node knows; the monitor writes it, assessments read it.
+struct Knowledge
+{
+    Knowledge(const Self &self, std::uint64_t seed, const HealthSettings &settings);
+
+    Self self;
+    HealthSettings settings;
+    config::ConfigurationPtr configuration;
+    config::VmList vmList;
+    std::map<base::BackendServerId, OwnServer> own;
+    Beliefs beliefs;
+    SiblingBook siblings;
+    EntryKnowledge entry;
+    std::map<base::VmId, Leaving> leaving;
+
+    /// Whether this VM has a server of `service` itself, so that its siblings keep it informed.
+    bool serves(const base::ServiceId &service) const;
+};
+
+/// What a node makes of one service: the plan of ejections and a view of each server, without its load.
+struct Assessment
+{
+    EjectionPlan plan;
+    base::Duration usualLatency{}; ///< Median of what the servers' nodes tell.
+    std::unordered_map<base::BackendServerId, ServerView> views;
+};
+
+Assessment assess(const Knowledge &knowledge, const base::ServiceId &service, base::TimePoint now);
+
+/// Load changes with each request and is therefore read at each look, while the rest of a view is kept for a tick.
+void addLoad(ServerView &view,
+             const Knowledge &knowledge,
+             const config::BackendServer &server,
+             base::Duration usualLatency,
+             base::TimePoint now);
+
+}
--- /dev/null
+++ b/src/health/entryevidence.cpp
@@ -0,0 +1,147 @@
+#include "entryevidence.h"
+
+#include <algorithm>
+
+namespace papayastep::health {
+
+namespace {
+
+constexpr double failureWeight = 0.05; ///< Of one hop in the running share of failures.
+constexpr double scoreCap = 40;
+constexpr double silentMultiple = 20; ///< Usual latencies without an answer that count as a silence.
+constexpr double silenceEvidence = 3;
+constexpr int probationAnswers = 5;
+constexpr int maxAvoided = 6;
+constexpr double probationEvidence = 4;
+const base::Duration shortestSilence = std::chrono::milliseconds(500);
+const base::Duration defaultSilence = std::chrono::seconds(5);
+
+}
+
+EntryEvidence::EntryEvidence(const HealthSettings &settings)
+    : m_settings(settings)
+{
+}
+
+void EntryEvidence::sent(const AttemptKey &key, base::TimePoint now)
+{
+    m_lastUse = now;
+    m_hops[key] = Hop{now, false};
+}
+
+void EntryEvidence::acknowledged(const AttemptKey &key, base::TimePoint now)
+{
+    const auto found = m_hops.find(key);
+    if (found != m_hops.end()) {
+        found->second = Hop{now, true};
+    }
+}
+
+void EntryEvidence::ended(const AttemptKey &key, HopOutcome outcome, base::Duration latency, base::TimePoint)
+{
+    const auto found = m_hops.find(key);
+    if (found == m_hops.end()) {
+        return;
+    }
+    const bool acknowledged = found->second.acknowledged;
+    m_hops.erase(found);
+    const bool failed = outcome == HopOutcome::ServerFailed || (outcome == HopOutcome::GivenUp && acknowledged);
+    if (!failed && outcome != HopOutcome::Answered) {
+        return;
+    }
+    const FailureModel failures(m_usualFailures);
+    m_test.add(failed ? failures.failed : failures.good, 0, scoreCap);
+    m_failureShare += failureWeight * ((failed ? 1.0 : 0.0) - m_failureShare);
+    if (!failed) {
+        m_latencies.add(latency);
+        ++m_goodInProbation;
+    }
+}
+
+void EntryEvidence::distrustInFlight()
+{
+    m_hops.clear();
+}
+
+double EntryEvidence::score(base::TimePoint now, base::Duration usualLatency) const
+{
+    base::Duration limit = defaultSilence;
+    if (usualLatency > base::Duration::zero()) {
+        limit = std::max(shortestSilence, std::chrono::duration_cast<base::Duration>(usualLatency * silentMultiple));
+    }
+    const auto silent = std::count_if(m_hops.begin(), m_hops.end(), [&](const auto &entry) {
+        return entry.second.acknowledged && now - entry.second.since >= limit;
+    });
+    return m_test.score() + static_cast<double>(silent) * silenceEvidence;
+}
+
+std::optional<HealthEventKind> EntryEvidence::advance(base::TimePoint now,
+                                                      double threshold,
+                                                      base::Duration usualLatency,
+                                                      double usualFailures)
+{
+    m_usualFailures = usualFailures;
+    const double limit = m_stance == Stance::Probation ? probationEvidence : threshold;
+    if (m_stance != Stance::Avoided && score(now, usualLatency) >= limit) {
+        m_stance = Stance::Avoided;
+        m_avoided = std::min(m_avoided + 1, maxAvoided);
+        m_since = now;
+        return HealthEventKind::EntryEjected;
+    }
+    if (m_stance == Stance::Avoided && now - m_since >= m_settings.baseHold * (1 << (m_avoided - 1))) {
+        m_stance = Stance::Probation;
+        m_goodInProbation = 0;
+        m_hops.clear();
+        m_test.reset();
+        m_since = now;
+    }
+    if (m_stance == Stance::Probation && m_goodInProbation >= probationAnswers) {
+        m_stance = Stance::Good;
+        m_since = now;
+        return HealthEventKind::EntryReturned;
+    }
+    if (m_stance == Stance::Good && now - m_since >= m_settings.holdDecay) {
+        m_avoided = 0;
+    }
+    return std::nullopt;
+}
+
+double EntryEvidence::weight() const
+{
+    switch (m_stance) {
+    case Stance::Good:
+        return 1;
+    case Stance::Probation:
+        return m_settings.trialWeight;
+    case Stance::Avoided:
+        break;
+    }
+    return 0;
+}
+
+int EntryEvidence::inFlight() const
+{
+    return static_cast<int>(m_hops.size());
+}
+
+base::Duration EntryEvidence::latency() const
+{
+    return m_latencies.median();
+}
+
+double EntryEvidence::failureShare() const
+{
+    return m_failureShare;
+}
+
+std::size_t EntryEvidence::answers() const
+{
+    return m_latencies.size();
+}
+
+bool EntryEvidence::idleSince(base::TimePoint limit) const
+{
+    return m_stance == Stance::Good && m_hops.empty() && m_lastUse < limit;
+}
+
+}
--- /dev/null
+++ b/src/health/entryknowledge.cpp
@@ -0,0 +1,155 @@
+#include "entryknowledge.h"
+
+#include <algorithm>
+
+namespace papayastep::health {
+
+namespace {
+
+const base::Duration hearsayLifetime = std::chrono::seconds(10);
+const base::Duration idleLifetime = std::chrono::minutes(2);
+
+std::optional<bool> reachedBy(HopOutcome outcome)
+{
+    switch (outcome) {
+    case HopOutcome::Answered:
+    case HopOutcome::ServerFailed:
+    case HopOutcome::Refused:
+        return true;
+    case HopOutcome::ConnectionFailed:
+    case HopOutcome::GivenUp:
+        return false;
+    case HopOutcome::CancelledByUs:
+        break;
+    }
+    return std::nullopt;
+}
+
+}
+
+EntryKnowledge::EntryKnowledge(const HealthSettings &settings)
+    : m_settings(settings)
+{
+}
+
+void EntryKnowledge::hopSent(const base::VmId &vm,
+                             const base::BackendServerId &server,
+                             const AttemptKey &key,
+                             base::TimePoint now)
+{
+    m_paths.try_emplace(vm, m_settings).first->second.sent(key, now);
+    m_servers.try_emplace(server, m_settings).first->second.sent(key, now);
+    m_serverOfHop[key] = server;
+}
+
+void EntryKnowledge::hopAcknowledged(const base::VmId &vm, const AttemptKey &key, base::TimePoint now)
+{
+    if (const auto path = m_paths.find(vm); path != m_paths.end()) {
+        path->second.acknowledged(key, now);
+    }
+    if (const auto hop = m_serverOfHop.find(key); hop != m_serverOfHop.end()) {
+        m_servers.at(hop->second).acknowledged(key, now);
+    }
+}
+
+void EntryKnowledge::hopEnded(
+    const base::VmId &vm, const AttemptKey &key, HopOutcome outcome, base::Duration latency, base::TimePoint now)
+{
+    if (const auto path = m_paths.find(vm); path != m_paths.end()) {
+        path->second.ended(key, reachedBy(outcome), now);
+    }
+    const auto hop = m_serverOfHop.find(key);
+    if (hop == m_serverOfHop.end()) {
+        return;
+    }
+    m_servers.at(hop->second).ended(key, outcome, latency, now);
+    m_serverOfHop.erase(hop);
+}
+
+void EntryKnowledge::distrust()
+{
+    for (auto &[vm, path] : m_paths) {
+        path.distrustInFlight();
+    }
+    for (auto &[id, server] : m_servers) {
+        server.distrustInFlight();
+    }
+    m_serverOfHop.clear();
+    m_hearsay.clear();
+}
+
+bool EntryKnowledge::hearEjected(const base::ServiceId &service,
+                                 const base::VmId &from,
+                                 std::uint64_t version,
+                                 const std::vector<std::uint32_t> &ejected,
+                                 base::TimePoint now)
+{
+    Hearsay &hearsay = m_hearsay[service][from];
+    if (version < hearsay.version && now - hearsay.heardAt < hearsayLifetime) {
+        return false;
+    }
+    const bool news = hearsay.ejected != ejected;
+    hearsay = Hearsay{version, ejected, now};
+    return news;
+}
+
+std::optional<base::TimePoint> EntryKnowledge::heardEjected(const base::ServiceId &service,
+                                                            const base::VmId &vm,
+                                                            std::uint32_t server,
+                                                            base::TimePoint now) const
+{
+    const auto found = m_hearsay.find(service);
+    if (found == m_hearsay.end()) {
+        return std::nullopt;
+    }
+    std::size_t reporters = 0;
+    std::size_t accusers = 0;
+    base::TimePoint latest;
+    for (const auto &[reporter, hearsay] : found->second) {
+        if (reporter == vm || now - hearsay.heardAt > hearsayLifetime) {
+            continue;
+        }
+        ++reporters;
+        if (std::find(hearsay.ejected.begin(), hearsay.ejected.end(), server) != hearsay.ejected.end()) {
+            ++accusers;
+            latest = std::max(latest, hearsay.heardAt);
+        }
+    }
+    return accusers > 0 && 2 * accusers >= reporters ? std::optional(latest) : std::nullopt;
+}
+
+std::unordered_map<base::BackendServerId, EntryEvidence> &EntryKnowledge::servers()
+{
+    return m_servers;
+}
+
+std::map<base::VmId, PathEvidence> &EntryKnowledge::paths()
+{
+    return m_paths;
+}
+
+const EntryEvidence *EntryKnowledge::server(const base::BackendServerId &id) const
+{
+    const auto found = m_servers.find(id);
+    return found != m_servers.end() ? &found->second : nullptr;
+}
+
+const PathEvidence *EntryKnowledge::path(const base::VmId &vm) const
+{
+    const auto found = m_paths.find(vm);
+    return found != m_paths.end() ? &found->second : nullptr;
+}
+
+void EntryKnowledge::expire(base::TimePoint now)
+{
+    const base::TimePoint limit = now - idleLifetime;
+    std::erase_if(m_paths, [&](const auto &entry) { return entry.second.idleSince(limit); });
+    std::erase_if(m_servers, [&](const auto &entry) { return entry.second.idleSince(limit); });
+    std::erase_if(m_serverOfHop, [&](const auto &entry) { return !m_servers.contains(entry.second); });
+    for (auto &[service, reporters] : m_hearsay) {
+        std::erase_if(reporters, [&](const auto &entry) { return entry.second.heardAt < limit; });
+    }
+    std::erase_if(m_hearsay, [](const auto &entry) { return entry.second.empty(); });
+}
+
+}
--- /dev/null
+++ b/src/health/healthmonitor.cpp
@@ -0,0 +1,818 @@
+#include "assessment.h"
+#include "latencyscale.h"
+
+#include "papayastep/base/log.h"
+#include "papayastep/health/healthmonitor.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace papayastep::health {
+
+namespace {
+
+constexpr double smallestRate = 5; ///< Requests per second assumed of an idle server, for the threshold.
+constexpr double entryRate = 5; ///< Hops per second assumed from one entry to one VM, for the threshold.
+constexpr int suspectPercent = 50;
+constexpr int severityStep = 25; ///< Percent.
+constexpr std::size_t tellingAnswers = 8; ///< Before a route's median is told to siblings.
+const base::Duration referenceLifetime = std::chrono::milliseconds(200);
+const base::Duration expiryInterval = std::chrono::seconds(10);
+const base::Duration beliefLifetime = std::chrono::minutes(2);
+const base::Duration quietTime = std::chrono::seconds(5); ///< Without traffic, before a probe is worth its cost.
+const base::Duration awakeTime = std::chrono::seconds(1); ///< Regular ticks that count as fresh evidence.
+const base::Duration farewellTime = std::chrono::seconds(30); ///< Longer than late answers of a leaving VM take.
+
+bool prefersFew(const config::Service *service)
+{
+    return service != nullptr && service->prefer == config::DetectionPreference::FewEjections;
+}
+
+}
+
+class HealthMonitor::Impl
+{
+public:
+    Impl(const Self &self, const base::Clock &clock, std::uint64_t seed, const HealthSettings &settings)
+        : m_clock(clock)
+        , m_know(self, seed, settings)
+        , m_lastCall(clock.now())
+    {
+    }
+
+    /// The time now. Finds out about pauses, so every call must take its time from here.
+    base::TimePoint now()
+    {
+        const base::TimePoint time = m_clock.now();
+        if (time - m_lastCall > m_know.settings.pauseLimit) {
+            wake(time);
+        }
+        m_lastCall = time;
+        return time;
+    }
+
+    void applyConfiguration(const config::ConfigurationPtr &configuration);
+    void applyVmList(const config::VmList &list);
+    void setLeaving(const base::VmId &vm);
+    void absorbReport(const base::VmId &from, const ServerReport &report);
+    void receive(const base::VmId &from,
+                 base::Incarnation incarnation,
+                 wire::MessageKind kind,
+                 std::string_view payload);
+    void tick();
+    ServerReport report(const base::BackendServerId &server);
+    const Assessment *assessmentOf(const base::ServiceId &service, base::TimePoint time);
+    std::vector<base::BackendServerId> probesWanted(base::TimePoint time);
+
+    OwnServer *own(const base::BackendServerId &id)
+    {
+        const auto found = m_know.own.find(id);
+        return found != m_know.own.end() ? &found->second : nullptr;
+    }
+
+    /// Runs `note`, which may show that a broken path works again.
+    template<typename Note>
+    void hopReached(const base::VmId &vm, const Note &note)
+    {
+        const base::TimePoint time = now();
+        const PathEvidence *path = m_know.entry.path(vm);
+        const bool wasGood = path == nullptr || path->state() == PathState::Good;
+        note(time);
+        if (!wasGood && path->state() == PathState::Good) {
+            report(HealthEvent{HealthEventKind::PathReturned, {}, vm, "The path works again."});
+            changed();
+        }
+    }
+
+    void changed()
+    {
+        m_assessments.clear();
+    }
+
+    void setInformed()
+    {
+        m_informed = true;
+    }
+
+    const base::Clock &m_clock;
+    Knowledge m_know;
+    std::map<base::ServiceId, ServiceReference> m_references;
+    std::vector<wire::Outgoing> m_outbox;
+    std::vector<HealthEvent> m_events;
+    HealthCounters m_counters;
+
+private:
+    /// What siblings hear of at once. The severity is among it: if all servers suffer alike, each must learn of it
+    /// before its own evidence is full, or all would eject themselves for a fault that they share.
+    struct Announcement
+    {
+        ServerState state = ServerState::Warming;
+        bool sick = false;
+        int level = 0; ///< Of severity.
+
+        auto operator<=>(const Announcement &) const = default;
+    };
+
+    void wake(base::TimePoint time);
+    void keepOwnServers(base::TimePoint time);
+    void takeDrainFlag(OwnServer &server, base::TimePoint time);
+    std::vector<base::BackendServerId> serversOf(const base::ServiceId &service) const;
+    void refreshReferences(base::TimePoint time);
+    void judgeService(const base::ServiceId &service, base::TimePoint time);
+    void weighOwnServers(const base::ServiceId &service, base::TimePoint time);
+    void noteEjectedSet(const base::ServiceId &service, const EjectionPlan &plan);
+    void judgePaths(base::TimePoint time);
+    void judgeEntryEvidence(base::TimePoint time);
+    void sendStates(base::TimePoint time);
+    FullClaim fullClaim(const OwnServer &server) const;
+    void expire(base::TimePoint time);
+    void leave(const base::VmId &vm, base::Incarnation incarnation, base::TimePoint time);
+    void report(const HealthEvent &event);
+    double allowedFalseEjections(const config::Service *service) const;
+    double pathThreshold(const base::VmId &vm) const;
+
+    base::TimePoint m_lastCall;
+    base::TimePoint m_wokeAt;
+    base::TimePoint m_referencesAt;
+    base::TimePoint m_expiredAt;
+    bool m_informed = false;
+    std::map<base::ServiceId, std::pair<base::TimePoint, Assessment>> m_assessments;
+    std::map<base::ServiceId, std::set<base::BackendServerId>> m_ejectedSets;
+    std::map<base::VmId, bool> m_prefersFew; ///< By VM: whether some service on it prefers few ejections.
+    std::uint64_t m_ejectedVersion = 1;
+    std::map<base::BackendServerId, Announcement> m_told;
+    std::map<base::BackendServerId, base::TimePoint> m_probedAt;
+};
+
+// A process that slept holds beliefs from before: siblings may have been ejected or replaced, and its own attempts
+// look as if the backend server had hung. Acting on that would eject healthy servers, and telling it would mislead
+// the siblings. So it starts from nothing and stays silent until something fresh has come.
+void HealthMonitor::Impl::wake(base::TimePoint time)
+{
+    for (auto &[id, server] : m_know.own) {
+        server.distrust();
+    }
+    for (auto &[id, belief] : m_know.beliefs) {
+        belief.distrust();
+    }
+    m_know.siblings.distrust();
+    m_know.entry.distrust();
+    m_outbox.clear();
+    m_told.clear();
+    m_informed = false;
+    m_wokeAt = time;
+    changed();
+    ++m_counters.pauses;
+    report(HealthEvent{
+        HealthEventKind::WokeFromPause, {}, m_know.self.vm, "The process was paused; earlier beliefs are dropped."});
+}
+
+void HealthMonitor::Impl::applyConfiguration(const config::ConfigurationPtr &configuration)
+{
+    const base::TimePoint time = now();
+    m_know.configuration = configuration;
+    keepOwnServers(time);
+    m_know.siblings.configure(*configuration, time);
+    std::erase_if(m_know.beliefs,
+                  [&](const auto &entry) { return configuration->backendServer(entry.first) == nullptr; });
+    m_prefersFew.clear();
+    for (const config::BackendServer &server : configuration->backendServers()) {
+        const config::Service *service = configuration->service(server.service);
+        m_prefersFew[server.vm] = m_prefersFew[server.vm] || prefersFew(service);
+    }
+    m_referencesAt = {};
+    setInformed();
+    changed();
+}
+
+void HealthMonitor::Impl::keepOwnServers(base::TimePoint time)
+{
+    const config::Configuration &configuration = *m_know.configuration;
+    // A server at another address is another process: its evidence must not be inherited.
+    std::erase_if(m_know.own, [&](const auto &entry) {
+        const config::BackendServer &before = entry.second.configured();
+        const config::BackendServer *after = configuration.backendServer(entry.first);
+        return after == nullptr || after->vm != m_know.self.vm || after->address != before.address
+            || after->port != before.port || after->service != before.service;
+    });
+    for (const config::BackendServer &server : configuration.backendServers()) {
+        if (server.vm != m_know.self.vm) {
+            continue;
+        }
+        const auto [place, isNew] = m_know.own.try_emplace(server.id, server, m_know.settings, time);
+        place->second.setConfigured(server);
+        takeDrainFlag(place->second, time);
+        if (isNew && m_know.leaving.contains(m_know.self.vm)) {
+            place->second.handle(ServerEvent::Leave, time);
+        }
+    }
+}
+
+void HealthMonitor::Impl::takeDrainFlag(OwnServer &server, base::TimePoint time)
+{
+    const bool drain = server.configured().drain;
+    if (!server.handle(drain ? ServerEvent::Drain : ServerEvent::Undrain, time) || !drain) {
+        return;
+    }
+    const config::BackendServer &configured = server.configured();
+    report(HealthEvent{HealthEventKind::Draining, configured.id, configured.vm, "Operators drain the server."});
+}
+
+void HealthMonitor::Impl::applyVmList(const config::VmList &list)
+{
+    const base::TimePoint time = now();
+    m_know.vmList = list;
+    for (const config::VmEntry &vm : list.vms) {
+        if (vm.leaving) {
+            leave(vm.id, 0, time);
+        }
+    }
+    setInformed();
+    changed();
+}
+
+void HealthMonitor::Impl::setLeaving(const base::VmId &vm)
+{
+    const base::TimePoint time = now();
+    leave(vm, vm == m_know.self.vm ? m_know.self.incarnation : 0, time);
+    if (vm != m_know.self.vm) {
+        return;
+    }
+    for (const base::VmId &sibling : m_know.siblings.siblings()) {
+        m_outbox.push_back(wire::outgoing(sibling, wire::MessageKind::SiblingLeaving, SiblingLeaving{vm.value()}));
+    }
+}
+
+void HealthMonitor::Impl::leave(const base::VmId &vm, base::Incarnation incarnation, base::TimePoint time)
+{
+    if (!m_know.leaving.try_emplace(vm, Leaving{incarnation, time}).second) {
+        return;
+    }
+    if (vm == m_know.self.vm) {
+        for (auto &[id, server] : m_know.own) {
+            server.handle(ServerEvent::Leave, time);
+        }
+    }
+    changed();
+    report(HealthEvent{HealthEventKind::Gone, {}, vm, "The VM is leaving; it gets no new work."});
+}
+
+void HealthMonitor::Impl::absorbReport(const base::VmId &from, const ServerReport &report)
+{
+    const base::TimePoint time = now();
+    if (!m_know.configuration || !report.informed) {
+        return;
+    }
+    const config::BackendServer *server = m_know.configuration->backendServer(base::BackendServerId(report.serverId));
+    if (server == nullptr || server->vm != from || from == m_know.self.vm) {
+        ++m_counters.messagesIgnored;
+        return;
+    }
+    const bool atWork = report.state != static_cast<std::uint8_t>(ServerState::Gone);
+    const auto leaving = m_know.leaving.find(from);
+    if (atWork && leaving != m_know.leaving.end() && time - leaving->second.since > farewellTime) {
+        m_know.leaving.erase(leaving);
+    }
+    Belief &belief = m_know.beliefs[server->id];
+    const ServerState before = belief.state;
+    const bool first = !belief.heardAt;
+    belief.absorb(report, time);
+    const bool news = m_know.entry.hearEjected(server->service, from, report.ejectedVersion, report.ejected, time);
+    if (news || first || belief.state != before) {
+        changed();
+    }
+}
+
+void HealthMonitor::Impl::receive(const base::VmId &from,
+                                  base::Incarnation incarnation,
+                                  wire::MessageKind kind,
+                                  std::string_view payload)
+{
+    const base::TimePoint time = now();
+    if (!m_know.configuration || !m_know.siblings.isSibling(from)) {
+        ++m_counters.messagesIgnored;
+        return;
+    }
+    bool taken = false;
+    try {
+        if (kind == wire::MessageKind::SiblingState) {
+            taken
+                = m_know.siblings.receiveState(from, incarnation, payload, *m_know.configuration, m_know.beliefs, time);
+        } else if (kind == wire::MessageKind::SiblingLeaving) {
+            const auto farewell = wire::decode<SiblingLeaving>(payload);
+            taken = farewell.vm == from.value() && m_know.siblings.acceptIncarnation(from, incarnation);
+            if (taken) {
+                leave(from, incarnation, time);
+            }
+        }
+    } catch (const base::Error &error) {
+        PAPAYASTEP_LOG(WARNING, "health")
+            << "Ignored a message." << base::field("from", from) << base::field("why", error.what());
+    }
+    if (!taken) {
+        ++m_counters.messagesIgnored;
+        return;
+    }
+    const auto leaving = m_know.leaving.find(from);
+    if (kind == wire::MessageKind::SiblingState && leaving != m_know.leaving.end() && leaving->second.incarnation != 0
+        && leaving->second.incarnation != incarnation) {
+        m_know.leaving.erase(leaving);
+    }
+    setInformed();
+    changed();
+}
+
+void HealthMonitor::Impl::tick()
+{
+    const base::TimePoint time = now();
+    if (!m_know.configuration) {
+        return;
+    }
+    if (!m_informed && time - m_wokeAt >= awakeTime) {
+        setInformed();
+    }
+    refreshReferences(time);
+    for (const auto &[service, reference] : m_references) {
+        judgeService(service, time);
+    }
+    judgePaths(time);
+    judgeEntryEvidence(time);
+    for (const base::VmId &vm : m_know.siblings.newlySilent(time)) {
+        report(HealthEvent{HealthEventKind::SiblingUnreachable, {}, vm, "A sibling is not heard of any more."});
+    }
+    sendStates(time);
+    expire(time);
+    changed();
+}
+
+std::vector<base::BackendServerId> HealthMonitor::Impl::serversOf(const base::ServiceId &service) const
+{
+    std::vector<base::BackendServerId> ids;
+    for (const config::BackendServer *server : m_know.configuration->serversOf(service)) {
+        ids.push_back(server->id);
+    }
+    return ids;
+}
+
+void HealthMonitor::Impl::refreshReferences(base::TimePoint time)
+{
+    if (time - m_referencesAt < referenceLifetime) {
+        return;
+    }
+    m_referencesAt = time;
+    m_references.clear();
+    for (const auto &[id, server] : m_know.own) {
+        const base::ServiceId &service = server.configured().service;
+        if (!m_references.contains(service)) {
+            m_references[service] = referenceOf(serversOf(service), m_know.beliefs);
+        }
+    }
+}
+
+void HealthMonitor::Impl::judgeService(const base::ServiceId &service, base::TimePoint time)
+{
+    weighOwnServers(service, time);
+    changed();
+    const EjectionPlan plan = assessmentOf(service, time)->plan;
+    for (auto &[id, server] : m_know.own) {
+        if (server.configured().service != service) {
+            continue;
+        }
+        for (const HealthEvent &event : server.follow(plan, time, m_references[service])) {
+            report(event);
+        }
+    }
+    noteEjectedSet(service, plan);
+}
+
+void HealthMonitor::Impl::weighOwnServers(const base::ServiceId &service, base::TimePoint time)
+{
+    const auto siblings = serversOf(service);
+    const config::Service *configured = m_know.configuration->service(service);
+    const double allowed = allowedFalseEjections(configured);
+    const base::Duration growTime = prefersFew(configured) ? m_know.settings.growTimeFew : m_know.settings.growTimeFast;
+    const int usual = usualSeverity(siblings, m_know.beliefs);
+    for (auto &[id, server] : m_know.own) {
+        if (server.configured().service != service) {
+            continue;
+        }
+        const double rate = std::max(smallestRate, server.evidence().requestsPerSecond(time));
+        server.evidence().setThreshold(
+            ejectionThreshold(FalseEjectionTarget{rate, static_cast<int>(siblings.size()), allowed}));
+        server.weigh(time, m_references[service], usual, growTime);
+    }
+}
+
+void HealthMonitor::Impl::noteEjectedSet(const base::ServiceId &service, const EjectionPlan &plan)
+{
+    if (m_ejectedSets[service] == plan.ejected) {
+        return;
+    }
+    m_ejectedSets[service] = plan.ejected;
+    ++m_ejectedVersion;
+}
+
+double HealthMonitor::Impl::allowedFalseEjections(const config::Service *service) const
+{
+    return prefersFew(service) ? m_know.settings.falseEjectionsFew : m_know.settings.falseEjectionsFast;
+}
+
+double HealthMonitor::Impl::pathThreshold(const base::VmId &vm) const
+{
+    const auto found = m_prefersFew.find(vm);
+    const bool few = found != m_prefersFew.end() && found->second;
+    const double allowed = few ? m_know.settings.falseEjectionsFew : m_know.settings.falseEjectionsFast;
+    return ejectionThreshold(FalseEjectionTarget{entryRate, static_cast<int>(m_prefersFew.size()), allowed});
+}
+
+void HealthMonitor::Impl::judgePaths(base::TimePoint time)
+{
+    for (auto &[vm, path] : m_know.entry.paths()) {
+        const auto happened = path.advance(time, pathThreshold(vm));
+        if (happened == HealthEventKind::PathEjected) {
+            report(HealthEvent{*happened, {}, vm, "Hops to the VM are not acknowledged; its path is avoided."});
+        } else if (happened) {
+            report(HealthEvent{*happened, {}, vm, "The next hop shows whether the path works again."});
+        }
+    }
+}
+
+void HealthMonitor::Impl::judgeEntryEvidence(base::TimePoint time)
+{
+    std::map<base::ServiceId, std::vector<std::pair<base::Duration, double>>> seen;
+    for (const auto &[id, evidence] : m_know.entry.servers()) {
+        if (const config::BackendServer *server = m_know.configuration->backendServer(id)) {
+            seen[server->service].emplace_back(evidence.latency(), evidence.failureShare());
+        }
+    }
+    for (auto &[id, evidence] : m_know.entry.servers()) {
+        const config::BackendServer *server = m_know.configuration->backendServer(id);
+        if (server == nullptr) {
+            continue;
+        }
+        auto &all = seen[server->service];
+        const auto middle = all.begin() + static_cast<std::ptrdiff_t>((all.size() - 1) / 2);
+        std::nth_element(all.begin(), middle, all.end());
+        const base::Duration usualLatency = middle->first;
+        std::nth_element(
+            all.begin(), middle, all.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+        const auto happened = evidence.advance(time, pathThreshold(server->vm), usualLatency, middle->second);
+        if (happened == HealthEventKind::EntryEjected) {
+            report(HealthEvent{*happened, id, server->vm, "This entry saw its answers fail and avoids it."});
+        } else if (happened) {
+            report(HealthEvent{*happened, id, server->vm, "This entry saw good answers again."});
+        }
+    }
+}
+
+FullClaim HealthMonitor::Impl::fullClaim(const OwnServer &server) const
+{
+    FullClaim full{server.configured().service, server.claim(), {}, {}};
+    for (const auto &[route, latencies] : server.evidence().routes()) {
+        if (latencies.size() >= tellingAnswers) {
+            full.routes[route] = latencySteps(latencies.median());
+        }
+    }
+    if (server.evidence().shape().full()) {
+        full.shape = encodeShape(server.evidence().shape().shape());
+    }
+    return full;
+}
+
+void HealthMonitor::Impl::sendStates(base::TimePoint time)
+{
+    if (!m_informed) {
+        return;
+    }
+    std::set<base::ServiceId> urgent;
+    for (const auto &[id, server] : m_know.own) {
+        const SiblingCondition condition = server.condition();
+        const int level = condition.severity >= suspectPercent ? condition.severity / severityStep : 0;
+        const Announcement current{server.lifecycle().state(), condition.sick, level};
+        const auto [place, isNew] = m_told.try_emplace(id, current);
+        if (isNew || place->second != current) {
+            urgent.insert(server.configured().service);
+        }
+        place->second = current;
+    }
+    if (urgent.empty() && !m_know.siblings.anyDue(time)) {
+        return;
+    }
+    std::vector<FullClaim> claims;
+    for (const auto &[id, server] : m_know.own) {
+        claims.push_back(fullClaim(server));
+    }
+    for (wire::Outgoing &message : m_know.siblings.dueMessages(claims, urgent, time)) {
+        m_outbox.push_back(std::move(message));
+    }
+}
+
+void HealthMonitor::Impl::expire(base::TimePoint time)
+{
+    if (time - m_expiredAt < expiryInterval) {
+        return;
+    }
+    m_expiredAt = time;
+    m_know.entry.expire(time);
+    std::erase_if(m_know.beliefs, [&](const auto &entry) {
+        return entry.second.heardAt && time - *entry.second.heardAt > beliefLifetime;
+    });
+}
+
+void HealthMonitor::Impl::report(const HealthEvent &event)
+{
+    switch (event.kind) {
+    case HealthEventKind::Ejected:
+        ++m_counters.ejections;
+        break;
+    case HealthEventKind::Returned:
+        ++m_counters.returns;
+        break;
+    case HealthEventKind::Trial:
+        ++m_counters.trials;
+        break;
+    case HealthEventKind::TrialFailed:
+        ++m_counters.trialFailures;
+        break;
+    case HealthEventKind::FloorHeld:
+        ++m_counters.floorHolds;
+        break;
+    case HealthEventKind::PathEjected:
+        ++m_counters.pathEjections;
+        break;
+    case HealthEventKind::PathReturned:
+        ++m_counters.pathReturns;
+        break;
+    case HealthEventKind::EntryEjected:
+        ++m_counters.entryEjections;
+        break;
+    default:
+        break;
+    }
+    // A suspicion decides nothing and mostly passes; it would drown the lines that matter.
+    if (event.kind != HealthEventKind::Suspected) {
+        PAPAYASTEP_LOG(INFO, "health") << event.sentence << base::field("event", name(event.kind))
+                                       << base::field("vm", event.vm) << base::field("server", event.server);
+    }
+    m_events.push_back(event);
+}
+
+ServerReport HealthMonitor::Impl::report(const base::BackendServerId &id)
+{
+    const base::TimePoint time = now();
+    ServerReport report;
+    const OwnServer *server = own(id);
+    if (server == nullptr) {
+        return report;
+    }
+    const ServerClaim claim = server->claim();
+    report.server = claim.server;
+    report.serverId = id.value();
+    report.state = claim.state;
+    report.informed = m_informed;
+    report.slotsInUse = claim.slotsInUse;
+    report.queueLength = claim.queueLength;
+    report.latencySteps = claim.latencySteps;
+    report.ejectedVersion = m_ejectedVersion;
+    for (const base::BackendServerId &ejected : assessmentOf(server->configured().service, time)->plan.ejected) {
+        report.ejected.push_back(shortHash(ejected.value()));
+    }
+    return report;
+}
+
+const Assessment *HealthMonitor::Impl::assessmentOf(const base::ServiceId &service, base::TimePoint time)
+{
+    const auto found = m_assessments.find(service);
+    const base::Duration lifetime = m_know.settings.tickInterval;
+    if (found != m_assessments.end() && time - found->second.first < lifetime) {
+        return &found->second.second;
+    }
+    auto &place = m_assessments[service];
+    place = {time, assess(m_know, service, time)};
+    return &place.second;
+}
+
+std::vector<base::BackendServerId> HealthMonitor::Impl::probesWanted(base::TimePoint time)
+{
+    std::vector<base::BackendServerId> wanted;
+    for (const auto &[id, server] : m_know.own) {
+        const config::Service *service = m_know.configuration->service(server.configured().service);
+        const auto last = server.evidence().lastFinished();
+        const bool quiet = server.evidence().inFlight() == 0 && (!last || time - *last >= quietTime);
+        const Admission admission = server.admission();
+        if (service == nullptr || service->healthPath.empty() || !quiet || admission == Admission::Draining) {
+            continue;
+        }
+        if (const auto probed = m_probedAt.find(id); probed != m_probedAt.end() && time - probed->second < quietTime) {
+            continue;
+        }
+        m_probedAt[id] = time;
+        wanted.push_back(id);
+    }
+    return wanted;
+}
+
+HealthMonitor::HealthMonitor(const Self &self,
+                             const base::Clock &clock,
+                             std::uint64_t seed,
+                             const HealthSettings &settings)
+    : m_impl(std::make_unique<Impl>(self, clock, seed, settings))
+{
+}
+
+HealthMonitor::~HealthMonitor() = default;
+
+void HealthMonitor::applyConfiguration(const config::ConfigurationPtr &configuration)
+{
+    m_impl->applyConfiguration(configuration);
+}
+
+void HealthMonitor::applyVmList(const config::VmList &list)
+{
+    m_impl->applyVmList(list);
+}
+
+void HealthMonitor::setLeaving(const base::VmId &vm)
+{
+    m_impl->setLeaving(vm);
+}
+
+Admission HealthMonitor::admission(const base::BackendServerId &server) const
+{
+    const OwnServer *beside = m_impl->own(server);
+    return beside != nullptr ? beside->admission() : Admission::Unknown;
+}
+
+void HealthMonitor::attemptStarted(const base::BackendServerId &server,
+                                   const AttemptKey &key,
+                                   const base::RouteId &route)
+{
+    const base::TimePoint time = m_impl->now();
+    if (OwnServer *beside = m_impl->own(server)) {
+        beside->evidence().started(key, shortHash(route.value()), time);
+    }
+}
+
+void HealthMonitor::attemptFinished(const base::BackendServerId &server,
+                                    const AttemptKey &key,
+                                    AttemptOutcome outcome,
+                                    base::Duration latency)
+{
+    const base::TimePoint time = m_impl->now();
+    OwnServer *beside = m_impl->own(server);
+    if (beside == nullptr) {
+        return;
+    }
+    const auto before = beside->evidence().lastFinished();
+    const auto &usual = m_impl->m_references[beside->configured().service];
+    beside->evidence().finished(key, outcome, latency, time, usual);
+    if (beside->evidence().lastFinished() != before) {
+        m_impl->setInformed();
+    }
+}
+
+void HealthMonitor::setQueueLength(const base::BackendServerId &server, int length)
+{
+    m_impl->now();
+    if (OwnServer *beside = m_impl->own(server)) {
+        beside->setQueueLength(length);
+    }
+}
+
+void HealthMonitor::healthHint(const base::BackendServerId &server, bool good)
+{
+    m_impl->now();
+    if (OwnServer *beside = m_impl->own(server)) {
+        beside->evidence().setHint(good);
+    }
+}
+
+void HealthMonitor::hopSent(const base::VmId &vm, const base::BackendServerId &server, const AttemptKey &key)
+{
+    m_impl->m_know.entry.hopSent(vm, server, key, m_impl->now());
+}
+
+void HealthMonitor::hopAcknowledged(const base::VmId &vm, const AttemptKey &key)
+{
+    m_impl->hopReached(vm, [&](base::TimePoint time) { m_impl->m_know.entry.hopAcknowledged(vm, key, time); });
+}
+
+void HealthMonitor::hopEnded(const base::VmId &vm, const AttemptKey &key, HopOutcome outcome, base::Duration latency)
+{
+    m_impl->hopReached(vm,
+                       [&](base::TimePoint time) { m_impl->m_know.entry.hopEnded(vm, key, outcome, latency, time); });
+}
+
+ServerReport HealthMonitor::report(const base::BackendServerId &server) const
+{
+    return m_impl->report(server);
+}
+
+void HealthMonitor::absorbReport(const base::VmId &from, const ServerReport &report)
+{
+    m_impl->absorbReport(from, report);
+}
+
+void HealthMonitor::receive(const base::VmId &from,
+                            base::Incarnation incarnation,
+                            wire::MessageKind kind,
+                            std::string_view payload)
+{
+    m_impl->receive(from, incarnation, kind, payload);
+}
+
+std::vector<wire::Outgoing> HealthMonitor::takeMessages()
+{
+    m_impl->now();
+    auto messages = std::exchange(m_impl->m_outbox, {});
+    for (const wire::Outgoing &message : messages) {
+        ++m_impl->m_counters.messagesSent;
+        m_impl->m_counters.bytesSent += message.payload.size();
+    }
+    return messages;
+}
+
+void HealthMonitor::tick()
+{
+    m_impl->tick();
+}
+
+base::TimePoint HealthMonitor::nextTick() const
+{
+    return m_impl->m_clock.now() + m_impl->m_know.settings.tickInterval;
+}
+
+ServerView HealthMonitor::view(const base::BackendServerId &server) const
+{
+    const base::TimePoint time = m_impl->now();
+    const config::BackendServer *configured
+        = m_impl->m_know.configuration ? m_impl->m_know.configuration->backendServer(server) : nullptr;
+    if (configured == nullptr) {
+        ServerView unknown;
+        unknown.availability = Availability::Gone;
+        unknown.weight = 0;
+        unknown.reason = "It is not configured.";
+        return unknown;
+    }
+    ServerView view = m_impl->assessmentOf(configured->service, time)->views.at(server);
+    addLoad(view, m_impl->m_know, *configured, m_impl->assessmentOf(configured->service, time)->usualLatency, time);
+    return view;
+}
+
+std::vector<base::BackendServerId> HealthMonitor::probesWanted() const
+{
+    const base::TimePoint time = m_impl->now();
+    return m_impl->m_know.configuration ? m_impl->probesWanted(time) : std::vector<base::BackendServerId>();
+}
+
+std::vector<HealthEvent> HealthMonitor::takeEvents()
+{
+    return std::exchange(m_impl->m_events, {});
+}
+
+const HealthCounters &HealthMonitor::counters() const
+{
+    return m_impl->m_counters;
+}
+
+std::string_view name(HealthEventKind kind)
+{
+    switch (kind) {
+    case HealthEventKind::Suspected:
+        return "suspected";
+    case HealthEventKind::Ejected:
+        return "ejected";
+    case HealthEventKind::Trial:
+        return "trial";
+    case HealthEventKind::TrialFailed:
+        return "trial-failed";
+    case HealthEventKind::Returned:
+        return "returned";
+    case HealthEventKind::FloorHeld:
+        return "floor-held";
+    case HealthEventKind::Readmitted:
+        return "readmitted";
+    case HealthEventKind::Draining:
+        return "draining";
+    case HealthEventKind::Gone:
+        return "gone";
+    case HealthEventKind::PathEjected:
+        return "path-ejected";
+    case HealthEventKind::PathTrial:
+        return "path-trial";
+    case HealthEventKind::PathReturned:
+        return "path-returned";
+    case HealthEventKind::EntryEjected:
+        return "entry-ejected";
+    case HealthEventKind::EntryReturned:
+        return "entry-returned";
+    case HealthEventKind::SiblingUnreachable:
+        return "sibling-unreachable";
+    case HealthEventKind::WokeFromPause:
+        return "woke-from-pause";
+    }
+    return "unknown";
+}
+
+}
--- /dev/null
+++ b/src/health/siblingbook.cpp
@@ -0,0 +1,309 @@
+#include "latencyscale.h"
+#include "siblingbook.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace papayastep::health {
+
+namespace {
+
+constexpr int changedSteps = 2; ///< A quarter of an octave, beyond the noise of a median of 32.
+constexpr std::size_t maxRoutesPerClaim = 8;
+constexpr std::uint64_t shapeEvery = 20; ///< Messages.
+constexpr std::uint64_t firstShape = 3;
+constexpr std::size_t maxRetired = 8;
+constexpr double bytesWeight = 0.1;
+constexpr double unitsPerMillisecond = 1e6;
+const base::Duration maxInterval = std::chrono::seconds(30);
+
+template<typename Value>
+Value lowerMedian(std::vector<Value> &values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+std::vector<const Belief *> workingBeliefs(const std::vector<base::BackendServerId> &servers, const Beliefs &beliefs)
+{
+    std::vector<const Belief *> result;
+    for (const base::BackendServerId &server : servers) {
+        const auto found = beliefs.find(server);
+        if (found != beliefs.end() && found->second.heardAt && found->second.working()) {
+            result.push_back(&found->second);
+        }
+    }
+    return result;
+}
+
+const config::BackendServer *serverOf(const config::Configuration &configuration,
+                                      const base::ServiceId &service,
+                                      std::uint32_t hash)
+{
+    for (const config::BackendServer *server : configuration.serversOf(service)) {
+        if (shortHash(server->id.value()) == hash) {
+            return server;
+        }
+    }
+    return nullptr;
+}
+
+}
+
+SiblingBook::SiblingBook(base::VmId self, std::uint64_t seed, const HealthSettings &settings)
+    : m_self(std::move(self))
+    , m_settings(settings)
+    , m_random(seed)
+{
+}
+
+void SiblingBook::configure(const config::Configuration &configuration, base::TimePoint now)
+{
+    std::map<base::VmId, std::set<base::ServiceId>> common;
+    for (const config::Service &service : configuration.services()) {
+        const auto vms = configuration.vmsOf(service.id);
+        if (!std::binary_search(vms.begin(), vms.end(), m_self)) {
+            continue;
+        }
+        for (const base::VmId &vm : vms) {
+            common[vm].insert(service.id);
+        }
+    }
+    common.erase(m_self);
+    std::erase_if(m_peers, [&](const auto &entry) { return !common.contains(entry.first); });
+    for (auto &[vm, services] : common) {
+        const auto [place, isNew] = m_peers.try_emplace(vm);
+        place->second.services = services;
+        if (isNew) {
+            std::uniform_int_distribution<base::Duration::rep> jitter(0, m_settings.siblingInterval.count());
+            place->second.nextDue = now + base::Duration(jitter(m_random));
+        }
+    }
+}
+
+void SiblingBook::distrust()
+{
+    for (auto &[vm, peer] : m_peers) {
+        peer.heardAt.reset();
+        peer.toldRoutes.clear();
+    }
+}
+
+bool SiblingBook::acceptIncarnation(const base::VmId &from, base::Incarnation incarnation)
+{
+    const auto found = m_peers.find(from);
+    if (found == m_peers.end()) {
+        return false;
+    }
+    Peer &peer = found->second;
+    if (peer.incarnation == incarnation) {
+        return true;
+    }
+    // A message that the old self of a restarted VM sent can arrive after the new self spoke. Believed, it would
+    // bring back an ejection or a farewell that is no longer meant.
+    if (std::find(peer.retired.begin(), peer.retired.end(), incarnation) != peer.retired.end()) {
+        return false;
+    }
+    if (peer.incarnation != 0) {
+        peer.retired.push_back(peer.incarnation);
+    }
+    if (peer.retired.size() > maxRetired) {
+        peer.retired.erase(peer.retired.begin());
+    }
+    peer.incarnation = incarnation;
+    peer.version = 0;
+    peer.toldRoutes.clear();
+    return true;
+}
+
+bool SiblingBook::receiveState(const base::VmId &from,
+                               base::Incarnation incarnation,
+                               std::string_view payload,
+                               const config::Configuration &configuration,
+                               Beliefs &beliefs,
+                               base::TimePoint now)
+{
+    const auto state = wire::decode<SiblingState>(payload);
+    if (!acceptIncarnation(from, incarnation)) {
+        return false;
+    }
+    Peer &peer = m_peers.at(from);
+    if (state.version <= peer.version) {
+        return false;
+    }
+    peer.version = state.version;
+    peer.heardAt = now;
+    peer.reportedSilent = false;
+    const base::Duration announced = std::chrono::milliseconds(state.intervalMs);
+    peer.interval = std::clamp<base::Duration>(announced, m_settings.siblingInterval, maxInterval);
+    for (const ServerClaim &claim : state.servers) {
+        for (const base::ServiceId &service : peer.services) {
+            const config::BackendServer *server = serverOf(configuration, service, claim.server);
+            // A VM speaks for its own servers only.
+            if (server != nullptr && server->vm == from) {
+                beliefs[server->id].absorb(claim, now);
+            }
+        }
+    }
+    return true;
+}
+
+bool SiblingBook::isSibling(const base::VmId &vm) const
+{
+    return m_peers.contains(vm);
+}
+
+bool SiblingBook::reachable(const base::VmId &vm, base::TimePoint now) const
+{
+    if (vm == m_self) {
+        return true;
+    }
+    const auto found = m_peers.find(vm);
+    if (found == m_peers.end() || !found->second.heardAt) {
+        return false;
+    }
+    const auto silence = std::chrono::duration<double>(now - *found->second.heardAt);
+    return silence <= m_settings.unreachableAfter * std::chrono::duration<double>(found->second.interval);
+}
+
+std::vector<base::VmId> SiblingBook::newlySilent(base::TimePoint now)
+{
+    std::vector<base::VmId> silent;
+    for (auto &[vm, peer] : m_peers) {
+        if (peer.heardAt && !peer.reportedSilent && !reachable(vm, now)) {
+            peer.reportedSilent = true;
+            silent.push_back(vm);
+        }
+    }
+    return silent;
+}
+
+std::vector<base::VmId> SiblingBook::siblings() const
+{
+    std::vector<base::VmId> result;
+    for (const auto &[vm, peer] : m_peers) {
+        result.push_back(vm);
+    }
+    return result;
+}
+
+// The budget decides: a VM with servers of many services has more siblings than it can speak to each second.
+base::Duration SiblingBook::interval() const
+{
+    const double seconds = static_cast<double>(m_peers.size()) * m_messageBytes / m_settings.controlBytesPerSecond;
+    const auto needed = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+    return std::clamp<base::Duration>(needed, m_settings.siblingInterval, maxInterval);
+}
+
+bool SiblingBook::anyDue(base::TimePoint now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) { return now >= entry.second.nextDue; });
+}
+
+std::vector<wire::Outgoing> SiblingBook::dueMessages(const std::vector<FullClaim> &claims,
+                                                     const std::set<base::ServiceId> &urgent,
+                                                     base::TimePoint now)
+{
+    std::vector<wire::Outgoing> messages;
+    for (auto &[vm, peer] : m_peers) {
+        const std::set<base::ServiceId> &common = peer.services;
+        const bool concerned = std::any_of(
+            urgent.begin(), urgent.end(), [&common](const auto &service) { return common.contains(service); });
+        if (!concerned && now < peer.nextDue) {
+            continue;
+        }
+        peer.nextDue = now + interval();
+        messages.push_back(wire::outgoing(vm, wire::MessageKind::SiblingState, stateFor(peer, claims)));
+        const double bytes = static_cast<double>(messages.back().payload.size()) + m_settings.messageOverhead;
+        m_messageBytes += bytesWeight * (bytes - m_messageBytes);
+    }
+    return messages;
+}
+
+SiblingState SiblingBook::stateFor(Peer &peer, const std::vector<FullClaim> &claims)
+{
+    SiblingState state;
+    state.version = ++m_version;
+    state.intervalMs = static_cast<std::uint16_t>(static_cast<double>(interval().count()) / unitsPerMillisecond);
+    const bool withShape = peer.messages % shapeEvery == firstShape;
+    ++peer.messages;
+    for (const FullClaim &full : claims) {
+        if (!peer.services.contains(full.service)) {
+            continue;
+        }
+        ServerClaim claim = full.claim;
+        chooseRoutes(peer, full, claim);
+        if (withShape) {
+            claim.shape = full.shape;
+        }
+        state.servers.push_back(claim);
+    }
+    return state;
+}
+
+void SiblingBook::chooseRoutes(Peer &peer, const FullClaim &full, ServerClaim &claim) const
+{
+    const auto tell = [&](std::uint32_t route, std::uint8_t steps) {
+        claim.routes.push_back(RouteLatency{route, steps});
+        peer.toldRoutes[{claim.server, route}] = steps;
+    };
+    for (const auto &[route, steps] : full.routes) {
+        const auto told = peer.toldRoutes.find({claim.server, route});
+        const bool changed = told == peer.toldRoutes.end() || std::abs(told->second - steps) >= changedSteps;
+        if (changed && claim.routes.size() < maxRoutesPerClaim) {
+            tell(route, steps);
+        }
+    }
+    if (!claim.routes.empty() || full.routes.empty()) {
+        return;
+    }
+    auto next = full.routes.upper_bound(peer.refreshAfter);
+    if (next == full.routes.end()) {
+        next = full.routes.begin();
+    }
+    peer.refreshAfter = next->first;
+    tell(next->first, next->second);
+}
+
+ServiceReference referenceOf(const std::vector<base::BackendServerId> &servers, const Beliefs &beliefs)
+{
+    ServiceReference reference;
+    std::unordered_map<std::uint32_t, std::vector<std::uint8_t>> steps;
+    std::vector<LatencyShape> shapes;
+    std::vector<double> failures;
+    std::size_t accepting = 0;
+    const auto working = workingBeliefs(servers, beliefs);
+    for (const Belief *belief : working) {
+        for (const auto &[route, told] : belief->routes) {
+            steps[route].push_back(told);
+        }
+        if (belief->shape) {
+            shapes.push_back(*belief->shape);
+        }
+        failures.push_back(belief->failureShare);
+        accepting += belief->accepting ? 1 : 0;
+    }
+    for (auto &[route, told] : steps) {
+        reference.routeLatency[route] = latencyOf(lowerMedian(told));
+    }
+    if (!shapes.empty()) {
+        reference.model = LatencyModel(medianShape(shapes));
+    }
+    if (!failures.empty()) {
+        reference.failureShare = lowerMedian(failures);
+    }
+    reference.siblingsAccept = 2 * accepting > working.size();
+    return reference;
+}
+
+int usualSeverity(const std::vector<base::BackendServerId> &servers, const Beliefs &beliefs)
+{
+    std::vector<int> severities;
+    for (const Belief *belief : workingBeliefs(servers, beliefs)) {
+        severities.push_back(belief->severity);
+    }
+    return severities.empty() ? 0 : lowerMedian(severities);
+}
+
+}
--- a/src/include/papayastep/config/configuration.h
+++ b/src/include/papayastep/config/configuration.h
@@ -4,6 +4,9 @@
 #include "papayastep/base/identifiers.h"
 #include "papayastep/config/keyfingerprint.h"
 
+#include <boost/container/small_vector.hpp>
+
+#include <compare>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -14,15 +17,18 @@
 /// What operators publish, checked and merged: immutable, one object per revision, shared by all parts of a node.
 namespace papayastep::config {
 
+/// Nearly every workspace has one key, which then needs no allocation of its own.
+using KeyFingerprints = boost::container::small_vector<KeyFingerprint, 1>;
+
 /// A tenant: the keys that speak for it, and what it may use, fleet-wide.
 struct Workspace
 {
     base::WorkspaceId id;
-    std::vector<KeyFingerprint> keys;
+    KeyFingerprints keys;
     double rate = 0; ///< Requests per second, over all VMs together.
     double burst = 0; ///< Requests that may come at once, over all VMs together.
 
-    auto operator<=>(const Workspace &) const = default;
+    std::partial_ordering operator<=>(const Workspace &) const = default;
 };
 
 /// What a service weighs more: hearing of a sick backend server soon, or not ejecting a healthy one.
--- a/src/include/papayastep/health/healthmonitor.h
+++ b/src/include/papayastep/health/healthmonitor.h
@@ -32,7 +32,7 @@
 class HealthMonitor
 {
 public:
-    HealthMonitor(Self self, const base::Clock &clock, std::uint64_t seed, HealthSettings settings = {});
+    HealthMonitor(const Self &self, const base::Clock &clock, std::uint64_t seed, const HealthSettings &settings = {});
     ~HealthMonitor();
     HealthMonitor(const HealthMonitor &) = delete;
     HealthMonitor &operator=(const HealthMonitor &) = delete;
--- a/src/include/papayastep/health/healthsettings.h
+++ b/src/include/papayastep/health/healthsettings.h
@@ -15,6 +15,11 @@
     double falseEjectionsFast = 0.5; ///< Allowed per half hour of a service that prefers fast detection.
     double falseEjectionsFew = 0.005; ///< The same for one that prefers few ejections.
 
+    /// Shortest time in which evidence can fill up. A stall of all requests at once (garbage collection, a disk) looks
+    /// like a hang while it lasts; so many late answers have one cause and must not count as independent ones.
+    base::Duration growTimeFast = std::chrono::milliseconds(400);
+    base::Duration growTimeFew = std::chrono::milliseconds(700);
+
     // Ejection and return.
     base::Duration settleTime = std::chrono::milliseconds(50); ///< From the claim to the ejection: see EjectionPlan.
     base::Duration baseHold = std::chrono::seconds(5); ///< First hold time; doubles with each ejection.
--- a/src/include/papayastep/health/messages.h
+++ b/src/include/papayastep/health/messages.h
@@ -31,14 +31,14 @@
     std::uint16_t slotsInUse = 0;
     std::uint16_t queueLength = 0;
     std::uint8_t latencySteps = 0; ///< Recent median latency over all routes; 0: none yet.
-    std::uint8_t failurePercent = 0; ///< Recent share of failed attempts.
+    std::uint16_t failurePermille = 0; ///< Recent share of failed attempts.
     bool accepting = true; ///< False: refuses or sheds whatever comes.
     std::vector<RouteLatency> routes; ///< Only some of the routes: those that changed, then the others in turn.
     std::string shape; ///< Distribution of latency around the route's usual one; empty most of the time.
 
     auto operator<=>(const ServerClaim &) const = default;
     MSGPACK_DEFINE(
-        server, state, severity, sick, slotsInUse, queueLength, latencySteps, failurePercent, accepting, routes, shape)
+        server, state, severity, sick, slotsInUse, queueLength, latencySteps, failurePermille, accepting, routes, shape)
 };
 
 /// MessageKind::SiblingState: everything one VM tells another in one message, however many services they share.
