Find every earlier home of a key before granting a run

Cause: a key's new home asked only the home of the revision that it held before. A VM that was home by a revision which it never held itself had nothing to tell, and the home before that one still granted runs: one key ran twice. A node that restarted while it was out of the service also took no notice of what its earlier process had granted.

A move now asks all VMs that may have been home, which name others in turn; an earlier process on the same VM counts until an elder of the service says that it never heard of one, so a new VM serves at once.

Ruled out: asking only homes by their hash, and a lease of a majority, which is a quorum by another name.

--- a/src/include/papayastep/routing/ledgerhome.h
+++ b/src/include/papayastep/routing/ledgerhome.h
@@ -51,22 +51,16 @@
     using VmSet = std::shared_ptr<const std::vector<base::VmId>>;
     using ServiceVm = std::pair<base::ServiceId, base::VmId>;
 
-    /// Which keys an earlier home could know.
-    enum class Scope {
-        HomeOf, ///< Those that it was home of by Predecessor::vms.
-        NextHomeOf, ///< Those that it is next home of: it may have acted for this VM while it was away.
-        Any,
-    };
-
-    /// An earlier home of keys that are ours now. While it may still grant runs, or has records that we lack, a key
-    /// that it could know must not be taken for new.
+    /// A VM that may have been home of keys that are ours now. While it may still grant runs, or has records that we
+    /// lack, a key that it could know must not be taken for new.
     struct Predecessor
     {
         base::VmId vm;
         base::ServiceId heldAs;
-        Scope scope = Scope::Any;
+        /// The VMs before the move: keys that were ours by these too are not concerned. Null: any key is.
+        VmSet before;
         bool atStart = false; ///< Asked because this process is new, not because a home moved.
-        VmSet vms;
+        bool isSelf = false; ///< The earlier process on this VM.
         base::TimePoint asked; ///< First.
         base::TimePoint sent; ///< Last.
         KeyHash after; ///< Where the next page begins.
@@ -82,10 +76,17 @@
     struct ServiceState
     {
         VmSet vms;
+        std::optional<base::TimePoint> memberSince; ///< Since when this VM is one of them.
         std::vector<Predecessor> predecessors;
+        std::set<std::pair<base::VmId, VmSet>> asked; ///< Under this revision, so that nobody is asked twice.
         std::vector<Fetcher> fetchers;
-        std::map<base::VmId, base::Revision> answered; ///< Who answered our fetch, at which revision of ours.
-        base::Revision previousRevision = 0; ///< The one before the last move.
+        std::map<base::VmId, base::TimePoint> known; ///< May have been home, and when that was last so.
+        std::map<base::VmId, base::Incarnation> heard; ///< Fetched from us; tells a VM's process from its earlier one.
+        VmSet vouchedVms; ///< By which our earlier process chose the next homes, when it stopped as planned.
+        std::set<base::VmId> vouchedBy; ///< Next homes that hold all it gave them.
+        bool selfKnown = false; ///< Somebody heard an earlier process on this VM.
+        bool selfUnknownToElder = false; ///< Somebody who must have heard it has not.
+        base::Revision previousRevision = 0; ///< The one before ours.
         base::Revision leastClaimRevision = 0; ///< Entries that are older may send us keys that have moved.
         base::Revision frozenUntil = 0; ///< Told of this revision: not home before we hold it.
         base::Duration retention{0}; ///< Longest of its routes.
@@ -96,6 +97,7 @@
         base::Incarnation incarnation = 0;
         std::set<std::uint32_t> parts;
         std::optional<std::uint32_t> last;
+        std::vector<base::VmId> vms; ///< By which the stopped home chose its next homes.
         std::optional<base::TimePoint> lost; ///< The stopped home's own gap.
         std::optional<base::Incarnation> takenBack; ///< By the same VM after its restart.
 
@@ -120,16 +122,26 @@
     void receiveHandOver(const base::VmId &from, const LedgerHandOver &part);
     void receiveHandOverResult(const base::VmId &from, const LedgerHandOverResult &result);
 
-    void askSiblings(const base::ServiceId &service, ServiceState &state);
-    void moveHome(const base::ServiceId &service,
-                  ServiceState &state,
-                  const base::ServiceId &heldAs,
-                  const VmSet &before);
-    void askSkippedHomes(const base::ServiceId &service, ServiceState &state, base::Revision from, base::Revision to);
-    void addPredecessor(const base::ServiceId &service, ServiceState &state, Predecessor predecessor);
+    void applyToService(const base::ServiceId &service, const config::ConfigurationPtr &before);
+    void applyToRoutes(const config::ConfigurationPtr &before);
+    void doubtSelf(const base::ServiceId &service, ServiceState &state);
+    void askAll(const base::ServiceId &service,
+                ServiceState &state,
+                const Predecessor &like,
+                const std::vector<base::VmId> &vms);
     void ask(const base::ServiceId &service, const ServiceState &state, Predecessor &predecessor);
-    void settle(Predecessor &predecessor, const LedgerFetchResult &result, bool &isSettled) const;
-    bool concerns(const Predecessor &predecessor, const ServiceState &state, const KeyHash &key) const;
+    std::vector<base::VmId> knownVms(const base::ServiceId &service, const ServiceState &state) const;
+    void answerFetch(const base::VmId &from, const LedgerFetch &fetch, ServiceState &state);
+    bool vouchesFor(const base::VmId &from, const LedgerFetch &fetch);
+    void noteFetcher(const base::VmId &from, const LedgerFetch &fetch, ServiceState &state);
+    bool mergePage(const LedgerFetchResult &result);
+    void learnAboutSelf(const base::VmId &from, const LedgerFetchResult &result, ServiceState &state);
+    void settle(const base::VmId &from, const LedgerFetchResult &result, ServiceState &state);
+
+    bool isConcerned(const Predecessor &predecessor, const ServiceState &state, const KeyHash &key) const;
+    bool isVouchedFor(const ServiceState &state, const KeyHash &key) const;
+    base::Duration retentionOf(const ServiceState &state) const;
+    base::Duration age() const;
 
     const IncomingHandOver *actingFor(const ServiceState &state,
                                       const base::ServiceId &service,
@@ -146,13 +158,15 @@
 
     void handOverService(const base::ServiceId &service, const ServiceState &state);
     void queuePart(const base::VmId &to, LedgerHandOver part);
-    void noteFetcher(ServiceState &state, const base::VmId &from, const LedgerFetch &fetch);
     bool isGone(const Predecessor &predecessor) const;
     bool neverWas(const Predecessor &predecessor) const;
     void tickService(const base::ServiceId &service, ServiceState &state);
 
     template<typename Value>
-    void send(const base::VmId &to, wire::MessageKind kind, const Value &value);
+    void send(const base::VmId &to, wire::MessageKind kind, const Value &value)
+    {
+        m_messages.push_back(wire::outgoing(to, kind, value));
+    }
 
     const base::Clock &m_clock;
     base::VmId m_self;
--- a/src/include/papayastep/routing/ledgermessages.h
+++ b/src/include/papayastep/routing/ledgermessages.h
@@ -132,12 +132,27 @@
     KeyHash after; ///< Of the fetch.
     std::vector<LedgerRecord> records;
     bool last = false;
-    bool vouches = false; ///< Holds the whole hand-over of the asker's earlier self.
-    std::int64_t lostAgo = -1; ///< How long ago this node may have lost records, -1: not within the retention.
-    std::vector<base::VmId> others; ///< VMs that may hold records too: homes of revisions that the asker skipped.
+    bool vouches = false; ///< Holds the whole hand-over of the asker's earlier process.
+    bool knewAsker = false; ///< Heard an earlier process of the asker.
+    std::int64_t age = 0; ///< Of the answering process.
+    std::int64_t memberFor = 0; ///< How long it has been a VM of the service.
+    std::int64_t lostAgo = -1; ///< How long ago it may have lost records, -1: not within the retention.
+    std::vector<base::VmId> others; ///< VMs that may have been home too, as far as it knows.
 
     auto operator<=>(const LedgerFetchResult &) const = default;
-    MSGPACK_DEFINE(service, heldAs, revision, incarnation, after, records, last, vouches, lostAgo, others)
+    MSGPACK_DEFINE(service,
+                   heldAs,
+                   revision,
+                   incarnation,
+                   after,
+                   records,
+                   last,
+                   vouches,
+                   knewAsker,
+                   age,
+                   memberFor,
+                   lostAgo,
+                   others)
 };
 
 /// A stopping home to the next one: numbered parts, each acknowledged. The whole hand-over is there when all parts up
@@ -150,9 +165,10 @@
     bool last = false;
     std::vector<LedgerRecord> records;
     std::int64_t lostAgo = -1; ///< As in LedgerFetchResult.
+    std::vector<base::VmId> vms; ///< Of the service, by which the next homes were chosen.
 
     auto operator<=>(const LedgerHandOver &) const = default;
-    MSGPACK_DEFINE(service, incarnation, part, last, records, lostAgo)
+    MSGPACK_DEFINE(service, incarnation, part, last, records, lostAgo, vms)
 };
 
 struct LedgerHandOverResult
--- a/src/routing/ledgerhome.cpp
+++ b/src/routing/ledgerhome.cpp
@@ -83,12 +83,6 @@
 {
 }
 
-template<typename Value>
-void LedgerHome::send(const base::VmId &to, wire::MessageKind kind, const Value &value)
-{
-    m_messages.push_back(wire::outgoing(to, kind, value));
-}
-
 std::vector<wire::Outgoing> LedgerHome::takeMessages()
 {
     return std::exchange(m_messages, {});
@@ -99,139 +93,6 @@
     return m_ledger;
 }
 
-// Homes and how they move
-
-void LedgerHome::applyConfiguration(config::ConfigurationPtr configuration)
-{
-    if (m_configuration && configuration->revision() <= m_configuration->revision()) {
-        return;
-    }
-    const auto before = std::exchange(m_configuration, std::move(configuration));
-    const base::Revision revision = m_configuration->revision();
-
-    for (const auto &service : m_configuration->services()) {
-        const auto now = std::make_shared<const std::vector<base::VmId>>(m_configuration->vmsOf(service.id));
-        const bool isOurs = holds(*now, m_self);
-        const auto known = m_services.find(service.id);
-        if (!isOurs && known == m_services.end()) {
-            continue;
-        }
-        ServiceState &state = m_services[service.id];
-        const VmSet old = std::exchange(state.vms, now);
-        state.previousRevision = before ? before->revision() : 0;
-        // Other keys are ours now, so a fetch that is under way begins again.
-        for (Predecessor &predecessor : state.predecessors) {
-            predecessor.after = KeyHash();
-        }
-        if (!isOurs) {
-            continue;
-        }
-        const bool knewService = before && before->service(service.id) != nullptr;
-        if (!before || (!knewService && revision > before->revision() + 1)) {
-            // A new process, or a service that came and may have moved in revisions that this node has not seen.
-            askSiblings(service.id, state);
-            continue;
-        }
-        const VmSet oldVms = old ? old : std::make_shared<const std::vector<base::VmId>>(before->vmsOf(service.id));
-        if (*oldVms != *now) {
-            moveHome(service.id, state, service.id, oldVms);
-        }
-        askSkippedHomes(service.id, state, before->revision(), revision);
-    }
-
-    // A route that now leads to another service takes its keys with it.
-    for (const auto &route : m_configuration->routes()) {
-        auto &state = m_services[route.service];
-        state.retention = std::max(state.retention, route.retention);
-        const auto *old = before ? before->route(route.id) : nullptr;
-        if (old != nullptr && old->service != route.service && state.vms && holds(*state.vms, m_self)) {
-            const auto vms = std::make_shared<const std::vector<base::VmId>>(before->vmsOf(old->service));
-            moveHome(route.service, state, old->service, vms);
-        }
-    }
-    std::erase_if(m_services, [](const auto &entry) { return !entry.second.vms; });
-}
-
-/// This process is new. Its earlier self may have granted runs; a planned stop left its records with the siblings.
-void LedgerHome::askSiblings(const base::ServiceId &service, ServiceState &state)
-{
-    for (const auto &vm : *state.vms) {
-        Predecessor predecessor;
-        predecessor.vm = vm;
-        predecessor.heldAs = service;
-        predecessor.atStart = true;
-        if (vm != m_self) {
-            addPredecessor(service, state, predecessor);
-        }
-    }
-    if (state.vms->size() == 1 && !m_settings.noEarlierRuns) {
-        Predecessor earlierSelf;
-        earlierSelf.vm = m_self;
-        earlierSelf.heldAs = service;
-        earlierSelf.lost = m_started;
-        addPredecessor(service, state, earlierSelf);
-    }
-}
-
-void LedgerHome::moveHome(const base::ServiceId &service,
-                          ServiceState &state,
-                          const base::ServiceId &heldAs,
-                          const VmSet &before)
-{
-    PAPAYASTEP_LOG(INFO, logPrefix) << "Idempotency homes moved." << base::field("service", service)
-                                    << base::field("revision", m_configuration->revision());
-    for (const auto &vm : *before) {
-        Predecessor predecessor;
-        predecessor.vm = vm;
-        predecessor.heldAs = heldAs;
-        predecessor.scope = Scope::HomeOf;
-        predecessor.vms = before;
-        if (vm != m_self) {
-            addPredecessor(service, state, predecessor);
-        }
-    }
-}
-
-/// Revisions that this node never held may have had other homes. Each of them fetched from us before it granted
-/// anything, so we know them, and what they granted since must come back.
-void LedgerHome::askSkippedHomes(const base::ServiceId &service,
-                                 ServiceState &state,
-                                 base::Revision from,
-                                 base::Revision to)
-{
-    for (const Fetcher &fetcher : state.fetchers) {
-        if (fetcher.revision > from && fetcher.revision < to) {
-            Predecessor predecessor;
-            predecessor.vm = fetcher.vm;
-            predecessor.heldAs = service;
-            addPredecessor(service, state, predecessor);
-        }
-    }
-}
-
-void LedgerHome::addPredecessor(const base::ServiceId &service, ServiceState &state, Predecessor predecessor)
-{
-    predecessor.asked = m_clock.now();
-    if (!predecessor.lost) {
-        ask(service, state, predecessor);
-    }
-    state.predecessors.push_back(std::move(predecessor));
-}
-
-void LedgerHome::ask(const base::ServiceId &service, const ServiceState &state, Predecessor &predecessor)
-{
-    predecessor.sent = m_clock.now();
-    LedgerFetch fetch;
-    fetch.service = service;
-    fetch.heldAs = predecessor.heldAs;
-    fetch.revision = m_configuration->revision();
-    fetch.previousRevision = state.previousRevision;
-    fetch.incarnation = m_incarnation;
-    fetch.vms = *state.vms;
-    fetch.after = predecessor.after;
-    send(predecessor.vm, wire::MessageKind::LedgerFetch, fetch);
-}
-
 void LedgerHome::applyVmList(const config::VmList &list)
 {
     m_listed.clear();
@@ -256,7 +117,8 @@
         return nullptr;
     }
     const auto found = m_handedToUs.find({service, homeOf(key, *state.vms)});
-    if (found == m_handedToUs.end() || !found->second.isWhole() || found->second.takenBack) {
+    const bool isWhole = found != m_handedToUs.end() && found->second.isWhole() && found->second.vms == *state.vms;
+    if (!isWhole || found->second.takenBack) {
         return nullptr;
     }
     return &found->second;
@@ -294,25 +156,30 @@
     return m_ledger.grant(claim);
 }
 
-bool LedgerHome::concerns(const Predecessor &predecessor, const ServiceState &state, const KeyHash &key) const
+bool LedgerHome::isVouchedFor(const ServiceState &state, const KeyHash &key) const
+{
+    return state.vouchedVms && homeOf(key, *state.vouchedVms) == m_self
+        && state.vouchedBy.contains(nextHomeOf(key, *state.vouchedVms));
+}
+
+bool LedgerHome::isConcerned(const Predecessor &predecessor, const ServiceState &state, const KeyHash &key) const
 {
-    switch (predecessor.scope) {
-    case Scope::Any:
-        return true;
-    case Scope::NextHomeOf:
-        return nextHomeOf(key, *state.vms) == predecessor.vm;
-    case Scope::HomeOf:
-        break;
+    if (predecessor.before && homeOf(key, *predecessor.before) == m_self) {
+        return false;
     }
-    return homeOf(key, *predecessor.vms) == predecessor.vm;
+    // What our earlier process knew came back, and it was home of this key: it covers what others lost before.
+    return !(predecessor.lost && predecessor.atStart && isVouchedFor(state, key));
 }
 
-/// The whole hand-over of `predecessor`, if it gave `key` to this node.
+/// The whole hand-over of the home that `key` had before the move, if it chose this node as the next one.
 const LedgerHome::IncomingHandOver *LedgerHome::handedOver(const Predecessor &predecessor, const KeyHash &key) const
 {
-    const auto found = m_handedToUs.find({predecessor.heldAs, predecessor.vm});
+    if (!predecessor.before) {
+        return nullptr;
+    }
+    const auto found = m_handedToUs.find({predecessor.heldAs, homeOf(key, *predecessor.before)});
     const bool isOurs = found != m_handedToUs.end() && found->second.isWhole() && !found->second.takenBack
-        && predecessor.scope == Scope::HomeOf && nextHomeOf(key, *predecessor.vms) == m_self;
+        && found->second.vms == *predecessor.before && nextHomeOf(key, *predecessor.before) == m_self;
     return isOurs ? &found->second : nullptr;
 }
 
@@ -325,7 +192,7 @@
         return handOver->lost ? gapSince(*handOver->lost, state, claim) : std::nullopt;
     }
     for (const Predecessor &predecessor : state.predecessors) {
-        if (!concerns(predecessor, state, claim.key)) {
+        if (!isConcerned(predecessor, state, claim.key)) {
             continue;
         }
         const auto *handOver = handedOver(predecessor, claim.key);
@@ -354,7 +221,7 @@
                                                     const LedgerClaim &claim) const
 {
     const base::Duration ago = m_clock.now() - lost;
-    const base::Duration retention = std::max(state.retention, base::Duration(claim.retention));
+    const base::Duration retention = std::max(retentionOf(state), base::Duration(claim.retention));
     if (ago >= retention) {
         return std::nullopt;
     }
@@ -429,165 +296,6 @@
     }
 }
 
-void LedgerHome::receiveFetch(const base::VmId &from, const LedgerFetch &fetch)
-{
-    LedgerFetchResult result;
-    result.service = fetch.service;
-    result.heldAs = fetch.heldAs;
-    result.revision = fetch.revision;
-    result.incarnation = fetch.incarnation;
-    result.after = fetch.after;
-
-    const base::Revision own = m_configuration ? m_configuration->revision() : 0;
-    ServiceState *state = nullptr;
-    if (const auto known = m_services.find(fetch.heldAs); known != m_services.end()) {
-        // Another home may have been told of a later revision and may grant by it. An asker that is behind must not
-        // become home beside it, so it gets no answer before it has caught up.
-        if (fetch.revision < std::max(own, known->second.frozenUntil)) {
-            return;
-        }
-    } else if (fetch.revision < own) {
-        return;
-    }
-    if (const auto found = m_services.find(fetch.heldAs); found != m_services.end()) {
-        state = &found->second;
-        // From here on this node grants nothing for the service under an older revision.
-        state->frozenUntil = std::max(state->frozenUntil, fetch.revision);
-    } else if (own < fetch.revision) {
-        // Nothing is known of the service here, and an older configuration must not make this node its home later.
-        state = &m_services[fetch.heldAs];
-        state->vms = std::make_shared<const std::vector<base::VmId>>();
-        state->frozenUntil = fetch.revision;
-    }
-
-    const auto handed = m_handedToUs.find({fetch.service, from});
-    const bool isRestart = handed != m_handedToUs.end() && handed->second.incarnation != fetch.incarnation;
-    if (isRestart && !handed->second.takenBack) {
-        handed->second.takenBack = fetch.incarnation;
-    }
-    const bool vouches = isRestart && handed->second.isWhole() && handed->second.takenBack == fetch.incarnation;
-    result.vouches = vouches;
-
-    if (fetch.previousRevision == 0) {
-        result.lostAgo = vouches ? agoOf(handed->second.lost) : agoOf(m_started);
-    } else {
-        result.lostAgo = state != nullptr ? agoOf(lostAt(fetch.heldAs, *state)) : agoOf(m_started);
-    }
-    if (state != nullptr) {
-        for (const Predecessor &predecessor : state->predecessors) {
-            if (!predecessor.lost && predecessor.vm != from) {
-                result.others.push_back(predecessor.vm);
-            }
-        }
-        for (const Fetcher &fetcher : state->fetchers) {
-            if (fetcher.vm != from && fetcher.revision > fetch.previousRevision && fetcher.revision < fetch.revision) {
-                result.others.push_back(fetcher.vm);
-            }
-        }
-        noteFetcher(*state, from, fetch);
-    }
-    result.records = m_ledger.page(
-        fetch.after,
-        [&](const KeyHash &key, const base::ServiceId &service) {
-            return service == fetch.heldAs && homeOf(key, fetch.vms) == from;
-        },
-        result.last);
-    send(from, wire::MessageKind::LedgerFetchResult, result);
-}
-
-void LedgerHome::noteFetcher(ServiceState &state, const base::VmId &from, const LedgerFetch &fetch)
-{
-    if (fetch.service != fetch.heldAs) {
-        // A route moved to another service. An entry that does not know it yet would have its keys run here too.
-        state.leastClaimRevision = std::max(state.leastClaimRevision, fetch.revision);
-    }
-    std::erase_if(state.fetchers,
-                  [&](const Fetcher &fetcher) { return fetcher.vm == from && fetcher.revision == fetch.revision; });
-    state.fetchers.push_back(Fetcher{from, fetch.revision, m_clock.now()});
-}
-
-void LedgerHome::receiveFetchResult(const base::VmId &from, const LedgerFetchResult &result)
-{
-    const auto found = m_services.find(result.service);
-    const bool isForUs = m_configuration && result.revision == m_configuration->revision()
-        && result.incarnation == m_incarnation && found != m_services.end();
-    if (!isForUs) {
-        return;
-    }
-    ServiceState &state = found->second;
-    const auto isAsked = [&](const Predecessor &predecessor) {
-        return predecessor.vm == from && predecessor.heldAs == result.heldAs && !predecessor.lost
-            && predecessor.after == result.after;
-    };
-    if (std::none_of(state.predecessors.begin(), state.predecessors.end(), isAsked)) {
-        return;
-    }
-    for (LedgerRecord record : result.records) {
-        record.service = result.service;
-        if (!m_ledger.merge(record)) {
-            return; // No room: not settled, asked again later.
-        }
-    }
-    for (Predecessor &predecessor : state.predecessors) {
-        if (!isAsked(predecessor)) {
-            continue;
-        }
-        if (!result.last) {
-            predecessor.after = result.records.back().key;
-            ask(result.service, state, predecessor);
-        }
-    }
-    if (!result.last) {
-        return;
-    }
-
-    state.answered[from] = result.revision;
-    std::vector<Predecessor> open;
-    for (Predecessor &predecessor : state.predecessors) {
-        bool isSettled = false;
-        if (isAsked(predecessor)) {
-            settle(predecessor, result, isSettled);
-        }
-        if (!isSettled) {
-            open.push_back(std::move(predecessor));
-        }
-    }
-    state.predecessors = std::move(open);
-    PAPAYASTEP_LOG(INFO, logPrefix) << "An earlier idempotency home gave its records."
-                                    << base::field("service", result.service) << base::field("from", from)
-                                    << base::field("open", state.predecessors.size());
-
-    for (const auto &vm : result.others) {
-        const auto answered = state.answered.find(vm);
-        const bool isDone = answered != state.answered.end() && answered->second == result.revision;
-        const bool isOpen = std::any_of(state.predecessors.begin(), state.predecessors.end(), [&](const auto &p) {
-            return p.vm == vm && !p.lost && p.scope == Scope::Any;
-        });
-        if (vm == m_self || isDone || isOpen) {
-            continue;
-        }
-        Predecessor predecessor;
-        predecessor.vm = vm;
-        predecessor.heldAs = result.heldAs;
-        addPredecessor(result.service, state, predecessor);
-    }
-}
-
-/// All pages of `predecessor` are here. What it can't vouch for stays open as lost.
-void LedgerHome::settle(Predecessor &predecessor, const LedgerFetchResult &result, bool &isSettled) const
-{
-    auto lost = timeOf(result.lostAgo);
-    if (predecessor.atStart) {
-        predecessor.scope = Scope::NextHomeOf;
-        const bool startedTogether = lost && *lost > m_started - firstStartWindow;
-        if (!result.vouches) {
-            lost = m_settings.noEarlierRuns && startedTogether ? std::nullopt : later(lost, m_started);
-        }
-    }
-    predecessor.lost = lost;
-    isSettled = !lost.has_value();
-}
-
 std::int64_t LedgerHome::agoOf(const std::optional<base::TimePoint> &at) const
 {
     return at ? std::max<std::int64_t>((m_clock.now() - *at).count(), 0) : -1;
@@ -602,8 +310,8 @@
 {
     std::optional<base::TimePoint> result;
     for (const Predecessor &predecessor : state.predecessors) {
-        const auto lost = predecessor.lost || !predecessor.atStart ? predecessor.lost : std::optional(m_started);
-        result = later(result, lost);
+        const bool isUndecided = !predecessor.lost && predecessor.atStart && !m_settings.noEarlierRuns;
+        result = later(result, isUndecided ? std::optional(m_started) : predecessor.lost);
     }
     for (const auto &[from, handOver] : m_handedToUs) {
         result = from.first == service && !handOver.takenBack ? later(result, handOver.lost) : result;
@@ -611,6 +319,16 @@
     return result;
 }
 
+base::Duration LedgerHome::retentionOf(const ServiceState &state) const
+{
+    return state.retention > base::Duration::zero() ? state.retention : leastMemory;
+}
+
+base::Duration LedgerHome::age() const
+{
+    return m_clock.now() - m_started;
+}
+
 // The planned stop
 
 void LedgerHome::beginHandOver()
@@ -648,6 +366,9 @@
                 after = part.records.back().key;
             }
             part.last = last && isWhole;
+            if (part.last) {
+                part.vms = *state.vms;
+            }
             part.lostAgo = agoOf(lostAt(service, state));
             queuePart(vm, std::move(part));
         }
@@ -686,6 +407,7 @@
     handOver.lost = later(handOver.lost, timeOf(part.lostAgo));
     if (part.last) {
         handOver.last = part.part;
+        handOver.vms = part.vms;
     }
     send(
         from, wire::MessageKind::LedgerHandOverResult, LedgerHandOverResult{part.service, part.incarnation, part.part});
@@ -740,18 +462,22 @@
         }
         if (isGone(predecessor)) {
             predecessor.lost = now;
-            predecessor.scope = predecessor.atStart ? Scope::NextHomeOf : predecessor.scope;
+            state.heard.try_emplace(predecessor.vm, base::Incarnation());
             PAPAYASTEP_LOG(WARNING, logPrefix) << "An earlier idempotency home is gone with its records."
                                                << base::field("service", service) << base::field("vm", predecessor.vm);
         } else if (now - predecessor.sent >= resendInterval(waited, m_settings)) {
             ask(service, state, predecessor);
         }
     }
-    const base::Duration retention = std::max<base::Duration>(state.retention, leastMemory);
+    const base::Duration retention = retentionOf(state);
     std::erase_if(state.predecessors, [&](const Predecessor &predecessor) {
         return neverWas(predecessor) || (predecessor.lost && now - *predecessor.lost >= retention);
     });
     std::erase_if(state.fetchers, [&](const Fetcher &fetcher) { return now - fetcher.at >= retention; });
+    std::erase_if(state.known, [&](const auto &entry) { return now - entry.second >= retention; });
+    std::erase_if(state.heard, [&](const auto &entry) {
+        return !holds(*state.vms, entry.first) && !state.known.contains(entry.first);
+    });
 }
 
 bool LedgerHome::isGone(const Predecessor &predecessor) const
@@ -778,7 +504,10 @@
 bool LedgerHome::isCovered(const base::ServiceId &service) const
 {
     const auto found = m_services.find(service);
-    return found != m_services.end() && found->second.predecessors.empty();
+    return found != m_services.end()
+        && std::all_of(found->second.predecessors.begin(), found->second.predecessors.end(), [](const auto &p) {
+               return p.lost.has_value();
+           });
 }
 
 }
--- /dev/null
+++ b/src/routing/ledgermove.cpp
@@ -0,0 +1,360 @@
+// The part of LedgerHome that follows homes as they move: who may have been home before, and what they still know.
+#include "papayastep/base/log.h"
+#include "papayastep/routing/ledgerhome.h"
+
+#include <algorithm>
+
+namespace papayastep::routing {
+
+namespace {
+
+constexpr auto logPrefix = "routing";
+/// The nodes of a first installation start within this time of each other. A sibling that has run for longer shows
+/// that LedgerSettings::noEarlierRuns was left set by mistake.
+constexpr base::Duration firstStartWindow = std::chrono::seconds(30);
+
+bool holds(const std::vector<base::VmId> &vms, const base::VmId &vm)
+{
+    return std::find(vms.begin(), vms.end(), vm) != vms.end();
+}
+
+}
+
+void LedgerHome::applyConfiguration(config::ConfigurationPtr configuration)
+{
+    if (m_configuration && configuration->revision() <= m_configuration->revision()) {
+        return;
+    }
+    const auto before = std::exchange(m_configuration, std::move(configuration));
+    for (const auto &service : m_configuration->services()) {
+        applyToService(service.id, before);
+    }
+    applyToRoutes(before);
+    std::erase_if(m_services, [](const auto &entry) { return !entry.second.vms; });
+}
+
+void LedgerHome::applyToService(const base::ServiceId &service, const config::ConfigurationPtr &before)
+{
+    const auto old
+        = std::make_shared<const std::vector<base::VmId>>(before ? before->vmsOf(service) : std::vector<base::VmId>());
+    const auto now = std::make_shared<const std::vector<base::VmId>>(m_configuration->vmsOf(service));
+    const bool isOurs = holds(*now, m_self);
+    const bool hasChanged = before && *old != *now;
+    if (!isOurs && !hasChanged && !m_services.contains(service)) {
+        return;
+    }
+    ServiceState &state = m_services[service];
+    state.vms = now;
+    state.previousRevision = before ? before->revision() : 0;
+    state.asked.clear();
+    for (Predecessor &predecessor : state.predecessors) {
+        predecessor.after = KeyHash(); // Other keys are ours now, so a fetch that is under way begins again.
+    }
+    for (const auto &vm : *old) {
+        if (hasChanged) {
+            state.known[vm] = m_clock.now();
+        }
+    }
+    if (!isOurs) {
+        state.memberSince.reset();
+        return;
+    }
+
+    const bool isNew = !state.memberSince.has_value();
+    state.memberSince = state.memberSince.value_or(m_clock.now());
+    Predecessor like;
+    like.heldAs = service;
+    like.atStart = isNew;
+    like.before = before ? old : nullptr;
+    if (isNew && !m_settings.noEarlierRuns) {
+        doubtSelf(service, state);
+    }
+    if (isNew || hasChanged) {
+        askAll(service, state, like, knownVms(service, state));
+    }
+
+    // Revisions that this node never held may have had other homes for any key. Each of them fetched from us before it
+    // granted anything, so we know them, and what they granted since must come back.
+    std::vector<base::VmId> skipped;
+    for (const Fetcher &fetcher : state.fetchers) {
+        const bool isBetween
+            = fetcher.revision > state.previousRevision && fetcher.revision < m_configuration->revision();
+        if (isBetween) {
+            skipped.push_back(fetcher.vm);
+        }
+    }
+    like.before = nullptr;
+    askAll(service, state, like, skipped);
+}
+
+/// A route that now leads to another service takes its keys with it.
+void LedgerHome::applyToRoutes(const config::ConfigurationPtr &before)
+{
+    for (const auto &route : m_configuration->routes()) {
+        auto &state = m_services[route.service];
+        state.retention = std::max(state.retention, route.retention);
+        const auto *old = before ? before->route(route.id) : nullptr;
+        const bool hasMoved = old != nullptr && old->service != route.service;
+        if (!hasMoved || !state.vms || !holds(*state.vms, m_self)) {
+            continue;
+        }
+        Predecessor like;
+        like.heldAs = old->service;
+        const auto earlier = m_services.find(old->service);
+        auto vms = before->vmsOf(old->service);
+        if (earlier != m_services.end()) {
+            const auto known = knownVms(old->service, earlier->second);
+            vms.insert(vms.end(), known.begin(), known.end());
+        }
+        askAll(route.service, state, like, vms);
+    }
+}
+
+/// All that may know of grants: the VMs of the service now and before, and those that took records from us.
+std::vector<base::VmId> LedgerHome::knownVms(const base::ServiceId &service, const ServiceState &state) const
+{
+    std::set<base::VmId> vms;
+    if (state.vms) {
+        vms.insert(state.vms->begin(), state.vms->end());
+    }
+    if (m_configuration) {
+        const auto configured = m_configuration->vmsOf(service);
+        vms.insert(configured.begin(), configured.end());
+    }
+    for (const auto &[vm, at] : state.known) {
+        vms.insert(vm);
+    }
+    for (const Fetcher &fetcher : state.fetchers) {
+        vms.insert(fetcher.vm);
+    }
+    for (const Predecessor &predecessor : state.predecessors) {
+        vms.insert(predecessor.vm);
+    }
+    return std::vector<base::VmId>(vms.begin(), vms.end());
+}
+
+/// An earlier process on this VM may have granted runs that this one knows nothing of.
+void LedgerHome::doubtSelf(const base::ServiceId &service, ServiceState &state)
+{
+    const bool isDoubted
+        = std::any_of(state.predecessors.begin(), state.predecessors.end(), [](const auto &p) { return p.isSelf; });
+    if (isDoubted || age() >= retentionOf(state)) {
+        return;
+    }
+    Predecessor self;
+    self.vm = m_self;
+    self.heldAs = service;
+    self.atStart = true;
+    self.isSelf = true;
+    self.asked = m_clock.now();
+    self.lost = m_started;
+    state.predecessors.push_back(std::move(self));
+}
+
+/// Asks each of `vms` as a predecessor like `like`, unless it was asked so under this revision.
+void LedgerHome::askAll(const base::ServiceId &service,
+                        ServiceState &state,
+                        const Predecessor &like,
+                        const std::vector<base::VmId> &vms)
+{
+    for (const auto &vm : vms) {
+        const bool isNew = vm != m_self && state.asked.emplace(vm, like.before).second;
+        if (!isNew) {
+            continue;
+        }
+        Predecessor predecessor = like;
+        predecessor.vm = vm;
+        predecessor.lost.reset();
+        predecessor.after = KeyHash();
+        predecessor.asked = m_clock.now();
+        ask(service, state, predecessor);
+        state.predecessors.push_back(std::move(predecessor));
+    }
+}
+
+void LedgerHome::ask(const base::ServiceId &service, const ServiceState &state, Predecessor &predecessor)
+{
+    predecessor.sent = m_clock.now();
+    LedgerFetch fetch;
+    fetch.service = service;
+    fetch.heldAs = predecessor.heldAs;
+    fetch.revision = m_configuration->revision();
+    fetch.previousRevision = state.previousRevision;
+    fetch.incarnation = m_incarnation;
+    fetch.vms = *state.vms;
+    fetch.after = predecessor.after;
+    send(predecessor.vm, wire::MessageKind::LedgerFetch, fetch);
+}
+
+void LedgerHome::receiveFetch(const base::VmId &from, const LedgerFetch &fetch)
+{
+    const base::Revision own = m_configuration ? m_configuration->revision() : 0;
+    auto found = m_services.find(fetch.heldAs);
+    const base::Revision told = found != m_services.end() ? found->second.frozenUntil : 0;
+    if (fetch.revision < std::max(own, told)) {
+        // Another home may have been told of a later revision and may grant by it. An asker that is behind must not
+        // become home beside it, so it gets no answer before it has caught up.
+        return;
+    }
+    if (found == m_services.end()) {
+        found = m_services.try_emplace(fetch.heldAs).first;
+        found->second.vms = std::make_shared<const std::vector<base::VmId>>();
+    }
+    // From here on this node grants nothing for the service under an older revision.
+    found->second.frozenUntil = fetch.revision;
+    answerFetch(from, fetch, found->second);
+}
+
+void LedgerHome::answerFetch(const base::VmId &from, const LedgerFetch &fetch, ServiceState &state)
+{
+    const auto now = m_clock.now();
+    const auto heard = state.heard.find(from);
+    const bool heardEarlier = heard != state.heard.end() && heard->second != fetch.incarnation;
+
+    LedgerFetchResult result;
+    result.service = fetch.service;
+    result.heldAs = fetch.heldAs;
+    result.revision = fetch.revision;
+    result.incarnation = fetch.incarnation;
+    result.after = fetch.after;
+    result.vouches = vouchesFor(from, fetch);
+    result.knewAsker = heardEarlier || state.known.contains(from) || m_handedToUs.contains({fetch.service, from});
+    result.age = age().count();
+    result.memberFor = state.memberSince ? (now - *state.memberSince).count() : 0;
+    result.lostAgo = agoOf(lostAt(fetch.heldAs, state));
+    if (!state.memberSince && !m_settings.noEarlierRuns && age() < retentionOf(state)) {
+        result.lostAgo = age().count(); // An earlier process on this VM may have been home.
+    }
+    result.others = knownVms(fetch.heldAs, state);
+    result.records = m_ledger.page(
+        fetch.after,
+        [&](const KeyHash &key, const base::ServiceId &service) {
+            return service == fetch.heldAs && homeOf(key, fetch.vms) == from;
+        },
+        result.last);
+    noteFetcher(from, fetch, state);
+    send(from, wire::MessageKind::LedgerFetchResult, result);
+}
+
+/// Whether the whole hand-over of the asker's earlier process is here. Only its first new process may have it back:
+/// that one may grant runs, which a second would not learn of here.
+bool LedgerHome::vouchesFor(const base::VmId &from, const LedgerFetch &fetch)
+{
+    const auto handed = m_handedToUs.find({fetch.service, from});
+    if (handed == m_handedToUs.end() || handed->second.incarnation == fetch.incarnation) {
+        return false;
+    }
+    IncomingHandOver &handOver = handed->second;
+    handOver.takenBack = handOver.takenBack.value_or(fetch.incarnation);
+    return handOver.isWhole() && handOver.takenBack == fetch.incarnation && handOver.vms == fetch.vms && !handOver.lost;
+}
+
+void LedgerHome::noteFetcher(const base::VmId &from, const LedgerFetch &fetch, ServiceState &state)
+{
+    if (fetch.service != fetch.heldAs) {
+        // A route moved to another service. An entry that does not know it yet would have its keys run here too.
+        state.leastClaimRevision = std::max(state.leastClaimRevision, fetch.revision);
+    }
+    const auto isSame
+        = [&](const Fetcher &fetcher) { return fetcher.vm == from && fetcher.revision == fetch.revision; };
+    std::erase_if(state.fetchers, isSame);
+    state.fetchers.push_back(Fetcher{from, fetch.revision, m_clock.now()});
+    const auto [heard, isNew] = state.heard.try_emplace(from, fetch.incarnation);
+    if (!isNew && heard->second != fetch.incarnation) {
+        // Stays in mind as an earlier process, whatever the number of starts.
+        state.known[from] = m_clock.now();
+        heard->second = fetch.incarnation;
+    }
+}
+
+void LedgerHome::receiveFetchResult(const base::VmId &from, const LedgerFetchResult &result)
+{
+    const auto found = m_services.find(result.service);
+    const bool isForUs = m_configuration && result.revision == m_configuration->revision()
+        && result.incarnation == m_incarnation && found != m_services.end();
+    if (!isForUs) {
+        return;
+    }
+    ServiceState &state = found->second;
+    const auto isAsked = [&](const Predecessor &predecessor) {
+        return predecessor.vm == from && predecessor.heldAs == result.heldAs && !predecessor.lost
+            && predecessor.after == result.after;
+    };
+    const bool isExpected = std::any_of(state.predecessors.begin(), state.predecessors.end(), isAsked);
+    if (!isExpected || !mergePage(result)) {
+        return; // Without room it is not settled, and asked again later.
+    }
+    if (result.last) {
+        settle(from, result, state);
+        return;
+    }
+    for (Predecessor &predecessor : state.predecessors) {
+        if (isAsked(predecessor) && !result.records.empty()) {
+            predecessor.after = result.records.back().key;
+            ask(result.service, state, predecessor);
+        }
+    }
+}
+
+bool LedgerHome::mergePage(const LedgerFetchResult &result)
+{
+    for (LedgerRecord record : result.records) {
+        record.service = result.service;
+        if (!m_ledger.merge(record)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Whether there was an earlier process on this VM, and whether it left its records when it stopped.
+void LedgerHome::learnAboutSelf(const base::VmId &from, const LedgerFetchResult &result, ServiceState &state)
+{
+    if (result.vouches) {
+        state.vouchedBy.insert(from);
+        state.vouchedVms = state.vms;
+    }
+    state.selfKnown = state.selfKnown || result.knewAsker;
+    const bool isElder = base::Duration(result.memberFor) >= retentionOf(state);
+    state.selfUnknownToElder = state.selfUnknownToElder || (isElder && !result.knewAsker);
+    if (m_settings.noEarlierRuns && base::Duration(result.age) > age() + firstStartWindow) {
+        doubtSelf(result.service, state);
+    }
+}
+
+/// All pages of `from` are here. What it may have lost stays open as lost, and the VMs that it names are asked too.
+void LedgerHome::settle(const base::VmId &from, const LedgerFetchResult &result, ServiceState &state)
+{
+    learnAboutSelf(from, result, state);
+    state.heard.try_emplace(from, base::Incarnation());
+    const auto lost = timeOf(result.lostAgo);
+    std::vector<Predecessor> settled;
+    std::vector<Predecessor> open;
+    for (Predecessor &predecessor : state.predecessors) {
+        const bool isAsked = predecessor.vm == from && predecessor.heldAs == result.heldAs && !predecessor.lost
+            && predecessor.after == result.after;
+        if (isAsked) {
+            settled.push_back(predecessor);
+            predecessor.lost = lost;
+        }
+        if (!isAsked || lost) {
+            open.push_back(std::move(predecessor));
+        }
+    }
+    state.predecessors = std::move(open);
+    for (const Predecessor &predecessor : settled) {
+        askAll(result.service, state, predecessor, result.others);
+    }
+
+    const bool allAnswered = std::all_of(
+        state.predecessors.begin(), state.predecessors.end(), [](const auto &p) { return p.lost.has_value(); });
+    if (allAnswered && state.selfUnknownToElder && !state.selfKnown) {
+        // Whoever grants has fetched from every VM of the service before. So no earlier process here has granted.
+        std::erase_if(state.predecessors, [](const auto &p) { return p.isSelf; });
+    }
+    PAPAYASTEP_LOG(INFO, logPrefix) << "An earlier idempotency home gave its records."
+                                    << base::field("service", result.service) << base::field("from", from)
+                                    << base::field("open", state.predecessors.size());
+}
+
+}
