--- a/src/include/papayastep/routing/placement.h
+++ b/src/include/papayastep/routing/placement.h
@@ -110,7 +110,7 @@
 };
 
 /// Draws two usable servers, one of them of the own zone where there is one, each as often as its weight says, and
-/// takes the better by score().
+/// takes the better by score(). Where both are full it draws two more.
 ///
 /// A server that looks idle because it fails fast or lies about its load gains at most the draws in which it takes
 /// part: twice an equal share, not all traffic (choosing the best of all would give it everything).
@@ -133,6 +133,11 @@
                                  const Placement &placement) const;
 
 private:
+    Placement betterOfTwo(std::span<const Candidate> candidates,
+                          const PlacementRequest &request,
+                          std::uint32_t first,
+                          std::uint32_t second) const;
+
     TwoChoiceSettings m_settings;
 };
 
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -12,6 +12,7 @@
 
 using Indexes = boost::container::small_vector<std::uint32_t, 256>;
 
+constexpr int drawsWhenFull = 2; ///< After the first two.
 constexpr int maxWeightedDraws = 8; ///< Then the last draw stands: bounds the work when all weights are small.
 
 double milliseconds(base::Duration duration)
@@ -54,6 +55,26 @@
     return index;
 }
 
+/// One of `from` other than `first`, of which there must be one.
+std::uint32_t drawOther(std::span<const Candidate> candidates,
+                        const Indexes &from,
+                        std::uint32_t first,
+                        std::mt19937_64 &random)
+{
+    const std::uint32_t drawn = drawWeighted(candidates, from, random);
+    if (drawn != first) {
+        return drawn;
+    }
+    // Another one with equal chances, without drawing for ever.
+    const auto position = static_cast<std::size_t>(std::find(from.begin(), from.end(), first) - from.begin());
+    return from[(position + 1 + draw(random, from.size() - 1)) % from.size()];
+}
+
+bool isFull(const Candidate &candidate)
+{
+    return candidate.slotsInUse + candidate.queueLength >= candidate.slots;
+}
+
 Placement only(std::uint32_t index, PlacementReason reason)
 {
     return Placement{index, std::nullopt, reason};
@@ -202,13 +223,22 @@
     }
 
     const std::uint32_t first = drawWeighted(candidates, nearby.empty() ? well : nearby, random);
-    std::uint32_t second = drawWeighted(candidates, well, random);
-    if (second == first) {
-        // The next one in order: still each other server with some chance, without drawing for ever.
-        const auto position = std::find(well.begin(), well.end(), first) - well.begin();
-        second = well[(static_cast<std::size_t>(position) + 1 + draw(random, well.size() - 1)) % well.size()];
+    Placement placement = betterOfTwo(candidates, request, first, drawOther(candidates, well, first, random));
+    // Both servers are full although others may have room: a request in a queue waits for a whole answer's time, so
+    // further draws pay. They stay few, since with lagging figures all entries would flood the same idle server.
+    for (int i = 0; i < drawsWhenFull && isFull(candidates[*placement.candidate]); ++i) {
+        const auto best = static_cast<std::uint32_t>(*placement.candidate);
+        placement = betterOfTwo(candidates, request, best, drawOther(candidates, well, best, random));
     }
-    const bool prefersFirst = !nearby.empty() && candidates[second].zone != request.zone;
+    return placement;
+}
+
+Placement TwoChoicePlacement::betterOfTwo(std::span<const Candidate> candidates,
+                                          const PlacementRequest &request,
+                                          std::uint32_t first,
+                                          std::uint32_t second) const
+{
+    const bool prefersFirst = candidates[first].zone == request.zone && candidates[second].zone != request.zone;
     const double tolerance = prefersFirst ? 1 + m_settings.sameZoneTolerance : 1;
     const double scoreOfFirst = score(candidates[first]);
     const double scoreOfSecond = score(candidates[second]);
