--- a/src/membership/configspread_test.cpp
+++ b/src/membership/configspread_test.cpp
@@ -131,6 +131,26 @@
     BOOST_TEST(perNodeAndSecond < 0.2);
 }
 
+BOOST_FIXTURE_TEST_CASE(news_ofAQuietFleet_areYoungEverywhere, SpreadFixture)
+{
+    for (int minute = 0; minute < 5; ++minute) {
+        fleet.run(60s);
+        for (int node = 0; node < 20; ++node) {
+            BOOST_TEST((fleet.spread(node).status().newsAge.value() < 60s));
+        }
+    }
+}
+
+// The platform goes away. An operator must be able to see how old the fleet's news are, on every node.
+BOOST_FIXTURE_TEST_CASE(news_whilePlatformIsAway_growOld, SpreadFixture)
+{
+    fleet.platformUp.assign(20, false);
+    fleet.run(120s);
+    for (int node = 0; node < 20; ++node) {
+        BOOST_TEST((fleet.spread(node).status().newsAge.value() > 60s));
+    }
+}
+
 // A node starts while the platform is away for hours. Without its peers it could not serve until the platform is back.
 BOOST_FIXTURE_TEST_CASE(node_startedWithoutConfiguration_getsItFromPeers, SpreadFixture)
 {
