--- a/src/include/papayastep/limits/tokenbroker.h
+++ b/src/include/papayastep/limits/tokenbroker.h
@@ -111,7 +111,7 @@
 class TokenBroker
 {
 public:
-    TokenBroker(BrokerSelf self, const base::Clock &clock, BrokerSettings settings = {});
+    TokenBroker(const BrokerSelf &self, const base::Clock &clock, BrokerSettings settings = {});
     ~TokenBroker();
     TokenBroker(TokenBroker &&) noexcept;
     TokenBroker &operator=(TokenBroker &&) noexcept;
--- /dev/null
+++ b/src/limits/slotqueue_test.cpp
@@ -0,0 +1,165 @@
+#include "papayastep/limits/slotqueue.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <chrono>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace papayastep;
+using namespace papayastep::limits;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::WorkspaceId floodingWorkspace("flooding");
+const base::WorkspaceId quietWorkspace("quiet");
+
+struct TwoSlots
+{
+    base::ManualClock clock;
+    SlotQueue queue{clock, 2, SlotQueueSettings{8, 6, 50ms}};
+
+    static AttemptId attempt(std::uint64_t number)
+    {
+        return AttemptId{base::RequestId{1, number}, 1};
+    }
+    Verdict offer(std::uint64_t number, const base::WorkspaceId &workspace, base::Duration deadline = 10s)
+    {
+        return queue.offer(attempt(number), workspace, clock.now() + deadline);
+    }
+    std::vector<std::uint64_t> startNow()
+    {
+        std::vector<std::uint64_t> started;
+        for (const QueueDecision &decision : queue.poll()) {
+            if (decision.start) {
+                started.push_back(decision.attempt.request.low);
+            }
+        }
+        return started;
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(queue_withFreeSlots_startsAtOnceAndNoMore, TwoSlots)
+{
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        BOOST_TEST(offer(number, quietWorkspace).accepted);
+    }
+    BOOST_TEST(startNow() == (std::vector<std::uint64_t>{1, 2}), boost::test_tools::per_element());
+    BOOST_TEST(startNow().empty());
+    queue.setSlots(1);
+    queue.finished(attempt(1));
+    BOOST_TEST(startNow().empty());
+    queue.finished(attempt(2));
+    queue.finished(attempt(2));
+    BOOST_TEST(startNow() == (std::vector<std::uint64_t>{3}), boost::test_tools::per_element());
+}
+
+// One workspace fills the queue. Another's clerk would wait behind all of it; in turns, she waits for one attempt.
+BOOST_FIXTURE_TEST_CASE(quietWorkspace_behindAFlood_isNextInTurn, TwoSlots)
+{
+    for (std::uint64_t number = 1; number <= 6; ++number) {
+        offer(number, floodingWorkspace);
+    }
+    startNow();
+    BOOST_TEST(offer(100, quietWorkspace).accepted);
+    queue.finished(attempt(1));
+    queue.finished(attempt(2));
+    BOOST_TEST(startNow() == (std::vector<std::uint64_t>{3, 100}), boost::test_tools::per_element());
+}
+
+// The queue is full of one workspace's attempts. Refusing another workspace for it would be crowding out; so the
+// longest queue gives up its newest attempt, which is told so at once and has not run.
+BOOST_FIXTURE_TEST_CASE(fullQueue_withAnotherWorkspace_evictsFromTheLongest, TwoSlots)
+{
+    offer(1, quietWorkspace);
+    offer(2, quietWorkspace);
+    startNow();
+    for (std::uint64_t number = 10; number < 16; ++number) {
+        offer(number, floodingWorkspace);
+    }
+    BOOST_TEST((offer(20, floodingWorkspace).code == base::ResultCode::HopQueueFull));
+    offer(30, quietWorkspace);
+    offer(31, quietWorkspace);
+    BOOST_TEST(offer(32, quietWorkspace).accepted);
+    BOOST_TEST((queue.cancel(attempt(15)) == CancelVerdict::NeverStarted));
+    const auto decisions = queue.poll();
+    BOOST_REQUIRE(decisions.size() == 1U);
+    BOOST_TEST((decisions[0].attempt == attempt(15)));
+    BOOST_TEST(!decisions[0].start);
+    BOOST_TEST((decisions[0].code == base::ResultCode::HopQueueFull));
+    BOOST_TEST(decisions[0].retryAfter.count() > 0);
+}
+
+// Both slots hang. An attempt that waited past its deadline would run for a caller who has gone; it is dropped at the
+// deadline, and one that can't make it by the look of the queue is refused when it comes.
+BOOST_FIXTURE_TEST_CASE(attempt_withoutAChance_isRefusedOrDropped, TwoSlots)
+{
+    offer(1, quietWorkspace);
+    offer(2, quietWorkspace);
+    startNow();
+    const Verdict hopeless = offer(3, quietWorkspace, 10ms);
+    BOOST_TEST((hopeless.code == base::ResultCode::HopQueueTimeout));
+    BOOST_TEST(hopeless.retryAfter.count() > 0);
+    BOOST_TEST(offer(4, quietWorkspace, 200ms).accepted);
+    BOOST_TEST((queue.nextTick() == clock.now() + 200ms));
+    clock.advance(200ms);
+    const auto decisions = queue.poll();
+    BOOST_REQUIRE(decisions.size() == 1U);
+    BOOST_TEST((decisions[0].code == base::ResultCode::HopQueueTimeout));
+    BOOST_TEST(queue.queued() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(cancel_inEachState_tellsTheTruth, TwoSlots)
+{
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        offer(number, quietWorkspace);
+    }
+    startNow();
+    BOOST_TEST((offer(3, quietWorkspace).code == base::ResultCode::HopReplayed));
+    BOOST_TEST((offer(1, quietWorkspace).code == base::ResultCode::HopReplayed));
+    BOOST_TEST((queue.cancel(attempt(1)) == CancelVerdict::Started));
+    BOOST_TEST((queue.cancel(attempt(3)) == CancelVerdict::NeverStarted));
+    BOOST_TEST((queue.cancel(attempt(3)) == CancelVerdict::Unknown));
+    queue.finished(attempt(1));
+    BOOST_TEST(startNow().empty());
+    BOOST_TEST((queue.cancel(attempt(1)) == CancelVerdict::Unknown));
+}
+
+RC_BOOST_PROP(queue_underAnySchedule_keepsItsBoundsAndDecidesEachOnce, (const std::vector<std::uint16_t> &steps))
+{
+    TwoSlots fixture;
+    std::set<AttemptId> undecided;
+    std::set<AttemptId> running;
+    std::uint64_t number = 0;
+    for (const std::uint16_t step : steps) {
+        fixture.clock.advance(std::chrono::milliseconds(step % 40));
+        const base::WorkspaceId workspace("workspace-" + std::to_string(step % 3));
+        if (step % 4 == 0 && !running.empty()) {
+            fixture.queue.finished(*running.begin());
+            running.erase(running.begin());
+        } else if (step % 7 == 0 && !undecided.empty()) {
+            RC_ASSERT(fixture.queue.cancel(*undecided.begin()) == CancelVerdict::NeverStarted);
+            undecided.erase(undecided.begin());
+        } else if (fixture.offer(++number, workspace, std::chrono::milliseconds(60 + step % 200)).accepted) {
+            undecided.insert(TwoSlots::attempt(number));
+        }
+        for (const QueueDecision &decision : fixture.queue.poll()) {
+            // An evicted attempt that was cancelled before it was told is decided already.
+            const bool evicted = decision.code == base::ResultCode::HopQueueFull;
+            RC_ASSERT(undecided.erase(decision.attempt) == 1U || evicted);
+            if (decision.start) {
+                running.insert(decision.attempt);
+            }
+        }
+        RC_ASSERT(fixture.queue.running() == running.size());
+        RC_ASSERT(running.size() <= 2U);
+        RC_ASSERT(fixture.queue.queued() == undecided.size());
+        RC_ASSERT(fixture.queue.queued() <= 8U);
+        RC_ASSERT(running.size() == 2U || undecided.empty());
+    }
+}
--- a/src/limits/tokenbroker.cpp
+++ b/src/limits/tokenbroker.cpp
@@ -348,7 +348,7 @@
     }
 }
 
-TokenBroker::TokenBroker(BrokerSelf self, const base::Clock &clock, BrokerSettings settings)
+TokenBroker::TokenBroker(const BrokerSelf &self, const base::Clock &clock, BrokerSettings settings)
     : m_impl(std::make_unique<Impl>(self, clock, settings))
 {
 }
--- /dev/null
+++ b/src/limits/tokenbroker_test.cpp
@@ -0,0 +1,466 @@
+#include "baselines.h"
+#include "faultplan.h"
+
+#include "papayastep/limits/messages.h"
+#include "papayastep/limits/tokenbroker.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <chrono>
+
+using namespace papayastep;
+using namespace papayastep::limits;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::WorkspaceId school("school");
+
+config::Workspace terms(double rate, double burst)
+{
+    config::Workspace workspace;
+    workspace.id = school;
+    workspace.rate = rate;
+    workspace.burst = burst;
+    return workspace;
+}
+
+FleetShape fleet(int nodes, int zones)
+{
+    FleetShape shape;
+    shape.nodes = nodes;
+    shape.zones = zones;
+    return shape;
+}
+
+/// One broker by itself, with messages of others made by hand.
+struct LoneBroker
+{
+    base::ManualClock clock;
+    BrokerSelf self{base::VmId("vm-0"), base::ZoneId("zone-0"), 7};
+    TokenBroker broker{self, clock};
+    config::VmList list;
+    std::uint64_t lastRequest = 0;
+
+    LoneBroker()
+    {
+        configure(1, {terms(10, 4)});
+        applyList({"vm-0"});
+    }
+    void configure(base::Revision revision, std::vector<config::Workspace> workspaces, int zones = 1)
+    {
+        config::Configuration::Parts parts;
+        parts.workspaces = std::move(workspaces);
+        for (int zone = 0; zone < zones; ++zone) {
+            config::BackendServer server;
+            server.id = base::BackendServerId("server-" + std::to_string(zone));
+            server.zone = base::ZoneId("zone-" + std::to_string(zone));
+            parts.backendServers.push_back(server);
+        }
+        broker.applyConfiguration(std::make_shared<config::Configuration>(revision, parts));
+    }
+    void applyList(const std::vector<std::string> &vms)
+    {
+        ++list.version;
+        list.vms.clear();
+        for (const std::string &vm : vms) {
+            config::VmEntry entry;
+            entry.id = base::VmId(vm);
+            entry.zone = self.zone;
+            list.vms.push_back(entry);
+        }
+        hearList();
+    }
+    void hearList()
+    {
+        broker.applyVmList(list, clock.now());
+        broker.tick();
+    }
+    void wait(base::Duration time)
+    {
+        for (base::Duration step = 500ms; time > 0ns; time -= step) {
+            clock.advance(std::min(step, time));
+            hearList();
+        }
+    }
+    Admission acquire()
+    {
+        return broker.acquire(school, base::RequestId{1, ++lastRequest}, clock.now() + 10s);
+    }
+    /// Tokens that can be had now without waiting.
+    int takeAll()
+    {
+        int taken = 0;
+        while (std::holds_alternative<Admitted>(acquire())) {
+            ++taken;
+        }
+        return taken;
+    }
+    /// An entry node asks for `wanted` tokens; returns what it was granted.
+    TokenGrant askedFor(Tokens urgent, Tokens wanted, std::uint64_t ask = 1)
+    {
+        const TokenRequest request{{TokenAsk{school, ask, urgent, wanted, false}}, {}};
+        broker.takeMessages();
+        broker.receive(base::VmId("vm-9"), 99, wire::MessageKind::TokenRequest, wire::encode(request));
+        for (const wire::Outgoing &message : broker.takeMessages()) {
+            if (message.kind == wire::MessageKind::TokenGrant) {
+                return wire::decode<TokenGrant>(message.payload);
+            }
+        }
+        return {};
+    }
+    void report(const GrantUse &use)
+    {
+        broker.receive(base::VmId("vm-9"), 99, wire::MessageKind::TokenReturn, wire::encode(TokenReturn{{use}}));
+    }
+};
+
+struct SettledHolder : LoneBroker
+{
+    SettledHolder()
+    {
+        wait(30s);
+    }
+};
+
+/// The broker is an entry; vm-1 holds the share and is played by the test.
+struct LoneEntry : LoneBroker
+{
+    TokenAsk ask;
+
+    LoneEntry()
+    {
+        applyList({"vm-1"});
+        broker.takeMessages();
+    }
+    void startWaiting()
+    {
+        BOOST_REQUIRE(std::holds_alternative<Waiting>(acquire()));
+        for (const wire::Outgoing &message : broker.takeMessages()) {
+            if (message.kind == wire::MessageKind::TokenRequest) {
+                ask = wire::decode<TokenRequest>(message.payload).asks.at(0);
+            }
+        }
+        BOOST_REQUIRE(ask.urgent == oneToken);
+    }
+    void grant(const std::string &from, Tokens amount, base::Incarnation asker = 7)
+    {
+        const GrantAnswer answer{ask.ask, {GrantPart{3, amount, 1'000'000}}, 0, 0, 0, false};
+        broker.receive(base::VmId(from), 55, wire::MessageKind::TokenGrant, wire::encode(TokenGrant{asker, {answer}}));
+    }
+    std::size_t admittedNow()
+    {
+        const auto decisions = broker.takeDecisions();
+        return static_cast<std::size_t>(std::count_if(decisions.begin(), decisions.end(), [](const auto &decision) {
+            return std::holds_alternative<Admitted>(decision.admission);
+        }));
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(holder_settled_admitsItsBurstWithoutMessages, SettledHolder)
+{
+    broker.takeMessages();
+    BOOST_TEST(takeAll() == 4);
+    BOOST_TEST(broker.takeMessages().empty());
+    // A token every 100 ms, and the allowance for a clock that runs fast.
+    wait(101ms);
+    BOOST_TEST(takeAll() == 1);
+    const auto refused = std::get<Refused>(acquire());
+    BOOST_TEST((refused.code == base::ResultCode::RateExceeded));
+    BOOST_TEST(refused.retryAfter.count() > 0);
+}
+
+// A holder restarts within the life of its grants. What its old self granted may be spent yet; tokens granted now would
+// come on top, and the workspace would exceed its burst.
+BOOST_FIXTURE_TEST_CASE(holder_afterRestart_grantsNothingAtFirst, LoneBroker)
+{
+    BOOST_TEST(takeAll() == 0);
+    wait(1s);
+    BOOST_TEST(takeAll() == 0);
+    BOOST_TEST(askedFor(oneToken, oneToken).answers.at(0).parts.empty());
+    wait(10s);
+    BOOST_TEST(takeAll() == 4);
+}
+
+// The platform suspends the VM for ten seconds and its steady clock stands still: tokens in hand look fresh, but
+// another VM may hold the share by now.
+BOOST_AUTO_TEST_CASE(entry_wokenWithAStoppedClock_forgetsItsTokens)
+{
+    FleetBus bus(fleet(4, 1), {terms(40, 40)}, 5);
+    bus.offerStream(0, 30, 8s, 12s, true);
+    bus.schedule(Fault{FaultKind::Suspend, 12s, 10s, 1, 0});
+    bus.run(23s);
+    BOOST_TEST(bus.broker(1).counters().pauses == 1U);
+    BOOST_TEST(bus.broker(1).status(school).entryTokens == 0);
+}
+
+// The VM list no longer names a holder that lives, and the platform can't be read from there, nor can its zone be
+// reached. It must stop by itself before its successor starts, or the share counts twice.
+BOOST_AUTO_TEST_CASE(holder_droppedFromTheListAndCutOff_stopsBeforeItsSuccessorStarts)
+{
+    for (int holder = 0; holder < 3; ++holder) {
+        FleetBus bus(fleet(3, 1), {terms(20, 40)}, 5);
+        bus.schedule(Fault{FaultKind::ListDrop, 12s, 20s, holder, 0});
+        for (int other = 0; other < 3; ++other) {
+            bus.schedule(Fault{FaultKind::OneWayBreak, 12s, 20s, other, holder});
+        }
+        bus.schedule(Fault{FaultKind::PlatformAway, 12s, 20s, 0, 3});
+        for (int node = 0; node < 3; ++node) {
+            for (int step = 0; step < 400; ++step) {
+                bus.offer(10s + step * 50ms, node, 0);
+            }
+        }
+        bus.run(31s);
+        BOOST_TEST(bus.maxExcess(0) <= 0);
+    }
+}
+
+// The platform is away for long and nothing else is wrong. Holders then prove themselves to witnesses, and callers
+// notice nothing.
+BOOST_AUTO_TEST_CASE(fleet_withoutPlatform_admitsTheWholeRate)
+{
+    FleetBus bus(fleet(8, 2), {terms(10, 10)}, 5);
+    bus.schedule(Fault{FaultKind::PlatformAway, 12s, 60s, 0, 8});
+    bus.offerStream(0, 8, 20s, 60s, true);
+    bus.run(61s);
+    BOOST_TEST(bus.admissions(0).size() == bus.requests().size());
+}
+
+// A whole side of the fleet is cut off. Each side goes on with the shares it has, and both together keep the cap.
+BOOST_AUTO_TEST_CASE(fleet_splitInTwo_servesOnBothSidesWithinTheCap)
+{
+    FleetBus bus(fleet(12, 2), {terms(20, 20)}, 5);
+    bus.schedule(Fault{FaultKind::Split, 20s, 20s, 0, 6});
+    bus.offerStream(0, 60, 18s, 42s, false);
+    bus.run(43s);
+    BOOST_TEST(bus.maxExcess(0) <= 0);
+    const auto servedLate = [&bus](bool low) {
+        return std::any_of(bus.requests().begin(), bus.requests().end(), [low](const RequestRecord &request) {
+            return request.admitted && request.decidedAt > 35s && (request.node < 6) == low;
+        });
+    };
+    BOOST_TEST((servedLate(true) || servedLate(false)));
+}
+
+// Requests wait for a holder that went silent. Each must be refused or served within the wait limit, with a time to
+// come back, and never be held until its deadline of ten seconds.
+BOOST_AUTO_TEST_CASE(request_withSilentHolders_isDecidedSoon)
+{
+    FleetBus bus(fleet(6, 2), {terms(20, 20)}, 5);
+    for (int node = 1; node < 6; ++node) {
+        bus.schedule(Fault{FaultKind::Mute, 20s, 5s, node, 0});
+    }
+    bus.offerStream(0, 30, 20s, 25s, false);
+    bus.run(30s);
+    for (const RequestRecord &request : bus.requests()) {
+        BOOST_REQUIRE(request.decided);
+        BOOST_TEST((request.decidedAt - request.offeredAt <= BrokerSettings().waitLimit + 1ms));
+        BOOST_TEST((request.admitted || request.retryAfter > 0ns));
+    }
+}
+
+// A grant comes from a VM that was not asked, for another incarnation, twice, or with more than was wanted. Any of them
+// taken in would be a token that no share has given.
+BOOST_FIXTURE_TEST_CASE(entry_withForgedOrRepeatedGrants_admitsNothing, LoneEntry)
+{
+    startWaiting();
+    grant("stranger", oneToken);
+    grant("vm-1", oneToken, 8);
+    BOOST_TEST(admittedNow() == 0U);
+    grant("vm-1", oneToken);
+    BOOST_TEST(admittedNow() == 1U);
+    grant("vm-1", oneToken);
+    BOOST_TEST(takeAll() == 0);
+    broker.receive(base::VmId("vm-1"), 55, wire::MessageKind::TokenGrant, "no message");
+    BOOST_TEST(broker.counters().messagesIgnored == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(entry_withTooLargeGrant_takesNothing, LoneEntry)
+{
+    startWaiting();
+    grant("vm-1", 5 * oneToken);
+    BOOST_TEST(admittedNow() == 0U);
+}
+
+// The answer of the holder comes after the grant has run out for this node. The holder may have granted anew.
+BOOST_FIXTURE_TEST_CASE(entry_withLateGrant_ignoresIt, LoneEntry)
+{
+    startWaiting();
+    clock.advance(1s);
+    grant("vm-1", oneToken);
+    broker.tick();
+    BOOST_TEST(admittedNow() == 0U);
+    BOOST_TEST(takeAll() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(entry_whoseCallerHasGone_forgetsTheRequest, LoneEntry)
+{
+    startWaiting();
+    broker.cancelWaiting(base::RequestId{1, lastRequest});
+    grant("vm-1", oneToken);
+    BOOST_TEST(broker.takeDecisions().empty());
+    BOOST_TEST(takeAll() == 1);
+}
+
+// A report names a grant of an earlier incarnation, or comes again. Tokens would come back that were never there.
+BOOST_FIXTURE_TEST_CASE(holder_withStrangeReports_makesNoToken, SettledHolder)
+{
+    const TokenGrant grant = askedFor(3 * oneToken, 3 * oneToken);
+    const std::uint64_t id = grant.answers.at(0).parts.at(0).grant;
+    report(GrantUse{school, 6, id, 0, 3 * oneToken});
+    report(GrantUse{school, 7, id + 1, 0, 3 * oneToken});
+    BOOST_TEST(broker.status(school).shares.at(0).level == 1);
+    report(GrantUse{school, 7, id, 0, 3 * oneToken});
+    report(GrantUse{school, 7, id, 0, 3 * oneToken});
+    BOOST_TEST(broker.status(school).shares.at(0).level == 4);
+    BOOST_TEST(takeAll() == 4);
+    BOOST_TEST(askedFor(-5, -1).answers.empty());
+}
+
+// An operator takes a workspace away and puts it back while its tokens are out. A full share would give the burst
+// twice.
+BOOST_FIXTURE_TEST_CASE(workspace_removedAndBack_doesNotBeginFull, SettledHolder)
+{
+    BOOST_TEST(takeAll() == 4);
+    configure(2, {});
+    BOOST_TEST((std::get<Refused>(acquire()).code == base::ResultCode::KeyUnknown));
+    configure(3, {terms(10, 4)});
+    BOOST_TEST(takeAll() == 0);
+    wait(20s);
+    BOOST_TEST(takeAll() == 4);
+}
+
+// A zone is taken out of the configuration. This node's share grows only when the other's holder has surely heard so.
+BOOST_FIXTURE_TEST_CASE(share_thatGrows_waitsForTheOthersToShrink, SettledHolder)
+{
+    configure(2, {terms(10, 4)}, 2);
+    wait(30s);
+    BOOST_TEST(broker.status(school).shares.at(0).burst == 2);
+    BOOST_TEST(takeAll() == 2);
+    configure(3, {terms(10, 4)}, 1);
+    wait(5s);
+    BOOST_TEST(takeAll() == 2);
+    wait(20s);
+    BOOST_TEST(takeAll() == 4);
+}
+
+BOOST_FIXTURE_TEST_CASE(workspace_withOddTerms_getsNoMoreThanTheySay, SettledHolder)
+{
+    configure(2, {terms(0, 0)});
+    BOOST_TEST(takeAll() == 0);
+    configure(3, {terms(-5, -5)});
+    BOOST_TEST(takeAll() == 0);
+    configure(4, {terms(0.25, 1)});
+    wait(8s);
+    BOOST_TEST(takeAll() == 1);
+    configure(5, {terms(1e300, 3)});
+    wait(1s);
+    BOOST_TEST(takeAll() == 3);
+}
+
+// A request is refused as not run: its token must serve the next one, but once only.
+BOOST_FIXTURE_TEST_CASE(token_givenBack_servesAnotherRequest, SettledHolder)
+{
+    const Token token = std::get<Admitted>(acquire()).token;
+    BOOST_TEST(takeAll() == 3);
+    broker.giveBack(token);
+    broker.giveBack(token);
+    BOOST_TEST(takeAll() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(idleWorkspaces_overTime_costNothing)
+{
+    std::vector<config::Workspace> workspaces(1000, terms(5, 5));
+    for (std::size_t index = 0; index < workspaces.size(); ++index) {
+        workspaces[index].id = base::WorkspaceId("workspace-" + std::to_string(index));
+    }
+    FleetBus bus(fleet(6, 2), workspaces, 5);
+    bus.offer(8s, 0, 17);
+    bus.run(20s);
+    const std::uint64_t before = bus.traffic().messages;
+    bus.run(60s);
+    BOOST_TEST(bus.traffic().messages == before);
+    for (int node = 0; node < 6; ++node) {
+        BOOST_TEST(bus.broker(node).activeWorkspaces() == 0U);
+    }
+}
+
+// The small rates of small tenants, cut into shares over 23 nodes: none of their evenly spaced requests may be refused,
+// or a family loses its booking though it asked for nothing beyond its rate.
+BOOST_AUTO_TEST_CASE(workspacesWithinTheirRate_besideAFlood_areAllServed)
+{
+    const double rates[] = {30, 5, 0.5, 0.5};
+    const double bursts[] = {30, 2, 1, 5};
+    std::vector<config::Workspace> workspaces;
+    for (std::size_t index = 0; index < 4; ++index) {
+        workspaces.push_back(terms(rates[index], bursts[index]));
+        workspaces.back().id = base::WorkspaceId("workspace-" + std::to_string(index));
+    }
+    FleetBus bus(teplaNoha(), workspaces, 5);
+    for (std::size_t index = 0; index < workspaces.size(); ++index) {
+        bus.offerStream(index, (index == 0 ? 5 : 0.8) * rates[index], 30s, 70s, true);
+    }
+    bus.run(71s);
+    for (std::size_t index = 1; index < workspaces.size(); ++index) {
+        const auto &requests = bus.requests();
+        const auto offered = std::count_if(requests.begin(), requests.end(), [index](const RequestRecord &request) {
+            return request.workspace == index;
+        });
+        BOOST_TEST(bus.admissions(index).size() == static_cast<std::size_t>(offered));
+        BOOST_TEST(bus.maxExcess(index) <= 0);
+    }
+}
+
+namespace {
+
+rc::Gen<Fault> anyFault(int nodes)
+{
+    const auto milliseconds = [](int from, int to) {
+        return rc::gen::map(rc::gen::inRange(from, to),
+                            [](int value) { return SimTime(std::chrono::milliseconds(value)); });
+    };
+    return rc::gen::build<Fault>(rc::gen::set(&Fault::kind,
+                                              rc::gen::map(rc::gen::inRange(0, faultKinds),
+                                                           [](int kind) { return static_cast<FaultKind>(kind); })),
+                                 rc::gen::set(&Fault::at, milliseconds(5000, 20000)),
+                                 rc::gen::set(&Fault::duration, milliseconds(20, 8000)),
+                                 rc::gen::set(&Fault::node, rc::gen::inRange(0, nodes)),
+                                 rc::gen::set(&Fault::other, rc::gen::inRange(0, nodes)));
+}
+
+double excessUnder(const std::vector<Fault> &faults, int zones, std::uint64_t seed)
+{
+    FleetShape shape = fleet(6, zones);
+    shape.drift = 0.0004;
+    shape.giveBack = 0.1;
+    const std::vector<config::Workspace> workspaces = quickWorkspaces();
+    FleetBus bus(shape, workspaces, seed);
+    for (const Fault &fault : faults) {
+        bus.schedule(fault);
+    }
+    for (std::size_t index = 0; index < workspaces.size(); ++index) {
+        offerWaves(bus, index, workspaces[index], shape.nodes, faults, seed + index, 5s, 25s);
+    }
+    bus.run(30s);
+    double excess = -1;
+    for (std::size_t index = 0; index < workspaces.size(); ++index) {
+        excess = std::max(excess, bus.maxExcess(index));
+    }
+    return excess;
+}
+
+}
+
+// Restarts, pauses, suspends, one-way breaks, splits, a platform out of reach, list drops, lost, repeated and late
+// messages, and changed terms, in any order: a caller of one workspace must never get more than its operator allows.
+RC_BOOST_PROP(fleet_underAnyFaults_keepsEveryWindowWithinRateAndBurst, ())
+{
+    const int zones = *rc::gen::inRange(1, 4);
+    const auto faults = *rc::gen::container<std::vector<Fault>>(8, anyFault(6));
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    RC_ASSERT(excessUnder(faults, zones, seed) <= 1e-6);
+}
