Let a node build configurations apart from its requests

With buildElsewhere the driver takes the build, runs it in another thread and brings back the result; the newest of several waiting ones is built. Also mended: a node that saw an invalid revision first never asked for a smaller valid one that it had missed. Rejected revisions are remembered one by one now.

--- a/src/include/papayastep/membership/configspread.h
+++ b/src/include/papayastep/membership/configspread.h
@@ -52,6 +52,7 @@
         = 128u << 10; ///< Bytes; of a larger change only notices are pushed, and peers pull it once.
     std::size_t largestTransfer = 24u << 20; ///< Bytes of one transfer that a peer can make this node hold.
     std::size_t answersPerSecond = 16; ///< Transfers sent on request; bounds what one peer can cost.
+    bool buildElsewhere = false; ///< Builds are taken by takeBuild() instead of being run at once.
 
     auto operator<=>(const SpreadSettings &) const = default;
 };
@@ -65,6 +66,23 @@
     std::vector<config::FileReference> files;
 };
 
+/// A revision that is whole and newer, on its way to being parsed and checked.
+struct Build
+{
+    config::ConfigStore store;
+    std::string source; ///< "platform", or the VM that it came from.
+    std::optional<base::TimePoint> confirmed; ///< When the platform offered it to this node, if it did.
+};
+
+struct BuildResult
+{
+    config::ConfigurationPtr configuration; ///< Null if it is not valid.
+    std::string error;
+};
+
+/// Parses and checks. Takes a second at the planned size, touches nothing else and may run in any thread.
+BuildResult runBuild(const Build &build);
+
 /// A revision that came into force.
 struct Accepted
 {
@@ -88,8 +106,8 @@
 };
 
 /// The decisions of one node about configuration and VM list. Events in, messages and calls out; no I/O. Not
-/// thread-safe. Parsing a large configuration takes a second and happens inside the call that completes it, so a node
-/// runs this object apart from its request path.
+/// thread-safe. Parsing a large configuration takes a second, in which a node would answer nobody: with
+/// `buildElsewhere` the driver takes each build, runs it in another thread and brings back the result.
 class ConfigSpread
 {
 public:
@@ -127,6 +145,11 @@
     void tick();
     base::TimePoint nextTick() const;
 
+    /// What to run with runBuild(), if anything; only with `buildElsewhere`, and one at a time.
+    std::optional<Build> takeBuild();
+    /// The result of a build. A revision that was overtaken in the meantime is left.
+    void finishBuild(Build build, const BuildResult &result);
+
     // Results.
     std::vector<wire::Outgoing> takeMessages();
     /// The newest accepted revision since the last call.
@@ -148,7 +171,9 @@
         std::vector<std::string> parts;
     };
 
-    bool adopt(config::ConfigStore store, const std::string &source);
+    void adopt(Build build);
+    /// Whether there is no point in asking for `revision`: overtaken, being built, or rejected before.
+    bool isSettled(base::Revision revision) const;
     bool adoptVmList(config::VmList list, bool fromPlatform);
     void spreadConfiguration(const config::ConfigStore &older);
     void spreadVmList(const config::VmList &older);
@@ -185,7 +210,10 @@
     std::optional<Accepted> m_accepted;
     bool m_vmListChanged = false;
     SpreadStatus m_status; ///< The counters; the rest is filled in by status().
-    base::Revision m_highestRejected = 0;
+    std::set<base::Revision> m_rejected; ///< Above the one in force. A smaller one may still be valid.
+    base::Revision m_newestBuild = 0; ///< Waiting or running; 0: none.
+    std::optional<Build> m_pendingBuild; ///< The newest that waits for takeBuild().
+    bool m_isBuilding = false;
 
     PlatformSchedule m_configurationSchedule;
     PlatformSchedule m_vmListSchedule;
--- a/src/membership/configspread.cpp
+++ b/src/membership/configspread.cpp
@@ -16,6 +16,7 @@
 constexpr base::Duration notifyOnceEvery = std::chrono::milliseconds(500);
 constexpr std::uint64_t leavingTrees = 2;
 constexpr std::size_t rememberedLeaving = 4096;
+constexpr std::size_t rememberedRejected = 64;
 
 std::uint64_t milliseconds(base::Duration duration)
 {
@@ -43,7 +44,11 @@
 
 PlatformCall ConfigSpread::configurationCall() const
 {
-    return m_configurationSchedule.call(isReader(), std::max(m_store.revision(), m_highestRejected));
+    base::Revision seen = std::max(m_store.revision(), m_newestBuild);
+    if (!m_rejected.empty()) {
+        seen = std::max(seen, *m_rejected.rbegin());
+    }
+    return m_configurationSchedule.call(isReader(), seen);
 }
 
 PlatformCall ConfigSpread::vmListCall() const
@@ -65,7 +70,7 @@
     if (listing.revision == m_store.revision()) {
         m_confirmed = now;
     }
-    if (listing.revision <= std::max(m_store.revision(), m_highestRejected)) {
+    if (isSettled(listing.revision)) {
         return {};
     }
     if (listing.files.size() > maxFiles) {
@@ -98,13 +103,11 @@
 void ConfigSpread::platformFiles(const config::FileListing &listing,
                                  const std::vector<config::ConfigurationFile> &fetched)
 {
-    if (listing.revision <= m_store.revision()) {
+    if (isSettled(listing.revision)) {
         return;
     }
     try {
-        if (adopt(m_store.assemble(listing, fetched), "platform")) {
-            m_confirmed = m_clock.now();
-        }
+        adopt({m_store.assemble(listing, fetched), "platform", m_clock.now()});
     } catch (const base::Error &error) {
         PAPAYASTEP_LOG(WARNING, logPrefix)
             << "A revision of the platform is not whole." << base::field("revision", listing.revision)
@@ -147,35 +150,79 @@
 
 // Acceptance.
 
-bool ConfigSpread::adopt(config::ConfigStore store, const std::string &source)
+BuildResult runBuild(const Build &build)
 {
-    if (store.revision() <= std::max(m_store.revision(), m_highestRejected)) {
-        return false;
-    }
-    config::ConfigurationPtr configuration;
     try {
-        ++m_status.built;
-        configuration = config::buildConfiguration(store.revision(), store.files());
+        return {config::buildConfiguration(build.store.revision(), build.store.files()), {}};
     } catch (const base::Error &error) {
+        return {nullptr, error.what()};
+    }
+}
+
+bool ConfigSpread::isSettled(base::Revision revision) const
+{
+    return revision <= std::max(m_store.revision(), m_newestBuild) || m_rejected.contains(revision);
+}
+
+void ConfigSpread::adopt(Build build)
+{
+    if (isSettled(build.store.revision())) {
+        return;
+    }
+    m_newestBuild = build.store.revision();
+    m_configurationRepair.noteHave(m_newestBuild);
+    if (m_settings.buildElsewhere) {
+        m_pendingBuild = std::move(build);
+        return;
+    }
+    const BuildResult result = runBuild(build);
+    finishBuild(std::move(build), result);
+}
+
+std::optional<Build> ConfigSpread::takeBuild()
+{
+    if (m_isBuilding || !m_pendingBuild) {
+        return std::nullopt;
+    }
+    m_isBuilding = true;
+    return std::exchange(m_pendingBuild, std::nullopt);
+}
+
+void ConfigSpread::finishBuild(Build build, const BuildResult &result)
+{
+    const base::Revision revision = build.store.revision();
+    m_isBuilding = false;
+    if (m_newestBuild == revision) {
+        m_newestBuild = 0;
+    }
+    ++m_status.built;
+    if (!result.configuration) {
         ++m_status.rejected;
-        m_status.rejection = error.what();
-        m_highestRejected = store.revision();
-        m_configurationRepair.noteHave(m_highestRejected);
-        PAPAYASTEP_LOG(ERROR, logPrefix) << "Rejected a revision." << base::field("revision", store.revision())
-                                         << base::field("source", source) << base::field("error", error.what());
-        return false;
+        m_status.rejection = result.error;
+        m_rejected.insert(revision);
+        if (m_rejected.size() > rememberedRejected) {
+            m_rejected.erase(m_rejected.begin());
+        }
+        PAPAYASTEP_LOG(ERROR, logPrefix) << "Rejected a revision." << base::field("revision", revision)
+                                         << base::field("source", build.source) << base::field("error", result.error);
+        return;
+    }
+    if (revision <= m_store.revision()) {
+        return;
     }
     m_previous = std::move(m_store);
-    m_store = std::move(store);
-    m_accepted = Accepted{std::move(configuration), source};
-    m_configurationRepair.noteHave(m_store.revision());
-    PAPAYASTEP_LOG(INFO, logPrefix) << "Accepted a revision." << base::field("revision", m_store.revision())
-                                    << base::field("source", source);
-    if (isReader() || source == "platform") {
+    m_store = std::move(build.store);
+    m_rejected.erase(m_rejected.begin(), m_rejected.upper_bound(revision));
+    m_accepted = Accepted{result.configuration, build.source};
+    if (build.confirmed) {
+        m_confirmed = build.confirmed;
+    }
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Accepted a revision." << base::field("revision", revision)
+                                    << base::field("source", build.source);
+    if (isReader() || build.confirmed) {
         spreadConfiguration(m_previous);
     }
     sendNoticesToSome(m_settings.noticeFanOut);
-    return true;
 }
 
 bool ConfigSpread::adoptVmList(config::VmList list, bool fromPlatform)
@@ -278,7 +325,7 @@
 
 void ConfigSpread::noteRevision(const base::VmId &from, base::Revision revision)
 {
-    if (revision > std::max(m_store.revision(), m_highestRejected) && m_directory.isListed(from)) {
+    if (!isSettled(revision) && m_directory.isListed(from)) {
         m_configurationRepair.noteAhead(from, revision, m_clock.now());
     } else if (revision < m_store.revision() && mayNotify(from)) {
         sendNotice(from);
@@ -391,7 +438,7 @@
 
 void ConfigSpread::completeConfiguration(const base::VmId &from, const CompletedTransfer &transfer)
 {
-    if (transfer.version <= std::max(m_store.revision(), m_highestRejected)) {
+    if (isSettled(transfer.version)) {
         return;
     }
     const auto patch = wire::decode<config::ConfigurationPatch>(transfer.bytes);
@@ -399,9 +446,9 @@
         throw base::Error(base::ResultCode::MessageMalformed, "a transfer is of another revision than it says");
     }
     if (patch.baseDigest == m_store.listing().digest()) {
-        adopt(m_store.apply(patch), from.value());
+        adopt({m_store.apply(patch), from.value(), std::nullopt});
     } else if (patch.baseDigest == config::FileListing().digest()) {
-        adopt(config::ConfigStore().apply(patch), from.value());
+        adopt({config::ConfigStore().apply(patch), from.value(), std::nullopt});
     } else {
         noteRevision(from, patch.target);
     }
--- a/src/membership/configspread_test.cpp
+++ b/src/membership/configspread_test.cpp
@@ -123,6 +123,53 @@
     BOOST_TEST(fleet.nodesAt(3) == 20);
 }
 
+// Node 6 sleeps while a valid revision passes by, and wakes to an invalid one. If it took the invalid number as the
+// least to ask for, it would keep the old revision, and an old key, while all others have moved on.
+BOOST_FIXTURE_TEST_CASE(node_thatSeesAnInvalidRevisionFirst_stillGetsTheValidOneBefore, SpreadFixture)
+{
+    fleet.paused[6] = true;
+    fleet.publishRate(2);
+    fleet.run(2s);
+    fleet.publish({{"10-a.json", "{"}});
+    fleet.run(2s);
+    fleet.paused[6] = false;
+    const auto files = std::vector<config::ConfigurationFile>{{"10-a.json", "{"}};
+    fleet.spread(6).platformFiles(config::listingOf(3, files), files);
+    BOOST_TEST(fleet.spread(6).status().rejected == 1u);
+    fleet.run(20s);
+    BOOST_TEST(fleet.nodesAt(2) == 20);
+}
+
+// At the planned size a build takes a second. It runs in another thread, and two newer revisions arrive before it ends.
+BOOST_FIXTURE_TEST_CASE(build_elsewhere_isOvertakenByTheNewestRevision, SpreadFixture)
+{
+    VmDirectory directory(fleet.clock);
+    directory.accept(fleet.directory(0).list());
+    SpreadSettings settings;
+    settings.buildElsewhere = true;
+    ConfigSpread slow({TestFleet::vm(0), base::ZoneId("a"), 77}, directory, fleet.clock, 5, settings);
+    const auto offer = [&slow](base::Revision revision) {
+        const auto files = TestFleet::filesWithRate(static_cast<int>(revision));
+        slow.platformFiles(config::listingOf(revision, files), files);
+    };
+    offer(1);
+    auto first = slow.takeBuild();
+    BOOST_REQUIRE(first);
+    offer(2);
+    offer(3);
+    offer(2);
+    BOOST_TEST(!slow.takeBuild().has_value());
+    slow.finishBuild(*first, runBuild(*first));
+    BOOST_TEST(slow.revision() == 1u);
+    auto second = slow.takeBuild();
+    BOOST_REQUIRE(second);
+    slow.finishBuild(*second, runBuild(*second));
+    BOOST_TEST(slow.revision() == 3u);
+    BOOST_TEST(slow.takeAccepted()->configuration->revision() == 3u);
+    BOOST_TEST(!slow.takeBuild().has_value());
+    BOOST_TEST(slow.status().built == 2u);
+}
+
 BOOST_FIXTURE_TEST_CASE(platform_ofAQuietFleet_seesFewReads, SpreadFixture)
 {
     const auto before = fleet.platformReads;
