--- a/src/health/assessment.cpp
+++ b/src/health/assessment.cpp
@@ -255,6 +255,7 @@
             return;
         }
         view.weight = std::min(view.weight, seen->weight());
+        view.availability = view.usable() ? Availability::Trial : Availability::Ejected;
         view.reason = "This entry saw it fail, whatever is told of it.";
     }
 
--- a/src/health/detection_test.cpp
+++ b/src/health/detection_test.cpp
@@ -272,7 +272,7 @@
 // nothing; refusing everything while all siblings accept is death.
 BOOST_FIXTURE_TEST_CASE(server_refusingAllConnections_isEjected, FleetUnderFault)
 {
-    expectFound(Fault::Refusing, 4s);
+    expectFound(Fault::Refusing, 3s);
 }
 
 // A quarter of an hour without any fault, with stalls and errors as they happen every day.
--- a/src/health/measure.cpp
+++ b/src/health/measure.cpp
@@ -1,11 +1,15 @@
 #include "baselines.h"
+#include "latencyshape.h"
+#include "sequentialtest.h"
 
 #include <boost/program_options.hpp>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <iostream>
+#include <random>
 
 /// Measures detection on the manual clock: the decision code between latency draws. Prints one JSON line a figure.
 /// Medians and worst cases are over all seeds of a run; `seed` is then the first of them.
@@ -124,7 +128,7 @@
         for (int server = 0; server < m_shape.servers; server += named.wholeZone ? m_shape.zones : m_shape.servers) {
             sick.push_back(server);
         }
-        const base::Duration end = faultBegin + (named.fault == Fault::Paused ? pauseLength : faultLimit);
+        const base::Duration end = faultBegin + (named.fault == Fault::Paused ? pauseLength : 2 * faultLimit);
         const auto isSick = [&](int server) { return std::find(sick.begin(), sick.end(), server) != sick.end(); };
         Fleet fleet = makeFleet(seed);
         fleet.addFault(FaultPlan{named.fault, sick, faultBegin, end});
@@ -177,6 +181,47 @@
     std::string m_variant;
 };
 
+/// The formula of ejectionThreshold() promises at most one false alarm in exp(threshold) observations. Draws healthy
+/// latencies and counts the alarms, at thresholds low enough to see some.
+void checkThreshold(const Options &options)
+{
+    constexpr int learning = 20'000;
+    constexpr int observations = 5'000'000;
+    constexpr double sigma = 0.6;
+    std::mt19937_64 random(options.seed);
+    std::lognormal_distribution<double> ratio(0, sigma);
+    ShapeCounter counter;
+    for (int index = 0; index < learning; ++index) {
+        counter.add(ratio(random));
+    }
+    const LatencyModel model(counter.shape());
+    for (const LatencyModel::Way way : {LatencyModel::Slower, LatencyModel::MuchSlower}) {
+        for (const double threshold : {4.0, 6.0, 8.0, 10.0}) {
+            Cusum test;
+            int alarms = 0;
+            for (int index = 0; index < observations; ++index) {
+                test.add(model.answered(way, ratio(random)), 0, threshold);
+                if (test.score() >= threshold) {
+                    ++alarms;
+                    test.reset();
+                }
+            }
+            nlohmann::ordered_json line;
+            line["case"] = "threshold";
+            line["variant"] = "papayastep";
+            line["fault"] = "none";
+            line["test"] = way == LatencyModel::Slower ? "slower" : "much-slower";
+            line["threshold"] = threshold;
+            line["metric"] = "false_alarms_per_million";
+            line["value"] = alarms * 1e6 / observations;
+            line["bound"] = 1e6 * std::exp(-threshold);
+            line["unit"] = "alarms";
+            line["seed"] = options.seed;
+            std::cout << line.dump() << std::endl;
+        }
+    }
+}
+
 void runCase(const Options &options)
 {
     for (const ServiceShape &shape : fleetServices(options.fleet)) {
@@ -210,7 +255,7 @@
     std::string name;
     po::options_description description("health_measure: detection of gray failures on the manual clock");
     description.add_options()("help", "show this text")(
-        "case", po::value(&name)->default_value("detection-manual"), "detection-manual")(
+        "case", po::value(&name)->default_value("detection-manual"), "detection-manual or threshold")(
         "fleet", po::value(&options.fleet)->default_value(options.fleet), "caribrite or tepla-noha")(
         "seeds", po::value(&options.seeds)->default_value(options.seeds), "how many seeds")(
         "seed", po::value(&options.seed)->default_value(options.seed), "the first seed")(
@@ -223,7 +268,7 @@
         po::variables_map values;
         po::store(po::parse_command_line(argc, argv, description), values);
         po::notify(values);
-        if (values.count("help") > 0 || name != "detection-manual") {
+        if (values.count("help") > 0 || (name != "detection-manual" && name != "threshold")) {
             std::cout << description << '\n';
             return values.count("help") > 0 ? 0 : 2;
         }
@@ -231,7 +276,11 @@
         google::InitGoogleLogging(argv[0]);
         FLAGS_logtostderr = true;
         FLAGS_minloglevel = values["log"].as<bool>() ? google::GLOG_INFO : google::GLOG_ERROR;
-        runCase(options);
+        if (name == "threshold") {
+            checkThreshold(options);
+        } else {
+            runCase(options);
+        }
     } catch (const std::exception &error) {
         std::cerr << error.what() << '\n';
         return 2;
--- a/src/health/serverevidence.cpp
+++ b/src/health/serverevidence.cpp
@@ -70,7 +70,7 @@
         return;
     }
     m_lastFinished = now;
-    noteAcceptance(outcome, now);
+    noteAcceptance(attempt, outcome, now);
     if (isRefusal(outcome)) {
         m_trialRefusals += attempt.inTrial ? 1 : 0;
         return;
@@ -90,12 +90,16 @@
     }
 }
 
-void ServerEvidence::noteAcceptance(AttemptOutcome outcome, base::TimePoint now)
+void ServerEvidence::noteAcceptance(const InFlight &attempt, AttemptOutcome outcome, base::TimePoint now)
 {
     if (outcome == AttemptOutcome::CancelledByUs) {
         return;
     }
     if (!isRefusal(outcome)) {
+        // The late end of an attempt from before the refusals does not show that the server takes work now.
+        if (m_refusingSince && attempt.since < *m_refusingSince) {
+            return;
+        }
         m_refusingSince.reset();
         m_refusals = 0;
         return;
--- a/src/health/serverevidence.h
+++ b/src/health/serverevidence.h
@@ -91,7 +91,7 @@
     Scores scores(base::TimePoint now, const ServiceReference &usual) const;
     void addWaiting(Scores &scores, bool trialOnly, base::TimePoint now, const ServiceReference &usual) const;
     void addEvidence(std::size_t test, double evidence, bool inTrial);
-    void noteAcceptance(AttemptOutcome outcome, base::TimePoint now);
+    void noteAcceptance(const InFlight &attempt, AttemptOutcome outcome, base::TimePoint now);
     void learn(double ratio);
     void noteSuccess(const InFlight &attempt, base::Duration latency, const ServiceReference &usual);
     void noteTimeout(const InFlight &attempt, base::Duration latency, const ServiceReference &usual);
--- a/src/health/siblings_test.cpp
+++ b/src/health/siblings_test.cpp
@@ -187,6 +187,7 @@
         wait(50ms);
     }
     BOOST_TEST(!monitor.view(serverId(10)).usable());
+    BOOST_TEST((availability(10) == Availability::Ejected));
     BOOST_TEST(monitor.view(serverId(11)).usable());
     BOOST_TEST(monitor.counters().entryEjections == 1U);
 }
--- a/src/include/papayastep/health/healthsettings.h
+++ b/src/include/papayastep/health/healthsettings.h
@@ -30,7 +30,7 @@
     base::Duration warmTime = std::chrono::seconds(10); ///< Slow start of a cold server.
     double warmWeight = 0.1; ///< Share of work at the start of warming.
     double heldWeight = 0.3; ///< Share of work of a sick server that the floor keeps in use.
-    base::Duration refusalLimit = std::chrono::seconds(2); ///< Only refused connections for so long: a dead process.
+    base::Duration refusalLimit = std::chrono::seconds(1); ///< Only refused connections for so long: a dead process.
     base::Duration shedLimit = std::chrono::seconds(10); ///< Only shed requests for so long: stuck.
 
     // Paths.
