Apply a large configuration without holding up requests

Cause: with each configuration the ledger worked out the VMs of every service twice, and the route table made two copies of a host in each comparison of its sort. Both run where requests wait.

Durations in records of other nodes are bounded now: an absurd one would overflow and end a record at once.

--- a/src/routing/idempotencyledger.cpp
+++ b/src/routing/idempotencyledger.cpp
@@ -1,7 +1,6 @@
 #include "papayastep/routing/idempotencyledger.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace papayastep::routing {
 
@@ -17,6 +16,14 @@
     return duration.count();
 }
 
+/// A duration from a message. Without a bound a faulty node could make the sum with the present time overflow, and a
+/// record would seem to be over at once.
+base::Duration bounded(std::int64_t nanoseconds)
+{
+    constexpr base::Duration longest = std::chrono::hours(24 * 366);
+    return std::clamp(base::Duration(nanoseconds), -longest, longest);
+}
+
 /// How much a record tells about whether its key has run.
 int rankOf(RecordState state)
 {
@@ -180,8 +187,8 @@
     record.request = from.request;
     record.digest = from.digest;
     record.state = checkedState(from.state);
-    record.until = m_clock.now() + base::Duration(from.left);
-    record.retention = base::Duration(from.retention);
+    record.until = m_clock.now() + bounded(from.left);
+    record.retention = bounded(from.retention);
     record.workspace = &*use;
     record.service = &*m_services.insert(from.service).first;
     const std::size_t bytes = bytesOf(record);
--- a/src/routing/ledgermove.cpp
+++ b/src/routing/ledgermove.cpp
@@ -18,6 +18,17 @@
     return std::find(vms.begin(), vms.end(), vm) != vms.end();
 }
 
+/// Whether `service` has the same servers on the same VMs. Nearly every service has after a change, and this takes no
+/// copy of their names: with 1,200 services the copies would hold up requests for many milliseconds.
+bool isUnchanged(const config::Configuration &before, const config::Configuration &now, const base::ServiceId &service)
+{
+    const auto &old = before.serversOf(service);
+    const auto &current = now.serversOf(service);
+    return std::equal(old.begin(), old.end(), current.begin(), current.end(), [](const auto *a, const auto *b) {
+        return a->vm == b->vm;
+    });
+}
+
 }
 
 void LedgerHome::applyConfiguration(config::ConfigurationPtr configuration)
@@ -30,17 +41,20 @@
         applyToService(service.id, before);
     }
     applyToRoutes(before);
-    std::erase_if(m_services, [](const auto &entry) { return !entry.second.vms; });
 }
 
 void LedgerHome::applyToService(const base::ServiceId &service, const config::ConfigurationPtr &before)
 {
+    const bool isKnown = m_services.contains(service);
+    if (!isKnown && before && isUnchanged(*before, *m_configuration, service)) {
+        return;
+    }
     const auto old
         = std::make_shared<const std::vector<base::VmId>>(before ? before->vmsOf(service) : std::vector<base::VmId>());
     const auto now = std::make_shared<const std::vector<base::VmId>>(m_configuration->vmsOf(service));
     const bool isOurs = holds(*now, m_self);
     const bool hasChanged = before && *old != *now;
-    if (!isOurs && !hasChanged && !m_services.contains(service)) {
+    if (!isOurs && !hasChanged && !isKnown) {
         return;
     }
     ServiceState &state = m_services[service];
@@ -91,11 +105,15 @@
 void LedgerHome::applyToRoutes(const config::ConfigurationPtr &before)
 {
     for (const auto &route : m_configuration->routes()) {
-        auto &state = m_services[route.service];
+        const auto found = m_services.find(route.service);
+        if (found == m_services.end()) {
+            continue;
+        }
+        ServiceState &state = found->second;
         state.retention = std::max(state.retention, route.retention);
         const auto *old = before ? before->route(route.id) : nullptr;
         const bool hasMoved = old != nullptr && old->service != route.service;
-        if (!hasMoved || !state.vms || !holds(*state.vms, m_self)) {
+        if (!hasMoved || !holds(*state.vms, m_self)) {
             continue;
         }
         Predecessor like;
--- a/src/routing/routetable.cpp
+++ b/src/routing/routetable.cpp
@@ -151,6 +151,33 @@
     return hash;
 }
 
+/// Brings routes of the same host and prefix together, in the order in which they are tried.
+struct SortKey
+{
+    std::string host;
+    std::string_view prefix;
+    bool anyMethod = false;
+    std::string_view id;
+
+    auto operator<=>(const SortKey &) const = default;
+
+    bool isSamePlace(const SortKey &other) const
+    {
+        return host == other.host && prefix == other.prefix;
+    }
+};
+
+std::vector<SortKey> sortKeys(const std::vector<config::Route> &routes)
+{
+    std::vector<SortKey> keys;
+    keys.reserve(routes.size());
+    for (const auto &route : routes) {
+        const auto prefix = withoutTrailingSlash(route.pathPrefix);
+        keys.push_back(SortKey{lowered(route.host), prefix, route.methods.empty(), route.id.value()});
+    }
+    return keys;
+}
+
 bool allows(const config::Route &route, std::string_view method)
 {
     return route.methods.empty()
@@ -171,29 +198,20 @@
     : m_configuration(std::move(configuration))
 {
     const auto &routes = m_configuration->routes();
+    const std::vector<SortKey> keys = sortKeys(routes);
     m_order.resize(routes.size());
     std::iota(m_order.begin(), m_order.end(), 0u);
-
-    const auto keyOf = [&](std::uint32_t index) {
-        const auto &route = routes[index];
-        return std::make_tuple(lowered(route.host),
-                               withoutTrailingSlash(route.pathPrefix),
-                               route.methods.empty(),
-                               std::string_view(route.id.value()));
-    };
-    std::sort(m_order.begin(), m_order.end(), [&](std::uint32_t a, std::uint32_t b) { return keyOf(a) < keyOf(b); });
+    std::sort(m_order.begin(), m_order.end(), [&](std::uint32_t a, std::uint32_t b) { return keys[a] < keys[b]; });
 
     for (std::uint32_t i = 0; i < m_order.size(); ++i) {
-        const auto &route = routes[m_order[i]];
-        const auto prefix = withoutTrailingSlash(route.pathPrefix);
-        const bool sameAsBefore = i > 0 && lowered(routes[m_order[i - 1]].host) == lowered(route.host)
-            && withoutTrailingSlash(routes[m_order[i - 1]].pathPrefix) == prefix;
+        const SortKey &key = keys[m_order[i]];
+        const bool sameAsBefore = i > 0 && key.isSamePlace(keys[m_order[i - 1]]);
         if (!sameAsBefore) {
             m_groups.push_back(i);
         }
-        const auto segments = static_cast<std::size_t>(std::count(prefix.begin(), prefix.end(), '/'));
+        const auto segments = static_cast<std::size_t>(std::count(key.prefix.begin(), key.prefix.end(), '/'));
         m_longestPrefix = std::max(m_longestPrefix, segments);
-        m_hasAnyHost = m_hasAnyHost || route.host.empty();
+        m_hasAnyHost = m_hasAnyHost || key.host.empty();
     }
 
     std::size_t slots = 2;
--- a/src/routing/routing_measure.cpp
+++ b/src/routing/routing_measure.cpp
@@ -1,5 +1,5 @@
 // Measures the cost of routing decisions. Not shipped. Prints one JSON line for each figure.
-#include "papayastep/routing/idempotencyledger.h"
+#include "papayastep/routing/ledgerhome.h"
 #include "papayastep/routing/placement.h"
 #include "papayastep/routing/routetable.h"
 
@@ -85,7 +85,9 @@
         }
         const auto configuration = std::make_shared<const config::Configuration>(1, std::move(parts));
         const std::size_t before = heapBytes();
+        const auto begin = std::chrono::steady_clock::now();
         const RouteTable table(configuration);
+        const std::chrono::duration<double, std::milli> building = std::chrono::steady_clock::now() - begin;
         const std::size_t after = heapBytes();
         std::vector<std::size_t> order(paths.size());
         std::iota(order.begin(), order.end(), std::size_t{0});
@@ -99,6 +101,7 @@
             throw std::runtime_error("a route was not found");
         }
         print({"route-match", "papayastep", "ns_per_match", each, "ns", count, seed});
+        print({"route-match", "papayastep", "ms_per_build", building.count(), "ms", count, seed});
         print({"route-match", "papayastep", "heap_bytes", static_cast<double>(after - before), "bytes", count, seed});
     }
 }
@@ -202,8 +205,50 @@
     }
 }
 
+config::ConfigurationPtr largeConfiguration(base::Revision revision, int services)
+{
+    constexpr int serversOfService = 17;
+    const int vms = services * 2;
+    config::Configuration::Parts parts;
+    for (int i = 0; i < services; ++i) {
+        config::Service service;
+        service.id = base::ServiceId("service" + std::to_string(i));
+        config::Route route;
+        route.id = base::RouteId("route" + std::to_string(i));
+        route.service = service.id;
+        parts.routes.push_back(route);
+        for (int each = 0; each < serversOfService; ++each) {
+            config::BackendServer server;
+            server.id = base::BackendServerId("server" + std::to_string(i) + "-" + std::to_string(each));
+            server.service = service.id;
+            // One VM of the first service is replaced with each revision.
+            const int shift = i == 0 && each == 0 ? static_cast<int>(revision) : 0;
+            server.vm = base::VmId("vm" + std::to_string((i * 7 + each * 131 + shift) % vms));
+            parts.backendServers.push_back(std::move(server));
+        }
+        parts.services.push_back(std::move(service));
+    }
+    return std::make_shared<const config::Configuration>(revision, std::move(parts));
+}
+
+/// What a change of the configuration costs a node's ledger.
+void measureMove(std::uint64_t seed)
+{
+    for (const int services : {100, 400, 1200}) {
+        base::ManualClock clock;
+        LedgerHome home(clock, base::VmId("vm131"), 1);
+        home.applyConfiguration(largeConfiguration(1, services));
+        const auto next = largeConfiguration(2, services);
+        const auto begin = std::chrono::steady_clock::now();
+        home.applyConfiguration(next);
+        const std::chrono::duration<double, std::milli> taken = std::chrono::steady_clock::now() - begin;
+        print({"ledger-cost", "papayastep", "ms_per_configuration", taken.count(), "ms", services, seed});
+    }
+}
+
 void measureLedger(std::uint64_t seed)
 {
+    measureMove(seed);
     for (const int count : {1000, 10'000, 40'000}) {
         base::ManualClock clock;
         LedgerSettings settings;
