Take detection from the nodes' decisions, and name refusals by code

Whether a server still gets work says little about detection: a hang or a broken link keeps work away by itself, and a server of the examples gets 14 requests a second. Detection now counts from the fault to the first log line that ejects the server or the path; capacity left in use and false ejections come from the same lines.

--- a/scripts/lab/cases/cost.py
+++ b/scripts/lab/cases/cost.py
@@ -6,22 +6,23 @@
 from ..report import slope
 
 SIZES = (10, 50, 150)
+UNITS = {"cpu_percent_of_core": "%", "resident_mb": "MB", "sent_bytes_per_second": "B/s"}
 SERVICE_SIZE = 17  # Servers of a service at the size of letter 1.
 
 
 def control_cost(options, report):
     """Processor time, resident memory and bytes a second of an idle node at 10, 50 and 150 nodes, with slopes."""
     seconds = options.seconds or 8
-    points = {"cpu_percent_of_core": [], "resident_mb": [], "sent_bytes_per_second": []}
+    points = {metric: [] for metric in UNITS}
     for size in SIZES:
         found = _idle_fleet(size, seconds, options.seed)
         for metric, value in found.items():
             points[metric].append((size, value))
-            report(metric, value, metric.rsplit("_", 1)[-1], nodes=size)
+            report(metric, value, UNITS[metric], nodes=size)
     for metric, values in points.items():
         rise, base = slope(values)
-        report(f"{metric}_per_node", rise, "per node")
-        report(f"{metric}_at_no_nodes", base, metric)
+        report(f"{metric}_per_node", rise, f"{UNITS[metric]}/node")
+        report(f"{metric}_at_no_nodes", base, UNITS[metric])
 
 
 def _idle_fleet(size, seconds, seed):
--- a/scripts/lab/cases/gray.py
+++ b/scripts/lab/cases/gray.py
@@ -9,8 +9,9 @@
 LOAD_SHARE = 0.5  # Of the workspaces' rates.
 WINDOW = 2.5  # Seconds that a fault lasts.
 REST = 2.0  # Seconds for the fleet to take the server back before the next fault.
-GONE_SHARE = 0.25  # A server counts as avoided once it gets less than this share of its usual work.
-STEP = 0.05
+# What a node logs when it first holds a server, or the path to its VM, for sick.
+NOTICED = {"ejected", "entry-ejected", "path-ejected", "sibling-unreachable"}
+BACK = {"returned", "readmitted"}
 
 
 def detection(options, report):
@@ -42,9 +43,14 @@
             spans.append((name, index, begin, time.time()))
             time.sleep(REST)
         attempts = load.wait()
-        for name, index, begin, end in spans:
-            _report_fault(fleet, report, attempts, (name, index, begin, end),
-                          {"variant": variant, "seed": seed, "fault": name, "fleet": fleet_name})
+        events = fleet.health_events()
+        for span in spans:
+            _report_fault(fleet, report, attempts, events, span,
+                          {"variant": variant, "seed": seed, "fault": span[0], "fleet": fleet_name})
+        labels = {"variant": variant, "seed": seed, "fleet": fleet_name}
+        report("false_ejections", false_ejections(fleet.configuration, events, spans), "count", **labels)
+        report("healthy_capacity_min", least_capacity(fleet.configuration, events), "ratio", **labels,
+               floor=fleet.configuration.services[0]["floor"])
 
 
 def _lookups(fleet):
@@ -53,26 +59,43 @@
             for workspace in fleet.configuration.workspaces]
 
 
-def _report_fault(fleet, report, attempts, span, labels):
-    name, index, begin, end = span
+def _report_fault(fleet, report, attempts, events, span, labels):
+    _, index, begin, end = span
     during = [attempt for attempt in attempts if begin <= attempt["sent"] < end]
     failed = [attempt for attempt in during if attempt["status"] != 200]
-    server = fleet.configuration.servers[index]["id"]
-    arrivals = [when for when, _ in fleet.server_arrivals(server)]
-    seen = seconds_until_avoided(arrivals, begin, end)
-    report("detection_seconds", round(end - begin, 3) if seen is None else seen, "s", detected=seen is not None, **labels)
+    server = fleet.configuration.servers[index]
+    noticed = [event.time - begin for event in events if begin <= event.time < end and event.event in NOTICED
+               and (event.server == server["id"] or (not event.server and event.vm == server["vm"]))]
+    report("detection_seconds", min(noticed, default=end - begin), "s", detected=bool(noticed), **labels)
     report("caller_error_ratio", len(failed) / max(len(during), 1), "ratio", **labels)
     report("slow_call_ratio", sum(attempt["latency_ms"] > 1000 for attempt in during) / max(len(during), 1), "ratio",
            **labels)
 
 
-def seconds_until_avoided(arrivals, begin, end):
-    """When a server's work fell below GONE_SHARE of what it got before `begin`, and stayed there. None: never."""
-    usual = sum(begin - 2 <= when < begin for when in arrivals) / 2
-    moment = begin
-    while moment < end - 0.25:
-        rate = sum(moment <= when < end for when in arrivals) / (end - moment)
-        if rate <= GONE_SHARE * usual:
-            return moment - begin
-        moment += STEP
-    return None
+def false_ejections(configuration, events, spans):
+    """Ejections of servers that had no fault then or just before."""
+    zones = {server["id"]: server["zone"] for server in configuration.servers}
+    sick = [(configuration.servers[index], name, begin, end + REST) for name, index, begin, end in spans]
+    seen = set()
+    for event in events:
+        if event.event == "ejected" and not any(
+                begin <= event.time < end and (event.server == server["id"] or
+                                               (name == "zone-slow" and zones[event.server] == server["zone"]))
+                for server, name, begin, end in sick):
+            seen.add((event.server, round(event.time)))
+    return len(seen)
+
+
+def least_capacity(configuration, events):
+    """The smallest share of the first service's slots that ejection left in use, at any moment."""
+    slots = {server["id"]: server["slots"] for server in configuration.servers
+             if server["service"] == configuration.services[0]["id"]}
+    ejected = set()
+    least = 1.0
+    for event in events:
+        if event.event == "ejected" and event.server in slots:
+            ejected.add(event.server)
+        elif event.event in BACK:
+            ejected.discard(event.server)
+        least = min(least, 1 - sum(slots[server] for server in ejected) / sum(slots.values()))
+    return least
--- a/scripts/lab/cases/limits.py
+++ b/scripts/lab/cases/limits.py
@@ -1,6 +1,7 @@
 """A workspace's rate and burst over all VMs, and that nobody is crowded out."""
 import random
 import time
+from collections import Counter
 
 from .. import ports
 from ..configuration import example, generated
@@ -82,7 +83,9 @@
             ratios[workspace] = sum(own) / len(own)
         refused = sum(attempt["outcome"] == "not-run" for attempt in inside)
         worst = min(ratios, key=ratios.get)
-        report.note(f"{name}, {fault}: worst is {worst}; {len(inside)} calls inside the rates, {refused} refused")
+        codes = Counter(attempt["code"] for attempt in inside if attempt["outcome"])
+        report.note(f"{name}, {fault}: worst is {worst}; {len(inside)} calls inside the rates, {refused} refused, "
+                    f"by code {dict(codes)}")
         report("worst_served_ratio", ratios[worst], "ratio", fault=fault, fleet=name)
         report("wrongful_refusal_ratio", refused / len(inside), "ratio", fault=fault, fleet=name)
 
--- a/scripts/lab/cases/restarts.py
+++ b/scripts/lab/cases/restarts.py
@@ -1,5 +1,6 @@
 """Planned stops under load."""
 import time
+from collections import Counter
 
 from ..configuration import generated
 from ..fleet import Fleet
@@ -32,7 +33,8 @@
             fleet.restart(name)
             done += 1
         attempts = load.stop()
-        report.note(f"{done} restarts, {hard} had to be killed, {len(attempts)} calls")
+        codes = Counter(attempt["code"] for attempt in attempts if attempt["outcome"])
+        report.note(f"{done} restarts, {hard} had to be killed, {len(attempts)} calls, refusals by code {dict(codes)}")
         report("restarts", done, "count")
         report("cut_requests", sum(map(is_cut, attempts)), "count")
         report("not_run_requests", sum(attempt["outcome"] == "not-run" for attempt in attempts), "count")
--- a/scripts/lab/fleet.py
+++ b/scripts/lab/fleet.py
@@ -1,15 +1,20 @@
 """A fleet of real nodes among stand-ins, in a temporary folder, ended as a whole."""
 import json
 import os
+import re
 import secrets
 import shutil
 import sys
 import tempfile
+import time
+from typing import NamedTuple
 
 from . import configuration, http, ports
 from .processes import Process, wait_until
 
 BUILD = os.environ.get("PAPAYASTEP_BUILD", os.path.join(configuration.ROOT, "build"))
+_HEALTH_LINE = re.compile(r"^[IW](\d{8} \d\d:\d\d:\d\d)(\.\d+) .* health: .* event=(\S+) vm=(\S*) server=(\S*)$",
+                          re.MULTILINE)
 STARTED = 20  # Seconds within which a process must listen.
 
 
@@ -22,6 +27,15 @@
     return path
 
 
+class HealthEvent(NamedTuple):
+    """One decision on a server, or on the path to a VM (then `server` may be empty), as `node` logged it."""
+    time: float
+    node: str
+    event: str
+    vm: str
+    server: str
+
+
 class Fleet:
     """Platform, backend servers, nodes, and, if `proxied`, a fault proxy before every hop, peer and server port.
 
@@ -115,6 +129,15 @@
         if wait:
             self.wait_ready(name)
 
+    def health_events(self):
+        """What the nodes logged of servers and paths: HealthEvent, in the order of time."""
+        found = []
+        for name, node in self.nodes.items():
+            for match in _HEALTH_LINE.finditer(node.log()):
+                when = time.mktime(time.strptime(match[1], "%Y%m%d %H:%M:%S")) + float(match[2])
+                found.append(HealthEvent(when, name, match[3], match[4], match[5]))
+        return sorted(found)
+
     # Platform
 
     @property
