Let only the process that has a whole hand-over act for a stopped home

Cause: a node stops as planned and hands its records to the next home, which acts for it and lets a key run. The next home crashes. Parts that the stopping node resends, since an acknowledgement was lost, give the new process a hand-over that looks whole, and it lets the same key run again.

Change: the last part is sent once all others are acknowledged, and names the process (incarnation) that did so. Only that one acts or vouches. If two processes acknowledged, no last part is sent. Late parts of an earlier hand-over of the same VM count no more.

Before: a test for it runs the key twice on.

--- a/src/include/papayastep/routing/ledgerhome.h
+++ b/src/include/papayastep/routing/ledgerhome.h
@@ -95,13 +95,21 @@
     struct IncomingHandOver
     {
         base::Incarnation incarnation = 0;
-        std::set<std::uint32_t> parts;
-        std::optional<std::uint32_t> last;
+        std::set<base::Incarnation> past; ///< Hand-overs before this one, whose late parts count no more.
+        bool isWhole = false; ///< The last part came, and names this process.
         std::vector<base::VmId> vms; ///< By which the stopped home chose its next homes.
         std::optional<base::TimePoint> lost; ///< The stopped home's own gap.
         std::optional<base::Incarnation> takenBack; ///< By the same VM after its restart.
-
-        bool isWhole() const;
+    };
+    /// What this node gives to one next home of a service as it stops.
+    struct OutgoingHandOver
+    {
+        std::uint32_t nextPart = 0;
+        bool mayEnd = false; ///< Nothing is missing, so the next home may act once it has all.
+        bool hasEnded = false; ///< The last part was sent.
+        std::optional<base::Incarnation> receiver; ///< The process that acknowledged so far.
+        std::vector<base::VmId> vms;
+        std::optional<base::TimePoint> lost;
     };
     struct OutgoingPart
     {
@@ -158,6 +166,7 @@
 
     void handOverService(const base::ServiceId &service, const ServiceState &state);
     void queuePart(const base::VmId &to, LedgerHandOver part);
+    void endHandOver(const base::ServiceId &service, const base::VmId &to);
     bool isGone(const Predecessor &predecessor) const;
     bool neverWas(const Predecessor &predecessor) const;
     void tickService(const base::ServiceId &service, ServiceState &state);
@@ -181,7 +190,7 @@
     std::unordered_map<base::ServiceId, ServiceState> m_services;
     std::map<ServiceVm, IncomingHandOver> m_handedToUs;
     std::vector<OutgoingPart> m_parts; ///< Not acknowledged yet.
-    std::map<ServiceVm, std::uint32_t> m_nextPart;
+    std::map<ServiceVm, OutgoingHandOver> m_given;
     std::vector<wire::Outgoing> m_messages;
     base::TimePoint m_lastTick;
 };
--- a/src/include/papayastep/routing/ledgermessages.h
+++ b/src/include/papayastep/routing/ledgermessages.h
@@ -155,8 +155,9 @@
                    others)
 };
 
-/// A stopping home to the next one: numbered parts, each acknowledged. The whole hand-over is there when all parts up
-/// to the last have come.
+/// A stopping home to the next one: numbered parts, each acknowledged, and then a last one. It names the process that
+/// acknowledged all: should that one restart, its new process holds parts that were resent, but not what the old one
+/// granted since, and must not act for the stopped home.
 struct LedgerHandOver
 {
     base::ServiceId service;
@@ -165,10 +166,11 @@
     bool last = false;
     std::vector<LedgerRecord> records;
     std::int64_t lostAgo = -1; ///< As in LedgerFetchResult.
-    std::vector<base::VmId> vms; ///< Of the service, by which the next homes were chosen.
+    std::vector<base::VmId> vms; ///< With `last`: of the service, by which the next homes were chosen.
+    base::Incarnation receiver = 0; ///< With `last`: who acknowledged every part.
 
     auto operator<=>(const LedgerHandOver &) const = default;
-    MSGPACK_DEFINE(service, incarnation, part, last, records, lostAgo, vms)
+    MSGPACK_DEFINE(service, incarnation, part, last, records, lostAgo, vms, receiver)
 };
 
 struct LedgerHandOverResult
@@ -176,9 +178,10 @@
     base::ServiceId service;
     base::Incarnation incarnation = 0;
     std::uint32_t part = 0;
+    base::Incarnation receiver = 0; ///< The process that has it.
 
     auto operator<=>(const LedgerHandOverResult &) const = default;
-    MSGPACK_DEFINE(service, incarnation, part)
+    MSGPACK_DEFINE(service, incarnation, part, receiver)
 };
 
 }
--- a/src/routing/ledger_test.cpp
+++ b/src/routing/ledger_test.cpp
@@ -380,6 +380,35 @@
     BOOST_TEST(ask(2, keyAt(1, 2)) == "not-run IdempotencyHomeFresh");
 }
 
+// A node stops as planned, its next home acts for it, and crashes. Parts of the hand-over that are resent then reach
+// the new process, which must not act as if it knew what its earlier one let run.
+BOOST_FIXTURE_TEST_CASE(ledger_withNextHomeRestarted_doesNotActAgain, Fleet)
+{
+    const auto key = keyAt(1);
+    const auto next = nextHomeOf(keyHash(workspace, key), latest->vmsOf(service));
+    const int nextIndex = next.value().back() - '0';
+    const int entry = nextIndex == 0 ? 2 : 0;
+    node(1).home->beginHandOver();
+    collect();
+    std::vector<Message> parts;
+    while (!messages.empty()) {
+        const Message message = messages.front();
+        messages.erase(messages.begin());
+        deliver(message);
+        if (message.outgoing.kind == wire::MessageKind::LedgerHandOver) {
+            parts.push_back(message);
+        }
+    }
+    BOOST_TEST(ask(entry, key, "refund 7", {1}) == "run");
+    start(nextIndex);
+    settle();
+    for (const Message &part : parts) {
+        deliver(part);
+    }
+    settle();
+    BOOST_TEST(ask(entry, key, "refund 7", {1}) == "not-run IdempotencyHomeUnreachable");
+}
+
 // A new VM takes a key over from another by a change of the configuration, while an entry still holds the old one.
 // Both would let the refund run if the old home did not hear of the change first.
 BOOST_FIXTURE_TEST_CASE(ledger_withHomeMovedByConfiguration_asksTheOldOne, Fleet)
--- a/src/routing/ledgerhome.cpp
+++ b/src/routing/ledgerhome.cpp
@@ -64,11 +64,6 @@
 
 }
 
-bool LedgerHome::IncomingHandOver::isWhole() const
-{
-    return last && std::distance(parts.begin(), parts.upper_bound(*last)) == static_cast<std::ptrdiff_t>(*last) + 1;
-}
-
 LedgerHome::LedgerHome(const base::Clock &clock,
                        base::VmId self,
                        base::Incarnation incarnation,
@@ -117,7 +112,7 @@
         return nullptr;
     }
     const auto found = m_handedToUs.find({service, homeOf(key, *state.vms)});
-    const bool isWhole = found != m_handedToUs.end() && found->second.isWhole() && found->second.vms == *state.vms;
+    const bool isWhole = found != m_handedToUs.end() && found->second.isWhole && found->second.vms == *state.vms;
     if (!isWhole || found->second.takenBack) {
         return nullptr;
     }
@@ -178,7 +173,7 @@
         return nullptr;
     }
     const auto found = m_handedToUs.find({predecessor.heldAs, homeOf(key, *predecessor.before)});
-    const bool isOurs = found != m_handedToUs.end() && found->second.isWhole() && !found->second.takenBack
+    const bool isOurs = found != m_handedToUs.end() && found->second.isWhole && !found->second.takenBack
         && found->second.vms == *predecessor.before && nextHomeOf(key, *predecessor.before) == m_self;
     return isOurs ? &found->second : nullptr;
 }
@@ -352,8 +347,12 @@
         if (vm == m_self) {
             continue;
         }
+        OutgoingHandOver &given = m_given[{service, vm}];
+        given.mayEnd = isWhole;
+        given.vms = *state.vms;
+        given.lost = lostAt(service, state);
         KeyHash after;
-        for (bool last = false; !last;) {
+        for (bool isLast = false; !isLast;) {
             LedgerHandOver part;
             part.service = service;
             part.records = m_ledger.page(
@@ -361,15 +360,10 @@
                 [&](const KeyHash &key, const base::ServiceId &ofRecord) {
                     return ofRecord == service && isHome(state, key) && nextHomeOf(key, *state.vms) == vm;
                 },
-                last);
+                isLast);
             if (!part.records.empty()) {
                 after = part.records.back().key;
             }
-            part.last = last && isWhole;
-            if (part.last) {
-                part.vms = *state.vms;
-            }
-            part.lostAgo = agoOf(lostAt(service, state));
             queuePart(vm, std::move(part));
         }
     }
@@ -381,11 +375,28 @@
         return;
     }
     part.incarnation = m_incarnation;
-    part.part = m_nextPart[{part.service, to}]++;
+    part.part = m_given[{part.service, to}].nextPart++;
     send(to, wire::MessageKind::LedgerHandOver, part);
     m_parts.push_back(OutgoingPart{to, std::move(part), m_clock.now()});
 }
 
+/// All parts so far were acknowledged: sends the last one, which lets the next home act.
+void LedgerHome::endHandOver(const base::ServiceId &service, const base::VmId &to)
+{
+    OutgoingHandOver &given = m_given[{service, to}];
+    if (!given.mayEnd || given.hasEnded || !given.receiver) {
+        return;
+    }
+    given.hasEnded = true;
+    LedgerHandOver part;
+    part.service = service;
+    part.last = true;
+    part.lostAgo = agoOf(given.lost);
+    part.vms = given.vms;
+    part.receiver = *given.receiver;
+    queuePart(to, std::move(part));
+}
+
 bool LedgerHome::handOverDone() const
 {
     return m_stopping && m_parts.empty();
@@ -394,27 +405,30 @@
 void LedgerHome::receiveHandOver(const base::VmId &from, const LedgerHandOver &part)
 {
     IncomingHandOver &handOver = m_handedToUs[{part.service, from}];
+    if (handOver.past.contains(part.incarnation)) {
+        return;
+    }
     if (handOver.incarnation != part.incarnation) {
+        auto past = std::move(handOver.past);
+        past.insert(handOver.incarnation);
         handOver = IncomingHandOver();
         handOver.incarnation = part.incarnation;
+        handOver.past = std::move(past);
     }
     for (const LedgerRecord &record : part.records) {
         if (!m_ledger.merge(record)) {
             return; // No room: no acknowledgement, so the other side doesn't think that we have it.
         }
     }
-    handOver.parts.insert(part.part);
-    handOver.lost = later(handOver.lost, timeOf(part.lostAgo));
-    if (part.last) {
-        handOver.last = part.part;
+    if (part.last && part.receiver == m_incarnation) {
+        handOver.isWhole = true;
         handOver.vms = part.vms;
-    }
-    send(
-        from, wire::MessageKind::LedgerHandOverResult, LedgerHandOverResult{part.service, part.incarnation, part.part});
-    if (part.last) {
+        handOver.lost = timeOf(part.lostAgo);
         PAPAYASTEP_LOG(INFO, logPrefix) << "An idempotency home handed its records over."
                                         << base::field("service", part.service) << base::field("from", from);
     }
+    const LedgerHandOverResult result{part.service, part.incarnation, part.part, m_incarnation};
+    send(from, wire::MessageKind::LedgerHandOverResult, result);
 }
 
 void LedgerHome::receiveHandOverResult(const base::VmId &from, const LedgerHandOverResult &result)
@@ -422,9 +436,21 @@
     if (result.incarnation != m_incarnation) {
         return;
     }
-    std::erase_if(m_parts, [&](const OutgoingPart &sent) {
-        return sent.to == from && sent.part.service == result.service && sent.part.part == result.part;
-    });
+    const auto isOpen
+        = [&](const OutgoingPart &sent) { return sent.to == from && sent.part.service == result.service; };
+    const auto erased = std::erase_if(
+        m_parts, [&](const OutgoingPart &sent) { return isOpen(sent) && sent.part.part == result.part; });
+    if (erased == 0) {
+        return;
+    }
+    OutgoingHandOver &given = m_given[{result.service, from}];
+    if (given.receiver.value_or(result.receiver) != result.receiver) {
+        given.mayEnd = false; // The next home restarted in between: neither of its processes has everything.
+    }
+    given.receiver = result.receiver;
+    if (std::none_of(m_parts.begin(), m_parts.end(), isOpen)) {
+        endHandOver(result.service, from);
+    }
 }
 
 // Time
--- a/src/routing/ledgermove.cpp
+++ b/src/routing/ledgermove.cpp
@@ -264,7 +264,7 @@
     }
     IncomingHandOver &handOver = handed->second;
     handOver.takenBack = handOver.takenBack.value_or(fetch.incarnation);
-    return handOver.isWhole() && handOver.takenBack == fetch.incarnation && handOver.vms == fetch.vms && !handOver.lost;
+    return handOver.isWhole && handOver.takenBack == fetch.incarnation && handOver.vms == fetch.vms && !handOver.lost;
 }
 
 void LedgerHome::noteFetcher(const base::VmId &from, const LedgerFetch &fetch, ServiceState &state)
