--- a/src/include/papayastep/membership/configspread.h
+++ b/src/include/papayastep/membership/configspread.h
@@ -41,8 +41,8 @@
     double fetchesPerSecond = 500; ///< Of files, when many nodes start at once.
     base::Duration shortestBackoff = std::chrono::milliseconds(500); ///< After a failed call of the platform.
     base::Duration longestBackoff = std::chrono::seconds(30);
-    base::Duration noticeInterval = std::chrono::seconds(5); ///< Between notices to a random peer.
-    int noticeFanOut = 2; ///< Random peers told at once of something new.
+    base::Duration noticeInterval = std::chrono::seconds(2); ///< Between notices to a random peer.
+    int noticeFanOut = 3; ///< Random peers told at once of something new.
     int startPeers = 3; ///< Peers that a starting node asks.
     base::Duration pullDelay = std::chrono::milliseconds(40); ///< For a push that may be on its way already.
     base::Duration pullTimeout = std::chrono::seconds(1);
