--- a/src/health/detection_test.cpp
+++ b/src/health/detection_test.cpp
@@ -275,6 +275,21 @@
     expectFound(Fault::Refusing, 3s);
 }
 
+// A VM is replaced and its backend server comes up cold. Given its full share at once it would answer the first
+// requests slowly, just when many wait for it.
+BOOST_FIXTURE_TEST_CASE(server_ofRestartedNode_getsItsShareStepByStep, FleetUnderFault)
+{
+    begin();
+    run(settled);
+    BOOST_TEST(detector().weight(1, 0) == 1);
+    detector().restart(0);
+    run(2s);
+    BOOST_TEST(detector().weight(1, 0) < 0.5);
+    run(10s);
+    BOOST_TEST(detector().weight(1, 0) == 1);
+    BOOST_TEST(ejectionsOfOthers({}) == 0);
+}
+
 // A quarter of an hour without any fault, with stalls and errors as they happen every day.
 BOOST_FIXTURE_TEST_CASE(fleet_withoutFault_ejectsNobody, FleetUnderFault)
 {
