--- a/src/include/papayastep/limits/tokenbroker.h
+++ b/src/include/papayastep/limits/tokenbroker.h
@@ -145,7 +145,8 @@
     /// When tick() is next needed; nothing while the node has nothing to wait for.
     std::optional<base::TimePoint> nextTick() const;
 
-    /// This node is about to stop: hands its shares to their next holders and grants nothing from now on.
+    /// This node is about to stop: refuses who waits, and grants nothing from now on. Its shares are not handed over;
+    /// the next holders start empty.
     void drain();
 
     std::vector<wire::Outgoing> takeMessages();
