Stop acting for a stopped home once another may have granted

Cause: a next home that acts for a stopped node did not look at revisions that it skipped. Two changes moved a key to a third VM and back; the third let it run, and the acting home let it run again.

Change: a hand-over no longer lets this node act or vouch once the VMs of the service change, or somebody fetched by a revision that it skipped. A test for it passes, as do all others.

--- a/src/include/papayastep/routing/ledgerhome.h
+++ b/src/include/papayastep/routing/ledgerhome.h
@@ -97,6 +97,7 @@
         base::Incarnation incarnation = 0;
         std::set<base::Incarnation> past; ///< Hand-overs before this one, whose late parts count no more.
         bool isWhole = false; ///< The last part came, and names this process.
+        bool isCurrent = true; ///< No other home can have granted runs since.
         std::vector<base::VmId> vms; ///< By which the stopped home chose its next homes.
         std::optional<base::TimePoint> lost; ///< The stopped home's own gap.
         std::optional<base::Incarnation> takenBack; ///< By the same VM after its restart.
--- a/src/routing/ledger_test.cpp
+++ b/src/routing/ledger_test.cpp
@@ -409,6 +409,30 @@
     BOOST_TEST(ask(entry, key, "refund 7", {1}) == "not-run IdempotencyHomeUnreachable");
 }
 
+// While a next home acts for a stopped node, two changes move the key to a third VM and back. The next home skips the
+// first, and would let a refund run that the third VM has let run.
+BOOST_FIXTURE_TEST_CASE(ledger_withActingHomeThatSkippedARevision_stopsActing, Fleet)
+{
+    const auto key = keyAt(1);
+    const int next = nextHomeOf(keyHash(workspace, key), latest->vmsOf(service)).value().back() - '0';
+    std::vector<int> others;
+    for (const int index : {0, 2, 3}) {
+        if (index != next) {
+            others.push_back(index);
+        }
+    }
+    node(1).home->beginHandOver();
+    collect();
+    settle();
+    for (const int index : others) {
+        apply(index, configuration(2, others));
+    }
+    settle();
+    BOOST_TEST(ask(others[0], key) == "run");
+    apply(next, configuration(3, {0, 1, 2, 3}));
+    BOOST_TEST(ask(next, key) != "run");
+}
+
 // A new VM takes a key over from another by a change of the configuration, while an entry still holds the old one.
 // Both would let the refund run if the old home did not hear of the change first.
 BOOST_FIXTURE_TEST_CASE(ledger_withHomeMovedByConfiguration_asksTheOldOne, Fleet)
--- a/src/routing/ledgerhome.cpp
+++ b/src/routing/ledgerhome.cpp
@@ -112,7 +112,8 @@
         return nullptr;
     }
     const auto found = m_handedToUs.find({service, homeOf(key, *state.vms)});
-    const bool isWhole = found != m_handedToUs.end() && found->second.isWhole && found->second.vms == *state.vms;
+    const bool isWhole = found != m_handedToUs.end() && found->second.isWhole && found->second.isCurrent
+        && found->second.vms == *state.vms;
     if (!isWhole || found->second.takenBack) {
         return nullptr;
     }
--- a/src/routing/ledgermove.cpp
+++ b/src/routing/ledgermove.cpp
@@ -99,6 +99,10 @@
     }
     like.before = nullptr;
     askAll(service, state, like, skipped);
+    for (auto &[from, handOver] : m_handedToUs) {
+        const bool isStale = from.first == service && (hasChanged || !skipped.empty());
+        handOver.isCurrent = handOver.isCurrent && !isStale;
+    }
 }
 
 /// A route that now leads to another service takes its keys with it.
@@ -264,7 +268,8 @@
     }
     IncomingHandOver &handOver = handed->second;
     handOver.takenBack = handOver.takenBack.value_or(fetch.incarnation);
-    return handOver.isWhole && handOver.takenBack == fetch.incarnation && handOver.vms == fetch.vms && !handOver.lost;
+    return handOver.isWhole && handOver.isCurrent && handOver.takenBack == fetch.incarnation
+        && handOver.vms == fetch.vms && !handOver.lost;
 }
 
 void LedgerHome::noteFetcher(const base::VmId &from, const LedgerFetch &fetch, ServiceState &state)
