Be ready only with the shares in hand, ask health endpoints, forget old farewells

Change: /readyz waits until the VM holds its shares, 12 s at most, so whoever restarts by readiness keeps the others' shares at work. Also: health endpoints are asked where no traffic tells; 503 and 429 at the entry count as load and not as sickness; the retry policy counts an attempt before it gives its timeouts; an announced leaving ends after a minute. Ruled out: shorter proofs of tenure, since they cost a node's control budget. Conclusion: a hand-over of shares on a planned stop would mend the rapid case too; it is not built.

--- a/scripts/lab/cases/restarts.py
+++ b/scripts/lab/cases/restarts.py
@@ -6,6 +6,7 @@
 from ..fleet import Fleet
 
 RESTARTS = 20
+PACED_RESTARTS = 5
 NODES = 5
 
 
@@ -17,26 +18,34 @@
 
 
 def drain(options, report):
-    """Requests cut by 20 rolling restarts (SIGTERM, start, ready) of 5 nodes under load."""
-    bound = options.seconds or 45
+    """Requests cut by rolling restarts (SIGTERM, start) of 5 nodes under load: 20 in quick succession, then paced by /readyz."""
+    _restarts(options, report, "rapid", RESTARTS, lambda fleet, name: None)
+    _restarts(options, report, "paced", PACED_RESTARTS, lambda fleet, name: fleet.wait_ready(name))
+
+
+def _restarts(options, report, pace, count, wait):
+    bound = (options.seconds or 60) / 2
     with Fleet(lambda block: generated(block, vms=NODES), backends=["--service-time-ms", 20],
                seed=options.seed) as fleet:
-        load = fleet.load([fleet.stream("shops", 150), fleet.stream("vans", 50, "POST", "/refunds")], bound)
+        load = fleet.load([fleet.stream("shops", 150), fleet.stream("vans", 50, "POST", "/refunds")], bound + 15)
         time.sleep(1)
-        end = time.monotonic() + bound - 2
+        end = time.monotonic() + bound
         done = 0
         hard = 0
         names = list(fleet.nodes)
-        while done < RESTARTS and time.monotonic() < end:
+        while done < count and time.monotonic() < end:
             name = names[done % NODES]
             hard += not fleet.nodes[name].stop(10)
             fleet.restart(name)
+            wait(fleet, name)
             done += 1
         attempts = load.stop()
-        codes = Counter(attempt["code"] for attempt in attempts if attempt["outcome"])
-        report.note(f"{done} restarts, {hard} had to be killed, {len(attempts)} calls, refusals by code {dict(codes)}")
-        report("restarts", done, "count")
-        report("cut_requests", sum(map(is_cut, attempts)), "count")
-        report("not_run_requests", sum(attempt["outcome"] == "not-run" for attempt in attempts), "count")
-        report("refused_connections", sum(attempt["error"] == "Connection refused" for attempt in attempts), "count")
-        report("killed_nodes", hard, "count")
+        refused = sum(attempt["outcome"] == "not-run" for attempt in attempts)
+        report.note(f"{pace}: {done} restarts, {hard} had to be killed, {len(attempts)} calls")
+        report("restarts", done, "count", fault=pace)
+        report("cut_requests", sum(map(is_cut, attempts)), "count", fault=pace)
+        report("not_run_requests", refused, "count", fault=pace)
+        report("not_run_ratio", refused / max(1, len(attempts)), "ratio", fault=pace)
+        report("refused_connections", sum(attempt["error"] == "Connection refused" for attempt in attempts), "count",
+               fault=pace)
+        report("killed_nodes", hard, "count", fault=pace)
--- a/scripts/lab/fleet.py
+++ b/scripts/lab/fleet.py
@@ -122,12 +122,21 @@
             return self.is_ready(name)
         wait_until(ready_or_gone, seconds, f"{name} to be ready")
 
+    def wait_serving(self, name, seconds=STARTED):
+        """Until the node has a configuration; it is ready only some seconds later, when it holds its shares."""
+        def serving():
+            try:
+                return self.status(name, timeout=1)["state"] == "serving"
+            except (OSError, http.http.client.HTTPException):
+                return False
+        wait_until(serving, seconds, f"{name} to serve")
+
     def restart(self, name, wait=True):
-        """Starts a node again that has ended."""
+        """Starts a node again that has ended. Waits until it serves, not until it holds its shares."""
         self._write_settings(self.vm(name), first_start=False)
         self.nodes[name].start()
         if wait:
-            self.wait_ready(name)
+            self.wait_serving(name)
 
     def health_events(self):
         """What the nodes logged of servers and paths: HealthEvent, in the order of time."""
--- a/src/include/papayastep/membership/vmdirectory.h
+++ b/src/include/papayastep/membership/vmdirectory.h
@@ -34,7 +34,8 @@
     const config::VmEntry *find(const base::VmId &vm) const;
     bool isListed(const base::VmId &vm) const;
 
-    /// Whether the list or the VM itself says that it is about to stop.
+    /// Whether the list or the VM itself says that it is about to stop. A VM's own word counts for a minute: by then it
+    /// has stopped, and one that is still listed has come back under the same name.
     bool isLeaving(const base::VmId &vm) const;
 
     /// Listed VMs that are not leaving, sorted.
@@ -57,9 +58,11 @@
         base::Incarnation replaced = 0; ///< The one before; its late messages prove nothing.
         std::optional<base::TimePoint> lastHeard;
         std::optional<base::Incarnation> leaving;
+        base::TimePoint leavingSince{};
     };
 
     void forgetUnlisted();
+    bool hasAnnouncedLeaving(const base::VmId &vm) const;
 
     const base::Clock &m_clock;
     config::VmList m_list;
--- a/src/include/papayastep/node/node.h
+++ b/src/include/papayastep/node/node.h
@@ -6,6 +6,7 @@
 #include "papayastep/node/entryhandler.h"
 #include "papayastep/node/hophandler.h"
 #include "papayastep/node/peerlink.h"
+#include "papayastep/node/prober.h"
 #include "papayastep/node/servingnode.h"
 
 #include <boost/asio/thread_pool.hpp>
@@ -59,6 +60,7 @@
     net::HttpPlatformClient m_platform;
     ConfigurationKeeper m_keeper;
     ServingNode m_serving;
+    Prober m_prober;
     EntryHandler m_entry;
     HopHandler m_hop;
     AdminHandler m_admin;
@@ -69,6 +71,7 @@
     net::Signal m_tickSignal;
     base::TimePoint m_armedTick;
     base::TimePoint m_nextSweep;
+    base::TimePoint m_readyAtLatest; ///< Even without its shares: a dead VM that is still listed can keep them from it.
     base::StateMachine<NodeState, NodeEvent> m_life;
     /// Parses and checks new revisions: at the planned size that takes more than a second, in which the node's own
     /// thread would answer nobody.
--- a/src/include/papayastep/node/nodecontext.h
+++ b/src/include/papayastep/node/nodecontext.h
@@ -57,6 +57,8 @@
 
     /// Called after anything that may have left decisions or messages in the parts above.
     std::function<void()> schedulePump;
+    /// Whether a VM is about to stop, by the list or its own word.
+    std::function<bool(const base::VmId &)> isLeaving;
     /// Sends one message to a VM at once.
     std::function<void(wire::Outgoing)> send;
 
--- a/src/limits/tokenbroker.cpp
+++ b/src/limits/tokenbroker.cpp
@@ -37,6 +37,10 @@
     WorkspaceStatus status(const base::WorkspaceId &workspace);
     const BrokerCounters &counters();
     std::size_t activeWorkspaces() const;
+    bool isSettled() const
+    {
+        return m_context.tenure.isSettled();
+    }
 
 private:
     struct Entry
@@ -418,6 +422,11 @@
     return m_impl->takeDecisions();
 }
 
+bool TokenBroker::isSettled() const
+{
+    return m_impl->isSettled();
+}
+
 WorkspaceStatus TokenBroker::status(const base::WorkspaceId &workspace) const
 {
     return m_impl->status(workspace);
--- a/src/limits/zonetenure.cpp
+++ b/src/limits/zonetenure.cpp
@@ -115,6 +115,11 @@
     return since;
 }
 
+bool ZoneTenure::isSettled() const
+{
+    return m_base && m_clock.now() >= *m_base;
+}
+
 std::uint64_t ZoneTenure::term() const
 {
     return m_term;
--- a/src/limits/zonetenure.h
+++ b/src/limits/zonetenure.h
@@ -39,6 +39,9 @@
     /// of the zone holds it, or if that is not settled yet.
     std::optional<base::TimePoint> heldSince(const base::WorkspaceId &workspace) const;
 
+    /// Whether the wait after a start or a lapse is over, so that this VM holds what the list gives it.
+    bool isSettled() const;
+
     /// Rises when all that was held before must be forgotten.
     std::uint64_t term() const;
 
--- a/src/membership/vmdirectory.cpp
+++ b/src/membership/vmdirectory.cpp
@@ -5,6 +5,12 @@
 
 namespace papayastep::membership {
 
+namespace {
+
+constexpr base::Duration announcementLifetime = std::chrono::seconds(60); ///< Longer than a drain takes.
+
+}
+
 VmDirectory::VmDirectory(const base::Clock &clock)
     : m_clock(clock)
 {
@@ -54,6 +60,7 @@
     }
     evidence.incarnation = incarnation;
     evidence.leaving = incarnation;
+    evidence.leavingSince = m_clock.now();
     return true;
 }
 
@@ -78,8 +85,18 @@
     if (entry && entry->leaving) {
         return true;
     }
+    return hasAnnouncedLeaving(vm);
+}
+
+// A node that rarely speaks with `vm` may never hear its next incarnation. Without an end to the announcement it would
+// leave a VM that was restarted in place without work for good.
+bool VmDirectory::hasAnnouncedLeaving(const base::VmId &vm) const
+{
     const auto found = m_evidence.find(vm);
-    return found != m_evidence.end() && found->second.leaving == found->second.incarnation;
+    if (found == m_evidence.end() || found->second.leaving != found->second.incarnation) {
+        return false;
+    }
+    return m_clock.now() - found->second.leavingSince < announcementLifetime;
 }
 
 std::vector<base::VmId> VmDirectory::present() const
--- a/src/membership/vmdirectory_test.cpp
+++ b/src/membership/vmdirectory_test.cpp
@@ -53,6 +53,18 @@
     BOOST_TEST((directory.present() == std::vector{second}));
 }
 
+// A VM restarts in place, and this node has nothing to say to it, so its new incarnation is never heard. Without an end
+// to the announcement it would get no work from here for good.
+BOOST_FIXTURE_TEST_CASE(leaving_announcedLongAgo_isOver, DirectoryFixture)
+{
+    directory.noteHeard(first, 11);
+    directory.noteLeaving(first, 11);
+    clock.advance(59s);
+    BOOST_TEST(directory.isLeaving(first));
+    clock.advance(2s);
+    BOOST_TEST(!directory.isLeaving(first));
+}
+
 // A VM restarts under its old name, and the farewell of its old self comes late. Taken for the new one's, the VM would
 // stand idle until the platform's next list.
 BOOST_FIXTURE_TEST_CASE(leaving_ofAReplacedIncarnation_isDropped, DirectoryFixture)
--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -27,6 +27,17 @@
     return cancel;
 }
 
+/// A server that sheds load is busy, not sick: counted as a failure, it would be ejected just when all are needed.
+health::HopOutcome hopOutcomeOfStatus(unsigned status)
+{
+    constexpr unsigned tooManyRequests = 429;
+    constexpr unsigned serviceUnavailable = 503;
+    if (status == tooManyRequests || status == serviceUnavailable) {
+        return health::HopOutcome::Refused;
+    }
+    return status >= 500 ? health::HopOutcome::ServerFailed : health::HopOutcome::Answered;
+}
+
 /// The rest of an answer that is still on its way over the hop.
 class HopBody final : public AnswerBody
 {
@@ -254,7 +265,7 @@
     }
     switch (m_answer.outcome()) {
     case wire::HopOutcome::Answered:
-        endHop(m_answer.head.result_int() >= 500 ? health::HopOutcome::ServerFailed : health::HopOutcome::Answered);
+        endHop(hopOutcomeOfStatus(m_answer.head.result_int()));
         break;
     case wire::HopOutcome::NotRun:
         endHop(health::HopOutcome::Refused);
--- a/src/node/candidates.cpp
+++ b/src/node/candidates.cpp
@@ -18,8 +18,8 @@
     candidate.queueLength = view.queueLength;
     candidate.latency = view.latency;
     candidate.freshness = view.age.value_or(base::Duration::zero());
-    candidate.drained = server.drain || view.availability == health::Availability::Draining
-        || view.availability == health::Availability::Gone;
+    candidate.drained = server.drain || context.isLeaving(server.vm)
+        || view.availability == health::Availability::Draining || view.availability == health::Availability::Gone;
     const bool reachable = server.vm == context.settings.vm || context.vms.find(server.vm) != nullptr;
     candidate.pathUsable = reachable;
     if (!context.settings.ejection) {
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -40,6 +40,19 @@
     return view(head["X-Api-Key"]);
 }
 
+std::string_view verdictName(routing::ClaimVerdict verdict)
+{
+    switch (verdict) {
+    case routing::ClaimVerdict::Run:
+        return "run";
+    case routing::ClaimVerdict::Answer:
+        return "answer";
+    case routing::ClaimVerdict::Refuse:
+        return "refuse";
+    }
+    return "unknown";
+}
+
 bool hasReservedHeader(const net::RequestHead &head)
 {
     return std::any_of(
@@ -233,10 +246,11 @@
             co_return notRun(ResultCode::IdempotencyHomeUnreachable);
         }
     }
+    const bool claimRefused = m_claim->verdict == routing::ClaimVerdict::Refuse;
     PAPAYASTEP_LOG(INFO, "ledger") << "Decided on an idempotency key." << base::field("request", m_id)
                                    << base::field("workspace", m_workspace)
-                                   << base::field("verdict", static_cast<int>(m_claim->verdict))
-                                   << base::field("code", number(m_claim->refusal.code));
+                                   << base::field("verdict", verdictName(m_claim->verdict))
+                                   << base::field("code", claimRefused ? number(m_claim->refusal.code) : 0);
     if (m_claim->verdict == routing::ClaimVerdict::Refuse) {
         co_return m_claim->refusal;
     }
@@ -289,8 +303,8 @@
         return m_context.retryPolicy.refuseInstead(m_progress, ResultCode::NoBackendServer, {});
     }
     const routing::Candidate &chosen = candidates[*placement.candidate];
-    m_timeouts = m_context.retryPolicy.timeouts(m_progress, typicalLatency(candidates));
     m_context.retryPolicy.beginAttempt(m_progress);
+    m_timeouts = m_context.retryPolicy.timeouts(m_progress, typicalLatency(candidates));
     m_tried.push_back(chosen.server);
     m_reported.clear();
     m_resultTaken = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,8 +14,9 @@
 namespace {
 
 constexpr std::string_view logPrefix = "node";
-constexpr base::Duration longestTick = std::chrono::seconds(1);
+constexpr base::Duration longestTick = std::chrono::milliseconds(500);
 constexpr base::Duration shortestTick = std::chrono::milliseconds(1);
+constexpr base::Duration longestSettling = std::chrono::seconds(12);
 constexpr base::Duration sweepEvery = std::chrono::seconds(5);
 constexpr base::Duration drainPoll = std::chrono::milliseconds(20);
 
@@ -56,6 +57,7 @@
     , m_platform(io, clock, m_context.settings.platform)
     , m_keeper(m_context, m_spread, m_platform)
     , m_serving(m_context)
+    , m_prober(m_context)
     , m_entry(m_context, m_serving)
     , m_hop(m_context, m_serving)
     , m_peers(m_context, [this](const wire::Envelope &envelope) { dispatch(envelope); })
@@ -63,12 +65,15 @@
     , m_hopServer(io, m_context.settings.hop, m_context.settings.limits, m_hop)
     , m_adminServer(io, m_context.settings.admin, {}, m_admin)
     , m_tickSignal(io)
+    , m_readyAtLatest(clock.now() + longestSettling)
     , m_life(nodeChart())
 {
     m_context.schedulePump = [this] { schedulePump(); };
+    m_context.isLeaving = [this](const base::VmId &vm) { return m_directory.isLeaving(vm); };
     m_context.send = [this](const wire::Outgoing &message) { m_peers.send(message); };
     addAdminPages();
     m_keeper.start();
+    m_prober.start();
     net::asio::co_spawn(io, tickLoop(), net::asio::detached);
     PAPAYASTEP_LOG(INFO, logPrefix) << "Started." << base::field("vm", m_context.settings.vm)
                                     << base::field("zone", m_context.settings.zone)
--- /dev/null
+++ b/src/node/prober.cpp
@@ -0,0 +1,74 @@
+#include "papayastep/node/prober.h"
+
+#include "papayastep/base/log.h"
+
+namespace papayastep::node {
+
+namespace {
+
+constexpr base::Duration interval = std::chrono::seconds(1);
+constexpr base::Duration timeout = std::chrono::milliseconds(800); ///< Ends before the next round begins.
+constexpr std::size_t answerBytes = 4096;
+
+}
+
+Prober::Prober(NodeContext &context)
+    : m_context(context)
+{
+}
+
+void Prober::start()
+{
+    net::asio::co_spawn(m_context.io, loop(), net::asio::detached);
+}
+
+net::Awaitable<void> Prober::loop()
+{
+    net::asio::steady_timer timer(m_context.io);
+    net::beast::error_code error;
+    while (!error) {
+        timer.expires_after(interval);
+        co_await timer.async_wait(net::into(error));
+        if (m_context.inForce.configuration && !m_context.draining) {
+            probeWanted();
+        }
+    }
+}
+
+void Prober::probeWanted()
+{
+    const auto &configuration = *m_context.inForce.configuration;
+    for (const base::BackendServerId &id : m_context.health.probesWanted()) {
+        const config::BackendServer *server = configuration.backendServer(id);
+        const config::Service *service = server != nullptr ? configuration.service(server->service) : nullptr;
+        if (service != nullptr && !service->healthPath.empty()) {
+            net::asio::co_spawn(m_context.io, probe(*server, service->healthPath), net::asio::detached);
+        }
+    }
+}
+
+net::Awaitable<void> Prober::probe(config::BackendServer server, std::string path)
+{
+    const net::Endpoint endpoint{server.address, server.port};
+    auto exchange = std::make_shared<net::HttpExchange>(m_context.io, m_context.backendPool, endpoint);
+    net::asio::steady_timer deadline(m_context.io);
+    deadline.expires_after(timeout);
+    deadline.async_wait([weak = std::weak_ptr<net::HttpExchange>(exchange)](const net::beast::error_code &error) {
+        const auto late = weak.lock();
+        if (!error && late) {
+            late->cancel();
+        }
+    });
+    net::ClientRequest request;
+    request.head.method(net::http::verb::get);
+    request.head.target(path);
+    request.head.set(net::http::field::host, net::toString(endpoint));
+    co_await exchange->run(std::move(request), answerBytes);
+    const bool whole = exchange->progress() == net::ExchangeProgress::Complete;
+    const bool good = whole && exchange->head().result_int() < 400;
+    m_context.health.healthHint(server.id, good);
+    m_context.schedulePump();
+    VLOG(1) << "health: Probed a backend server." << base::field("server", server.id) << base::field("good", good);
+}
+
+}
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -67,9 +67,12 @@
     }
 }
 
+/// Where the file has no object at `pointer`'s parent, nothing is set: the schema then names the wrong member.
 void override(Json &document, const Json::json_pointer &pointer, const std::string &value)
 {
-    if (!value.empty()) {
+    const auto parent = pointer.parent_pointer();
+    const bool fits = !document.contains(parent) || document[parent].is_object();
+    if (!value.empty() && fits) {
         document[pointer] = value;
     }
 }
