Fuzz what nodes read from outside, and mend what it showed

Five libFuzzer targets (scripts/fuzz) and a replaying Boost.Test share one set of functions.

Found by reading and by the new tests, all mended with a test: - decode() reserved memory for as many fields as a message announced (five bytes: four billion).

Ledger messages are not fuzzed.

--- /dev/null
+++ b/src/fuzz/libfuzzer.cpp
@@ -0,0 +1,11 @@
+#include "targets.h"
+
+#include <cstddef>
+#include <cstdint>
+
+/// The entry of libFuzzer; the build names the function of targets.h that it drives.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    papayastep::fuzz::PAPAYASTEP_FUZZ_TARGET({reinterpret_cast<const char *>(data), size});
+    return 0;
+}
--- /dev/null
+++ b/src/fuzz/targets.cpp
@@ -0,0 +1,117 @@
+#include "targets.h"
+
+#include "papayastep/config/check.h"
+#include "papayastep/health/messages.h"
+#include "papayastep/limits/messages.h"
+#include "papayastep/membership/messages.h"
+#include "papayastep/net/platformanswers.h"
+#include "papayastep/net/rawheader.h"
+#include "papayastep/wire/hop.h"
+#include "papayastep/wire/seal.h"
+
+#include <sodium.h>
+
+#include <array>
+#include <stdexcept>
+
+namespace papayastep::fuzz {
+
+namespace {
+
+const std::string secret = "a fleet secret of fuzzing";
+
+/// Calls `read`; a refusal by base::Error is a good end.
+template<typename Reader>
+void refusesOrReads(Reader read)
+{
+    try {
+        read();
+    } catch (const base::Error &) {
+        return;
+    }
+}
+
+std::string withTag(std::string bytes, std::string_view purpose, std::initializer_list<std::string_view> parts)
+{
+    const wire::Tag tag = wire::tagOf(wire::deriveKey(secret, purpose), parts);
+    bytes.append(reinterpret_cast<const char *>(tag.data()), tag.size());
+    return bytes;
+}
+
+/// The header of a hop with a good tag around any payload, so that its decoder is reached.
+std::string hopHeader(std::string_view payload, std::string_view context)
+{
+    constexpr int variant = sodium_base64_VARIANT_URLSAFE_NO_PADDING;
+    const std::string sealed = withTag(std::string(payload), "hop", {payload, context});
+    std::string text(sodium_base64_encoded_len(sealed.size(), variant), '\0');
+    sodium_bin2base64(
+        text.data(), text.size(), reinterpret_cast<const unsigned char *>(sealed.data()), sealed.size(), variant);
+    text.pop_back();
+    return text;
+}
+
+template<typename... Values>
+void decodeEach(std::string_view payload)
+{
+    (refusesOrReads([&] { wire::decode<Values>(payload); }), ...);
+}
+
+void decodeEveryKind(std::string_view payload)
+{
+    decodeEach<limits::TokenRequest, limits::TokenReturn, limits::TokenGrant>(payload);
+    decodeEach<limits::TenureQuery, limits::TenureAnswer>(payload);
+    decodeEach<health::SiblingState, health::SiblingLeaving, health::ServerReport>(payload);
+    decodeEach<membership::RevisionNotice, membership::ConfigurationRequest, membership::TransferPart>(payload);
+    decodeEach<membership::VmListUpdate, membership::VmLeaving>(payload);
+    decodeEach<wire::CancelAttempt, wire::CancelResult>(payload);
+}
+
+}
+
+void fuzzConfiguration(std::string_view bytes)
+{
+    config::checkFiles({{"10-fuzzed.json", std::string(bytes)}});
+}
+
+void fuzzHop(std::string_view bytes)
+{
+    static const wire::HopCodec codec(secret);
+    refusesOrReads([&] { codec.openRequest(bytes, "GET", "/", ""); });
+    refusesOrReads([&] { codec.openReply(bytes); });
+    refusesOrReads([&] { codec.openRequest(hopHeader(bytes, "GET /\n"), "GET", "/", ""); });
+    refusesOrReads([&] { codec.openReply(hopHeader(bytes, "reply")); });
+}
+
+void fuzzPeer(std::string_view bytes)
+{
+    static const wire::EnvelopeCodec codec(secret);
+    refusesOrReads([&] { codec.open(bytes); });
+    refusesOrReads([&] { codec.open(withTag(std::string(bytes), "envelope", {bytes})); });
+    decodeEveryKind(bytes);
+}
+
+void fuzzPlatform(std::string_view bytes)
+{
+    refusesOrReads([&] { net::parsePublishedIndex(std::string(bytes)); });
+    refusesOrReads([&] { net::parseVmList(std::string(bytes)); });
+}
+
+void fuzzRawHeader(std::string_view bytes)
+{
+    const bool accepted = net::checkRawHeader(bytes) == base::ResultCode::Ok;
+    if (accepted && bytes.find('\0') != std::string_view::npos) {
+        throw std::logic_error("a NUL was accepted");
+    }
+}
+
+std::span<const Target> targets()
+{
+    static constexpr std::array all{Target{"configuration", fuzzConfiguration},
+                                    Target{"hop", fuzzHop},
+                                    Target{"peer", fuzzPeer},
+                                    Target{"platform", fuzzPlatform},
+                                    Target{"rawheader", fuzzRawHeader}};
+    return all;
+}
+
+}
--- a/src/include/papayastep/net/httpmessage.h
+++ b/src/include/papayastep/net/httpmessage.h
@@ -2,6 +2,7 @@
 
 #include "papayastep/base/resultcode.h"
 #include "papayastep/net/asio.h"
+#include "papayastep/net/rawheader.h"
 
 #include <string>
 #include <string_view>
@@ -38,8 +39,6 @@
 void copyEndToEnd(const http::fields &from, http::fields &to);
 
 /// Strict checks that go beyond the parser. Returns Ok or the code to refuse the request with.
-/// `block` is the raw header block up to and including the empty line.
-base::ResultCode checkRawHeader(std::string_view block);
 base::ResultCode checkHead(const RequestHead &head);
 
 /// An answer of JSON text.
--- a/src/include/papayastep/net/platformclient.h
+++ b/src/include/papayastep/net/platformclient.h
@@ -2,6 +2,7 @@
 
 #include "papayastep/config/configuration.h"
 #include "papayastep/net/httpclient.h"
+#include "papayastep/net/platformanswers.h"
 
 #include <chrono>
 #include <optional>
@@ -10,24 +11,6 @@
 
 namespace papayastep::net {
 
-/// One published file, as the platform's index names it.
-struct PublishedFile
-{
-    std::string name;
-    std::string digest; ///< SHA-256 of the text, hexadecimal.
-    std::uint64_t bytes = 0;
-
-    auto operator<=>(const PublishedFile &) const = default;
-};
-
-struct PublishedIndex
-{
-    base::Revision revision = 0;
-    std::vector<PublishedFile> files;
-
-    auto operator<=>(const PublishedIndex &) const = default;
-};
-
 /// The platform, read only (docs/PLATFORM.md). Another platform is another subclass.
 /// Each call throws Error(PlatformUnreachable) or Error(PlatformAnswerInvalid).
 class PlatformClient
@@ -60,8 +43,4 @@
     std::size_t m_next = 0;
 };
 
-/// Parses the platform's answers. Throw Error(PlatformAnswerInvalid). Apart, so that they can be fuzzed.
-PublishedIndex parsePublishedIndex(const std::string &json);
-config::VmList parseVmList(const std::string &json);
-
 }
--- a/src/include/papayastep/wire/message.h
+++ b/src/include/papayastep/wire/message.h
@@ -66,12 +66,22 @@
     return std::string(buffer.data(), buffer.size());
 }
 
+/// How deep arrays may be nested in a message.
+constexpr std::size_t maxMessageDepth = 16;
+
+/// Five bytes can announce an array of four billion fields, for which the library takes the memory before it reads
+/// on: the node would die of it. No true message has more fields than bytes.
+inline msgpack::unpack_limit limitsFor(std::size_t bytes)
+{
+    return msgpack::unpack_limit(bytes, bytes, bytes, bytes, bytes, maxMessageDepth);
+}
+
 /// The inverse of encode(). Throws Error(MessageMalformed) for bytes that are no such value.
 template<typename Value>
 Value decode(std::string_view bytes)
 {
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limitsFor(bytes.size()));
         return handle.get().as<Value>();
     } catch (const msgpack::unpack_error &error) {
         throw base::Error(base::ResultCode::MessageMalformed, error.what());
--- a/src/net/endpoint.cpp
+++ b/src/net/endpoint.cpp
@@ -52,7 +52,8 @@
 {
     beast::error_code error;
     const auto address = asio::ip::make_address(endpoint.address, error);
-    if (error) {
+    // The parser stops at a NUL; what stands behind it would go along into logs.
+    if (error || endpoint.address.find('\0') != std::string::npos) {
         refuse(endpoint.address);
     }
     return {address, endpoint.port};
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -23,11 +23,6 @@
     return {text.data(), text.size()};
 }
 
-bool startsFoldedLine(char c)
-{
-    return c == ' ' || c == '\t';
-}
-
 }
 
 bool isHopByHop(std::string_view name)
@@ -43,42 +38,29 @@
     return beast::iequals({prefix.data(), prefix.size()}, {reservedPrefix.data(), reservedPrefix.size()});
 }
 
+namespace {
+
+/// Whether any Connection field names `name`. A caller may send several, and all count.
+bool isNamedByConnection(const http::fields &fields, beast::string_view name)
+{
+    const auto range = fields.equal_range(http::field::connection);
+    return std::any_of(
+        range.first, range.second, [&](const auto &field) { return http::token_list(field.value()).exists(name); });
+}
+
+}
+
 void copyEndToEnd(const http::fields &from, http::fields &to)
 {
-    const auto connection = from[http::field::connection];
-    http::token_list named(connection);
     for (const auto &field : from) {
         const auto name = view(field.name_string());
-        if (isHopByHop(name) || isReserved(name) || named.exists(field.name_string())) {
+        if (isHopByHop(name) || isReserved(name) || isNamedByConnection(from, field.name_string())) {
             continue;
         }
         to.insert(field.name(), field.name_string(), field.value());
     }
 }
 
-// A bare LF or a folded line is read as a line end by some servers and as data by others. The two then disagree about
-// where a request ends, and a caller could smuggle a second one past the key check: so neither is passed on.
-base::ResultCode checkRawHeader(std::string_view block)
-{
-    for (std::size_t at = 0; at < block.size(); ++at) {
-        const char c = block[at];
-        if (c == '\n') {
-            const bool bare = at == 0 || block[at - 1] != '\r';
-            const bool folded = at + 1 < block.size() && startsFoldedLine(block[at + 1]);
-            if (bare || folded) {
-                return base::ResultCode::RequestMalformed;
-            }
-        } else if (c == '\r') {
-            if (at + 1 >= block.size() || block[at + 1] != '\n') {
-                return base::ResultCode::RequestMalformed;
-            }
-        } else if (c == '\0') {
-            return base::ResultCode::RequestMalformed;
-        }
-    }
-    return base::ResultCode::Ok;
-}
-
 base::ResultCode checkHead(const RequestHead &head)
 {
     const auto lengths = head.count(http::field::content_length);
@@ -88,7 +70,9 @@
     }
     // A list of lengths, even of equal ones, is read differently by different servers.
     const auto length = head[http::field::content_length];
-    if (lengths == 1 && !std::all_of(length.begin(), length.end(), [](char c) { return c >= '0' && c <= '9'; })) {
+    const bool noNumber
+        = length.empty() || !std::all_of(length.begin(), length.end(), [](char c) { return c >= '0' && c <= '9'; });
+    if (lengths == 1 && noNumber) {
         return base::ResultCode::RequestAmbiguousLength;
     }
     if (encodings == 1 && !beast::iequals(head[http::field::transfer_encoding], "chunked")) {
--- a/src/net/platformclient.cpp
+++ b/src/net/platformclient.cpp
@@ -2,18 +2,11 @@
 
 #include "papayastep/base/error.h"
 
-#include <nlohmann/json.hpp>
-#include <sodium.h>
-
-#include <algorithm>
-#include <set>
-
 namespace papayastep::net {
 
 namespace {
 
 constexpr std::size_t maxAnswerBytes = 2 * config::maxFileBytes;
-constexpr std::size_t maxFiles = 10'000;
 constexpr std::chrono::seconds answerTimeout(3);
 
 [[noreturn]] void refuse(const std::string &detail)
@@ -21,79 +14,6 @@
     throw base::Error(base::ResultCode::PlatformAnswerInvalid, detail);
 }
 
-/// File names travel in URLs and in log lines, and decide the order of the merge.
-bool isPlainName(const std::string &name)
-{
-    return !name.empty() && name.size() <= 200 && std::all_of(name.begin(), name.end(), [](unsigned char c) {
-        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
-    });
-}
-
-config::VmEntry parseVm(const nlohmann::json &json)
-{
-    config::VmEntry vm;
-    vm.id = base::VmId(json.at("id").get<std::string>());
-    vm.zone = base::ZoneId(json.at("zone").get<std::string>());
-    vm.address = json.at("address").get<std::string>();
-    vm.callerPort = json.at("callerPort").get<std::uint16_t>();
-    vm.hopPort = json.at("hopPort").get<std::uint16_t>();
-    vm.peerPort = json.at("peerPort").get<std::uint16_t>();
-    vm.adminPort = json.at("adminPort").get<std::uint16_t>();
-    vm.leaving = json.value("leaving", false);
-    beast::error_code error;
-    asio::ip::make_address(vm.address, error);
-    if (error || vm.id.empty() || vm.zone.empty()) {
-        refuse("a VM needs an id, an availability zone and an IP number");
-    }
-    return vm;
-}
-
-}
-
-PublishedIndex parsePublishedIndex(const std::string &json)
-{
-    PublishedIndex index;
-    try {
-        const auto document = nlohmann::json::parse(json);
-        index.revision = document.at("revision").get<base::Revision>();
-        std::set<std::string> names;
-        for (const auto &entry : document.at("files")) {
-            PublishedFile file;
-            file.name = entry.at("name").get<std::string>();
-            file.digest = entry.at("digest").get<std::string>();
-            file.bytes = entry.at("bytes").get<std::uint64_t>();
-            if (!isPlainName(file.name) || !isPlainName(file.digest) || !names.insert(file.name).second) {
-                refuse("a file name or digest is not acceptable");
-            }
-            index.files.push_back(std::move(file));
-        }
-    } catch (const nlohmann::json::exception &error) {
-        refuse(error.what());
-    }
-    if (index.revision == 0 || index.files.size() > maxFiles) {
-        refuse("the index needs a revision above 0 and at most 10,000 files");
-    }
-    return index;
-}
-
-config::VmList parseVmList(const std::string &json)
-{
-    config::VmList list;
-    try {
-        const auto document = nlohmann::json::parse(json);
-        list.version = document.at("version").get<std::uint64_t>();
-        for (const auto &entry : document.at("vms")) {
-            list.vms.push_back(parseVm(entry));
-        }
-    } catch (const nlohmann::json::exception &error) {
-        refuse(error.what());
-    }
-    std::sort(list.vms.begin(), list.vms.end());
-    const auto sameId = [](const config::VmEntry &a, const config::VmEntry &b) { return a.id == b.id; };
-    if (std::adjacent_find(list.vms.begin(), list.vms.end(), sameId) != list.vms.end()) {
-        refuse("a VM is listed twice");
-    }
-    return list;
 }
 
 HttpPlatformClient::HttpPlatformClient(asio::io_context &context,
