--- /dev/null
+++ b/src/node/settings_test.cpp
@@ -0,0 +1,124 @@
+#include "papayastep/base/error.h"
+#include "papayastep/node/settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+using namespace papayastep;
+using namespace papayastep::node;
+using nlohmann::json;
+
+namespace {
+
+struct SettingsFixture
+{
+    SettingsFixture()
+        : folder(std::filesystem::temp_directory_path() / ("papayastep-settings-" + std::to_string(getpid())))
+    {
+        std::filesystem::create_directory(folder);
+    }
+    SettingsFixture(const SettingsFixture &) = delete;
+    SettingsFixture &operator=(const SettingsFixture &) = delete;
+    ~SettingsFixture()
+    {
+        std::filesystem::remove_all(folder);
+    }
+    std::string write(const std::string &name, const std::string &text) const
+    {
+        std::ofstream(folder / name) << text;
+        return (folder / name).string();
+    }
+    void refuses(const json &settings, const std::string &pointer) const
+    {
+        try {
+            parseSettings(settings.dump(), "node.json", overrides);
+            BOOST_ERROR("was taken: " << settings);
+        } catch (const base::Error &error) {
+            BOOST_TEST((error.code() == base::ResultCode::SettingsSchema));
+            BOOST_TEST(error.location().file == "node.json");
+            BOOST_TEST(error.location().pointer == pointer);
+        }
+    }
+    json with(const std::string &pointer, const json &value) const
+    {
+        json changed = good;
+        changed[json::json_pointer(pointer)] = value;
+        return changed;
+    }
+
+    std::filesystem::path folder;
+    SettingsOverrides overrides;
+    json good = json::parse(R"({"vm": "vm-1", "zone": "a", "platform": ["127.0.0.1:5"], "listen": {
+        "caller": "127.0.0.1:1", "hop": "127.0.0.1:2", "peer": "127.0.0.1:3", "admin": "127.0.0.1:4"}})");
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(settings_wellFormed_areRead, SettingsFixture)
+{
+    const auto settings = parseSettings(good.dump(), "node.json", overrides);
+    BOOST_TEST((settings.vm == base::VmId("vm-1")));
+    BOOST_TEST((settings.peer == net::Endpoint{"127.0.0.1", 3}));
+    BOOST_TEST(settings.ejection);
+}
+
+BOOST_FIXTURE_TEST_CASE(settings_withBadMember_nameItsPlace, SettingsFixture)
+{
+    refuses(with("/listen/caller", "localhost:1"), "/listen/caller");
+    refuses(with("/listen/hop", "127.0.0.1:65536"), "/listen/hop");
+    refuses(with("/platform/0", "here:80"), "/platform/0");
+    refuses(with("/limits/headerBytes", 1048577), "/limits/headerBytes");
+    refuses(with("/drainTimeoutMs", 0), "/drainTimeoutMs");
+    refuses(with("/placement", "best"), "/placement");
+    json missing = good;
+    missing["listen"].erase("peer");
+    refuses(missing, "/listen");
+    refuses(json::array(), "");
+    refuses(with("/colour", "red"), "");
+}
+
+BOOST_FIXTURE_TEST_CASE(settings_notJson_areRefused, SettingsFixture)
+{
+    BOOST_CHECK_EXCEPTION(parseSettings("{", "node.json", {}), base::Error, [](const base::Error &error) {
+        return error.code() == base::ResultCode::SettingsSchema && error.location().file == "node.json";
+    });
+}
+
+BOOST_FIXTURE_TEST_CASE(settings_withOverrides_takeThem, SettingsFixture)
+{
+    overrides.vm = "vm-9";
+    overrides.hop = "127.0.0.1:90";
+    overrides.platform = {"127.0.0.1:91", "127.0.0.1:92"};
+    const auto settings = parseSettings(good.dump(), "node.json", overrides);
+    BOOST_TEST((settings.vm == base::VmId("vm-9")));
+    BOOST_TEST((settings.hop == net::Endpoint{"127.0.0.1", 90}));
+    BOOST_TEST(settings.platform.size() == 2u);
+}
+
+// The file has a text where the listen object belongs, and the command line sets one of its members. The start ended
+// with an exception of the JSON library, without number or place.
+BOOST_FIXTURE_TEST_CASE(settings_withOverrideIntoNoObject_nameThePlace, SettingsFixture)
+{
+    overrides.caller = "127.0.0.1:90";
+    refuses(with("/listen", "127.0.0.1:1"), "/listen");
+}
+
+BOOST_FIXTURE_TEST_CASE(settings_fromFiles_needALongSecret, SettingsFixture)
+{
+    const auto isMissing
+        = [](const base::Error &error) { return error.code() == base::ResultCode::SettingsSecretMissing; };
+    const std::string path = write("node.json", good.dump());
+    overrides.secretFile = write("secret", "fifteen bytes..\n");
+    BOOST_CHECK_EXCEPTION(readSettings(path, overrides), base::Error, isMissing);
+    overrides.secretFile = write("secret", "sixteen bytes...\n");
+    BOOST_TEST(readSettings(path, overrides).secret == "sixteen bytes...");
+    overrides.secretFile = (folder / "none").string();
+    BOOST_CHECK_EXCEPTION(readSettings(path, overrides), base::Error, isMissing);
+    BOOST_CHECK_EXCEPTION(readSettings((folder / "none").string(), {}), base::Error, [](const base::Error &error) {
+        return error.code() == base::ResultCode::SettingsUnreadable;
+    });
+}
