--- a/src/include/papayastep/limits/tokenbroker.h
+++ b/src/include/papayastep/limits/tokenbroker.h
@@ -152,8 +152,8 @@
     std::vector<wire::Outgoing> takeMessages();
     std::vector<AdmissionDecision> takeDecisions();
 
-    /// Whether the shares that the VM list gives to this VM are in its hands. False for some seconds after a start, while
-    /// an earlier holder could still grant.
+    /// Whether the shares that the VM list gives to this VM are in its hands. False for some seconds after a start,
+    /// while an earlier holder could still grant.
     bool isSettled() const;
 
     WorkspaceStatus status(const base::WorkspaceId &workspace) const;
--- a/src/node/refusals.cpp
+++ b/src/node/refusals.cpp
@@ -32,6 +32,12 @@
     }
 }
 
+// A detail may quote bytes of a caller that are no UTF-8; they must not turn a refusal into a broken connection.
+std::string utf8(const nlohmann::json &body)
+{
+    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 std::string roundedUpSeconds(base::Duration duration)
 {
     return std::to_string(std::chrono::ceil<std::chrono::seconds>(duration).count());
@@ -80,7 +86,7 @@
 
 net::WholeAnswer refusalAnswer(const routing::Refusal &refusal, const std::string &requestId, const std::string &detail)
 {
-    const auto retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(refusal.retryAfter);
+    const auto retryAfter = std::chrono::ceil<std::chrono::milliseconds>(refusal.retryAfter);
     nlohmann::json body{{"code", number(refusal.code)},
                         {"name", name(refusal.code)},
                         {"text", text(refusal.code)},
@@ -93,7 +99,7 @@
     if (!detail.empty()) {
         body["detail"] = detail;
     }
-    net::WholeAnswer answer = net::jsonAnswer(statusOf(refusal.code), body.dump() + "\n");
+    net::WholeAnswer answer = net::jsonAnswer(statusOf(refusal.code), utf8(body) + "\n");
     const auto outcome = routing::name(refusal.outcome);
     const auto retry = routing::name(refusal.retryClass);
     answer.head.set("Papayastep-Outcome", net::beast::string_view(outcome.data(), outcome.size()));
