--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -572,7 +572,9 @@
         m_context.ledgerClient.completeUnknown(m_id);
         m_claimed = false;
     }
-    if (!co_await passStream(m_exchange, answer, std::move(head))) {
+    // A named result: GCC 12 destroys an argument by value twice when the co_await stands in a condition.
+    const bool whole = co_await passStream(m_exchange, answer, std::move(head));
+    if (!whole) {
         PAPAYASTEP_LOG(INFO, logPrefix) << "Broke an answer off." << base::field("request", m_id)
                                         << base::field("server", answer.reply.server);
     }
