--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -1,10 +1,14 @@
 #include "papayastep/base/clock.h"
 
+#include <ctime>
+
 namespace papayastep::base {
 
 TimePoint SystemClock::now() const
 {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 WallTime SystemClock::wallNow() const
--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -5,11 +5,13 @@
 set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
 
 set(PAPAYASTEP_SANITIZE "" CACHE STRING "Value for -fsanitize=, empty for none")
+option(PAPAYASTEP_TESTS "Build the tests and what only they need" ON)
 option(PAPAYASTEP_FUZZ "Build the libFuzzer targets (needs clang++)" OFF)
 
 find_program(PAPAYASTEP_CCACHE ccache)
 if(PAPAYASTEP_CCACHE)
-    set(CMAKE_CXX_COMPILER_LAUNCHER ${PAPAYASTEP_CCACHE})
+    # Without the folder in the hash, the builds for tests and for deployment share what they have in common.
+    set(CMAKE_CXX_COMPILER_LAUNCHER ${CMAKE_COMMAND} -E env CCACHE_NOHASHDIR=1 ${PAPAYASTEP_CCACHE})
 endif()
 
 add_compile_options(-Wall -Wextra -Wpedantic -Werror -Wno-psabi)
--- a/src/cmake/packages.cmake
+++ b/src/cmake/packages.cmake
@@ -23,7 +23,7 @@
 endfunction()
 
 function(papayastep_test name)
-    if(PAPAYASTEP_FUZZ)
+    if(PAPAYASTEP_FUZZ OR NOT PAPAYASTEP_TESTS)
         return()
     endif()
     cmake_parse_arguments(arg "" "" "SOURCES;DEPENDS" ${ARGN})
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -26,32 +26,57 @@
 }
 
 Configuration::Configuration(base::Revision revision, Parts parts)
+    : Configuration(revision, publishedOf(std::move(parts)), std::move(parts.backendServers))
+{
+}
+
+Configuration::Configuration(base::Revision revision,
+                             std::shared_ptr<const Published> published,
+                             std::vector<BackendServer> servers)
     : m_revision(revision)
-    , m_parts(std::move(parts))
-{
-    sortById(m_parts.workspaces);
-    sortById(m_parts.services);
-    sortById(m_parts.routes);
-    sortById(m_parts.backendServers);
-    indexKeys();
-    for (const BackendServer &server : m_parts.backendServers) {
+    , m_published(std::move(published))
+    , m_backendServers(std::move(servers))
+{
+    sortById(m_backendServers);
+    for (const BackendServer &server : m_backendServers) {
         m_serversOf[server.service].push_back(&server);
     }
 }
 
-void Configuration::indexKeys()
+std::shared_ptr<const Configuration::Published> Configuration::publishedOf(Parts &&parts)
+{
+    auto published = std::make_shared<Published>();
+    published->workspaces = std::move(parts.workspaces);
+    published->services = std::move(parts.services);
+    published->routes = std::move(parts.routes);
+    published->limits = parts.limits;
+    sortById(published->workspaces);
+    sortById(published->services);
+    sortById(published->routes);
+    published->keys = keysOf(published->workspaces);
+    return published;
+}
+
+std::vector<Configuration::KeyEntry> Configuration::keysOf(const std::vector<Workspace> &workspaces)
 {
     std::size_t count = 0;
-    for (const Workspace &workspace : m_parts.workspaces) {
+    for (const Workspace &workspace : workspaces) {
         count += workspace.keys.size();
     }
-    m_keys.reserve(count);
-    for (std::uint32_t index = 0; index < m_parts.workspaces.size(); ++index) {
-        for (const KeyFingerprint &key : m_parts.workspaces[index].keys) {
-            m_keys.push_back({key.prefix(), index});
+    std::vector<KeyEntry> keys;
+    keys.reserve(count);
+    for (std::uint32_t index = 0; index < workspaces.size(); ++index) {
+        for (const KeyFingerprint &key : workspaces[index].keys) {
+            keys.push_back({key.prefix(), index});
         }
     }
-    std::sort(m_keys.begin(), m_keys.end(), [](const KeyEntry &a, const KeyEntry &b) { return a.prefix < b.prefix; });
+    std::sort(keys.begin(), keys.end(), [](const KeyEntry &a, const KeyEntry &b) { return a.prefix < b.prefix; });
+    return keys;
+}
+
+ConfigurationPtr Configuration::withBackendServers(std::vector<BackendServer> servers) const
+{
+    return ConfigurationPtr(new Configuration(m_revision, m_published, std::move(servers)));
 }
 
 base::Revision Configuration::revision() const
@@ -61,52 +86,58 @@
 
 const std::vector<Workspace> &Configuration::workspaces() const
 {
-    return m_parts.workspaces;
+    return m_published->workspaces;
 }
 
 const std::vector<Service> &Configuration::services() const
 {
-    return m_parts.services;
+    return m_published->services;
 }
 
 const std::vector<Route> &Configuration::routes() const
 {
-    return m_parts.routes;
+    return m_published->routes;
 }
 
 const std::vector<BackendServer> &Configuration::backendServers() const
 {
-    return m_parts.backendServers;
+    return m_backendServers;
+}
+
+const CallerLimits &Configuration::limits() const
+{
+    return m_published->limits;
 }
 
 const Workspace *Configuration::workspace(const base::WorkspaceId &id) const
 {
-    return findById(m_parts.workspaces, id);
+    return findById(m_published->workspaces, id);
 }
 
 const Service *Configuration::service(const base::ServiceId &id) const
 {
-    return findById(m_parts.services, id);
+    return findById(m_published->services, id);
 }
 
 const Route *Configuration::route(const base::RouteId &id) const
 {
-    return findById(m_parts.routes, id);
+    return findById(m_published->routes, id);
 }
 
 const BackendServer *Configuration::backendServer(const base::BackendServerId &id) const
 {
-    return findById(m_parts.backendServers, id);
+    return findById(m_backendServers, id);
 }
 
 const Workspace *Configuration::workspaceOfKey(const KeyFingerprint &fingerprint) const
 {
     const std::uint64_t prefix = fingerprint.prefix();
-    auto entry = std::lower_bound(m_keys.begin(), m_keys.end(), prefix, [](const KeyEntry &key, std::uint64_t wanted) {
+    const std::vector<KeyEntry> &keys = m_published->keys;
+    auto entry = std::lower_bound(keys.begin(), keys.end(), prefix, [](const KeyEntry &key, std::uint64_t wanted) {
         return key.prefix < wanted;
     });
-    for (; entry != m_keys.end() && entry->prefix == prefix; ++entry) {
-        const Workspace &workspace = m_parts.workspaces[entry->workspace];
+    for (; entry != keys.end() && entry->prefix == prefix; ++entry) {
+        const Workspace &workspace = m_published->workspaces[entry->workspace];
         if (std::find(workspace.keys.begin(), workspace.keys.end(), fingerprint) != workspace.keys.end()) {
             return &workspace;
         }
--- a/src/config/crosscheck.cpp
+++ b/src/config/crosscheck.cpp
@@ -26,6 +26,20 @@
     }
 }
 
+void checkSplits(const Merger &merged, ErrorList &errors)
+{
+    const Section<Route> &section = merged.routes();
+    for (std::size_t index = 0; index < section.entries.size(); ++index) {
+        for (const RouteTarget &target : section.entries[index].split) {
+            if (!merged.services().find(target.service.value())) {
+                errors.add(ResultCode::ConfigUnknownReference,
+                           "there is no service \"" + target.service.value() + "\"",
+                           merged.locate(section.name, section.origins[index], "split"));
+            }
+        }
+    }
+}
+
 /// A key that speaks for two workspaces would make it a matter of chance who pays for a request.
 void checkKeys(const Merger &merged, ErrorList &errors)
 {
@@ -106,6 +120,7 @@
     if (complete) {
         checkServices(merged, merged.routes(), errors);
         checkServices(merged, merged.backendServers(), errors);
+        checkSplits(merged, errors);
     }
     checkKeys(merged, errors);
     checkRoutes(merged, errors);
--- a/src/config/diff.cpp
+++ b/src/config/diff.cpp
@@ -71,15 +71,24 @@
     diffSection("services", from.services(), to.services(), changes);
     diffSection("routes", from.routes(), to.routes(), changes);
     diffSection("backendServers", from.backendServers(), to.backendServers(), changes);
+    if (from.limits() != to.limits()) {
+        const ordered_json before = writeLimits(from.limits());
+        const ordered_json after = writeLimits(to.limits());
+        changes.push_back(
+            {ChangeKind::Changed, "limits", {}, differingFields(before, after), differingFields(after, before)});
+    }
     return changes;
 }
 
 std::string toJson(const Configuration &configuration)
 {
-    const ordered_json document{{"workspaces", writeSection(configuration.workspaces())},
-                                {"services", writeSection(configuration.services())},
-                                {"routes", writeSection(configuration.routes())},
-                                {"backendServers", writeSection(configuration.backendServers())}};
+    ordered_json document{{"workspaces", writeSection(configuration.workspaces())},
+                          {"services", writeSection(configuration.services())},
+                          {"routes", writeSection(configuration.routes())},
+                          {"backendServers", writeSection(configuration.backendServers())}};
+    if (configuration.limits() != CallerLimits()) {
+        document["limits"] = writeLimits(configuration.limits());
+    }
     return document.dump(4) + '\n';
 }
 
--- a/src/config/entryreader.cpp
+++ b/src/config/entryreader.cpp
@@ -17,6 +17,8 @@
 
 constexpr base::Duration maxDeadline = std::chrono::hours(1);
 constexpr base::Duration maxRetention = std::chrono::hours(168);
+constexpr base::Duration maxTargetLatency = std::chrono::hours(1);
+constexpr base::Duration maxCallerTimeout = std::chrono::hours(1);
 
 const json *fieldOf(const json &entry, const char *name)
 {
@@ -167,6 +169,27 @@
     into.shrink_to_fit();
 }
 
+void readSplit(const json &entry, Route &into, const EntryContext &context)
+{
+    const json *field = fieldOf(entry, "split");
+    if (!field) {
+        return;
+    }
+    into.split.clear();
+    double sum = 0;
+    for (const json &part : *field) {
+        RouteTarget target;
+        readId(part, "service", target.service, context);
+        read(part, "weight", target.weight);
+        sum += target.weight;
+        into.split.push_back(std::move(target));
+    }
+    if (sum <= 0) {
+        context.fail(ResultCode::ConfigOutOfRange, "split", "at least one weight must be above 0");
+    }
+    into.service = into.split.front().service;
+}
+
 void readAddress(const json &entry, std::string &into, const EntryContext &context)
 {
     const json *field = fieldOf(entry, "address");
@@ -203,6 +226,13 @@
     readKeys(json, into.keys, context);
     read(json, "rate", into.rate);
     read(json, "burst", into.burst);
+    if (json.value("unlimited", false)) {
+        into.rate = 0;
+        into.burst = 0;
+    }
+    if (const auto *field = fieldOf(json, "priority")) {
+        into.priority = field->get<int>();
+    }
 }
 
 void readEntry(const json &json, Service &into, const EntryContext &context)
@@ -221,8 +251,17 @@
     readId(json, "id", into.id, context);
     readHost(json, into.host, context);
     readPath(json, "pathPrefix", into.pathPrefix, context);
+    read(json, "below", into.below);
     readMethods(json, into.methods, context);
+    if (json.contains("service")) {
+        into.split.clear();
+    }
     readId(json, "service", into.service, context);
+    readSplit(json, into, context);
+    read(json, "public", into.isPublic);
+    read(json, "priority", into.priority);
+    read(json, "maxAttempts", into.maxAttempts);
+    readDuration(json, "targetLatency", maxTargetLatency, into.targetLatency, context);
     if (const auto *field = fieldOf(json, "idempotent")) {
         into.idempotent = field->get<bool>();
     }
@@ -243,6 +282,31 @@
     read(json, "drain", into.drain);
 }
 
+void readLimits(const json &entry, CallerLimits &into, const EntryContext &context)
+{
+    const auto readTimeout = [&](const char *name, std::optional<base::Duration> &timeout) {
+        if (fieldOf(entry, name)) {
+            readDuration(entry, name, maxCallerTimeout, timeout.emplace(), context);
+        }
+    };
+    if (const auto *field = fieldOf(entry, "headerBytes")) {
+        into.headerBytes = field->get<std::uint64_t>();
+    }
+    if (const auto *field = fieldOf(entry, "bodyBytes")) {
+        into.bodyBytes = field->get<std::uint64_t>();
+    }
+    readTimeout("headerTimeout", into.headerTimeout);
+    readTimeout("idleTimeout", into.idleTimeout);
+}
+
+bool isReplaced(const json &entry, std::string_view field)
+{
+    if (field == "rate" || field == "burst") {
+        return entry.value("unlimited", false);
+    }
+    return field == "service" && entry.contains("split");
+}
+
 std::span<const std::string_view> requiredFields(const Workspace &)
 {
     static constexpr std::array<std::string_view, 3> fields{"keys", "rate", "burst"};
--- a/src/config/entryreader.h
+++ b/src/config/entryreader.h
@@ -43,6 +43,12 @@
 void readEntry(const nlohmann::json &json, Route &into, const EntryContext &context);
 void readEntry(const nlohmann::json &json, BackendServer &into, const EntryContext &context);
 
+/// The object "limits" of a file; fields that it does not name are left.
+void readLimits(const nlohmann::json &json, CallerLimits &into, const EntryContext &context);
+
+/// Whether another field of `json` makes the required `field` needless.
+bool isReplaced(const nlohmann::json &json, std::string_view field);
+
 /// Fields that an entry must name unless it is an override.
 std::span<const std::string_view> requiredFields(const Workspace &);
 std::span<const std::string_view> requiredFields(const Service &);
--- a/src/config/entrywriter.cpp
+++ b/src/config/entrywriter.cpp
@@ -12,7 +12,17 @@
     for (const KeyFingerprint &key : workspace.keys) {
         keys.push_back("sha256:" + key.toString());
     }
-    return {{"id", workspace.id.value()}, {"keys", keys}, {"rate", workspace.rate}, {"burst", workspace.burst}};
+    ordered_json json{{"id", workspace.id.value()}, {"keys", keys}};
+    if (workspace.isLimited()) {
+        json["rate"] = workspace.rate;
+        json["burst"] = workspace.burst;
+    } else {
+        json["unlimited"] = true;
+    }
+    if (workspace.priority) {
+        json["priority"] = *workspace.priority;
+    }
+    return json;
 }
 
 ordered_json writeEntry(const Service &service)
@@ -29,14 +39,45 @@
     ordered_json json{{"id", route.id.value()},
                       {"host", route.host},
                       {"pathPrefix", route.pathPrefix},
+                      {"below", route.below},
                       {"methods", route.methods},
                       {"service", route.service.value()},
+                      {"public", route.isPublic},
+                      {"priority", route.priority},
+                      {"maxAttempts", route.maxAttempts},
                       {"deadline", formatDuration(route.deadline)},
                       {"retention", formatDuration(route.retention)},
                       {"stream", route.stream}};
     if (route.idempotent) {
         json["idempotent"] = *route.idempotent;
     }
+    if (route.targetLatency > base::Duration::zero()) {
+        json["targetLatency"] = formatDuration(route.targetLatency);
+    }
+    if (!route.split.empty()) {
+        json.erase("service");
+        for (const RouteTarget &target : route.split) {
+            json["split"].push_back({{"service", target.service.value()}, {"weight", target.weight}});
+        }
+    }
+    return json;
+}
+
+ordered_json writeLimits(const CallerLimits &limits)
+{
+    ordered_json json = ordered_json::object();
+    if (limits.headerBytes) {
+        json["headerBytes"] = *limits.headerBytes;
+    }
+    if (limits.bodyBytes) {
+        json["bodyBytes"] = *limits.bodyBytes;
+    }
+    if (limits.headerTimeout) {
+        json["headerTimeout"] = formatDuration(*limits.headerTimeout);
+    }
+    if (limits.idleTimeout) {
+        json["idleTimeout"] = formatDuration(*limits.idleTimeout);
+    }
     return json;
 }
 
--- a/src/config/entrywriter.h
+++ b/src/config/entrywriter.h
@@ -12,4 +12,7 @@
 nlohmann::ordered_json writeEntry(const Route &route);
 nlohmann::ordered_json writeEntry(const BackendServer &server);
 
+/// The inverse of readLimits(): the fields that are set.
+nlohmann::ordered_json writeLimits(const CallerLimits &limits);
+
 }
--- a/src/config/merger.cpp
+++ b/src/config/merger.cpp
@@ -11,6 +11,9 @@
     addSection(parsed, m_services);
     addSection(parsed, m_routes);
     addSection(parsed, m_backendServers);
+    if (const auto limits = parsed.find("limits"); limits != parsed.end()) {
+        readLimits(*limits, m_limits, EntryContext(m_errors, m_files.back(), "limits", 0));
+    }
 }
 
 template<typename Entry>
@@ -38,7 +41,7 @@
     const EntryContext context(m_errors, m_files.back(), section.name, index);
     Entry entry;
     for (const std::string_view field : requiredFields(entry)) {
-        if (!json.contains(field)) {
+        if (!json.contains(field) && !isReplaced(json, field)) {
             context.fail(ResultCode::ConfigSchema, "", "the field \"" + std::string(field) + "\" is missing");
         }
     }
@@ -105,7 +108,8 @@
     return {std::move(m_workspaces.entries),
             std::move(m_services.entries),
             std::move(m_routes.entries),
-            std::move(m_backendServers.entries)};
+            std::move(m_backendServers.entries),
+            m_limits};
 }
 
 std::uint32_t Merger::currentFile() const
--- a/src/config/merger.h
+++ b/src/config/merger.h
@@ -75,6 +75,7 @@
     Section<Service> m_services{"services", {}, {}, {}};
     Section<Route> m_routes{"routes", {}, {}, {}};
     Section<BackendServer> m_backendServers{"backendServers", {}, {}, {}};
+    CallerLimits m_limits;
 };
 
 }
--- a/src/include/papayastep/base/clock.h
+++ b/src/include/papayastep/base/clock.h
@@ -15,7 +15,9 @@
 public:
     virtual ~Clock() = default;
 
-    /// Monotonic time. Only differences mean anything, and only within one process.
+    /// Monotonic time, which goes on while the VM is suspended: a lease or a grant held by a VM that slept must look as
+    /// old as it is. Only differences mean anything, and only within one process. Timers of the operating system stand
+    /// still meanwhile, so they are set by differences, never by a time of this clock.
     virtual TimePoint now() const = 0;
 
     /// Calendar time, for logs and for keys that carry a time. May jump.
--- a/src/include/papayastep/base/resultcode.h
+++ b/src/include/papayastep/base/resultcode.h
@@ -65,6 +65,7 @@
     X(4010, HopBackendServerShed, "the backend server shed the request") \
     X(4011, HopReplayed, "the attempt was seen before") \
     X(4012, HopBackendServerEjected, "the backend server is ejected") \
+    X(4013, HopBackendServerReplaced, "another backend server has the address by now") \
     X(5001, MessageMalformed, "a message between nodes is malformed") \
     X(5002, MessageUnauthenticated, "a message between nodes is not authenticated") \
     X(5003, MessageUnknownLayout, "a message between nodes has an unknown layout") \
@@ -74,6 +75,8 @@
     X(6001, PlatformUnreachable, "the platform cannot be reached") \
     X(6002, PlatformAnswerInvalid, "the answer of the platform is invalid") \
     X(6003, PlatformStale, "the platform offers an older revision than the one in force") \
+    X(6004, PlatformHistoryGone, "the platform no longer has the changes that were asked for") \
+    X(6005, DirectoryEntryInvalid, "an entry of the directory of backend servers cannot be used") \
     X(7001, StateChartInvalid, "a state chart is invalid") \
     X(7002, StateChartNoTransition, "a state has no transition for an event") \
     X(7003, Internal, "an internal error")
--- a/src/include/papayastep/config/configuration.h
+++ b/src/include/papayastep/config/configuration.h
@@ -25,8 +25,14 @@
 {
     base::WorkspaceId id;
     KeyFingerprints keys;
-    double rate = 0; ///< Requests per second, over all VMs together.
+    double rate = 0; ///< Requests per second, over all VMs together; 0: no limit.
     double burst = 0; ///< Requests that may come at once, over all VMs together.
+    std::optional<int> priority; ///< Goes before that of the route; 0 is the most urgent.
+
+    bool isLimited() const
+    {
+        return rate > 0;
+    }
 
     std::partial_ordering operator<=>(const Workspace &) const = default;
 };
@@ -44,14 +50,29 @@
     auto operator<=>(const Service &) const = default;
 };
 
+/// A part of a route's requests that goes to one service.
+struct RouteTarget
+{
+    base::ServiceId service;
+    double weight = 1; ///< In proportion to the weights of the route's other targets.
+
+    auto operator<=>(const RouteTarget &) const = default;
+};
+
 struct Route
 {
     base::RouteId id;
     std::string host; ///< Empty: any host.
     std::string pathPrefix;
+    bool below = false; ///< Only paths below the prefix match, not the prefix itself.
     std::vector<std::string> methods; ///< Empty: any method.
-    base::ServiceId service;
+    base::ServiceId service; ///< Of all requests; with `split`, of its first target.
+    std::vector<RouteTarget> split; ///< Empty: all requests go to `service`.
     std::optional<bool> idempotent; ///< Absent: by method (GET, HEAD, OPTIONS are).
+    bool isPublic = false; ///< Requests need no key and count for no workspace.
+    int priority = 0; ///< 0 is the most urgent. Of those that wait, the more urgent go first.
+    int maxAttempts = 3; ///< Backend servers that one request may be given to.
+    base::Duration targetLatency{0}; ///< Answers later than this are worth less to the caller; 0: not stated.
     base::Duration deadline = std::chrono::seconds(10);
     base::Duration retention = std::chrono::hours(1); ///< How long the outcome of an Idempotency-Key is kept.
     bool stream = false; ///< Answers are passed on as they come instead of being held whole first.
@@ -68,11 +89,28 @@
     std::string address; ///< IP number, as the node on `vm` reaches it.
     std::uint16_t port = 0;
     int slots = 1; ///< Requests that it works on at once.
-    bool drain = false; ///< Operators want it to get no new work.
+    bool drain = false; ///< Gets no new work: operators want it so, or it is about to stop.
+    /// Tells one start of the server from the next under the same id. Only a directory knows it; 0: not known.
+    std::uint64_t incarnation = 0;
+    base::TimePoint coldUntil{}; ///< It is slow after its start until then. Only a directory knows it.
 
     auto operator<=>(const BackendServer &) const = default;
 };
 
+/// What callers may send. A field that is absent is left to the settings of each node.
+struct CallerLimits
+{
+    std::optional<std::uint64_t> headerBytes;
+    std::optional<std::uint64_t> bodyBytes;
+    std::optional<base::Duration> headerTimeout;
+    std::optional<base::Duration> idleTimeout;
+
+    auto operator<=>(const CallerLimits &) const = default;
+};
+
+class Configuration;
+using ConfigurationPtr = std::shared_ptr<const Configuration>;
+
 /// All of one revision. Vectors are sorted by id; lookups are by hash.
 class Configuration
 {
@@ -83,6 +121,7 @@
         std::vector<Service> services;
         std::vector<Route> routes;
         std::vector<BackendServer> backendServers;
+        CallerLimits limits;
     };
 
     Configuration(base::Revision revision, Parts parts);
@@ -94,6 +133,11 @@
     const std::vector<Service> &services() const;
     const std::vector<Route> &routes() const;
     const std::vector<BackendServer> &backendServers() const;
+    const CallerLimits &limits() const;
+
+    /// The same revision with other backend servers. Shares all else, so it costs nothing for workspaces and routes:
+    /// a directory of servers changes far more often than what operators publish.
+    ConfigurationPtr withBackendServers(std::vector<BackendServer> servers) const;
 
     /// Null where there is none of that name.
     const Workspace *workspace(const base::WorkspaceId &id) const;
@@ -111,21 +155,34 @@
     std::vector<base::VmId> vmsOf(const base::ServiceId &service) const;
 
 private:
-    base::Revision m_revision;
-    Parts m_parts;
-    void indexKeys();
-
     struct KeyEntry
     {
         std::uint64_t prefix; ///< Of the fingerprint; the workspace holds the rest.
         std::uint32_t workspace; ///< Index into the workspaces.
     };
-    std::vector<KeyEntry> m_keys; ///< Sorted by prefix: 16 bytes a key instead of a hash map's hundred.
+
+    /// What operators publish besides backend servers.
+    struct Published
+    {
+        std::vector<Workspace> workspaces;
+        std::vector<Service> services;
+        std::vector<Route> routes;
+        CallerLimits limits;
+        std::vector<KeyEntry> keys; ///< Sorted by prefix: 16 bytes a key instead of a hash map's hundred.
+    };
+
+    Configuration(base::Revision revision,
+                  std::shared_ptr<const Published> published,
+                  std::vector<BackendServer> servers);
+    static std::shared_ptr<const Published> publishedOf(Parts &&parts);
+    static std::vector<KeyEntry> keysOf(const std::vector<Workspace> &workspaces);
+
+    base::Revision m_revision;
+    std::shared_ptr<const Published> m_published;
+    std::vector<BackendServer> m_backendServers;
     std::unordered_map<base::ServiceId, std::vector<const BackendServer *>> m_serversOf;
 };
 
-using ConfigurationPtr = std::shared_ptr<const Configuration>;
-
 /// One VM as the platform lists it. The list lags.
 struct VmEntry
 {
--- a/src/include/papayastep/limits/messages.h
+++ b/src/include/papayastep/limits/messages.h
@@ -94,6 +94,49 @@
     MSGPACK_DEFINE(asker, answers)
 };
 
+/// A wish for tokens out of a workspace's one pool. See PooledLimiter.
+struct PoolWish
+{
+    base::WorkspaceId workspace;
+    std::uint64_t ask = 0; ///< Number of the wish within the incarnation of its sender.
+    std::uint32_t urgent = 0; ///< Requests wait for these.
+    std::uint32_t wanted = 0; ///< These would be of use, `urgent` included.
+    bool relayed = false; ///< Asked on behalf of another node: not to be passed on again.
+
+    auto operator<=>(const PoolWish &) const = default;
+    MSGPACK_DEFINE(workspace, ask, urgent, wanted, relayed)
+};
+
+/// Kind PoolAsk. Entry -> home of the pool, or -> a node that passes it on.
+struct PoolAsk
+{
+    std::vector<PoolWish> wishes;
+
+    auto operator<=>(const PoolAsk &) const = default;
+    MSGPACK_DEFINE(wishes)
+};
+
+struct PoolAnswer
+{
+    std::uint64_t ask = 0;
+    bool known = true; ///< False: the sender is no home and reaches none.
+    std::uint32_t granted = 0;
+    std::uint32_t retryAfterMs = 0; ///< When the next token is expected, if fewer than `urgent` were granted.
+
+    auto operator<=>(const PoolAnswer &) const = default;
+    MSGPACK_DEFINE(ask, known, granted, retryAfterMs)
+};
+
+/// Kind PoolGrant, the answer to PoolAsk.
+struct PoolGrant
+{
+    base::Incarnation asker = 0; ///< Of the asks answered; another incarnation's grants are ignored.
+    std::vector<PoolAnswer> answers;
+
+    auto operator<=>(const PoolGrant &) const = default;
+    MSGPACK_DEFINE(asker, answers)
+};
+
 /// Kind TenureQuery. A VM asks the witnesses of its zone whether they know a newer VM list than its own, and tells
 /// them of its own. See ZoneTenure.
 struct TenureQuery
--- a/src/include/papayastep/membership/configspread.h
+++ b/src/include/papayastep/membership/configspread.h
@@ -34,7 +34,7 @@
 
 struct SpreadSettings
 {
-    int readersPerZone = 2; ///< Nodes that hold a watch at the platform.
+    int readersPerZone = 2; ///< Nodes that hold a watch at the platform; 0: something else tells when to read.
     std::chrono::seconds watchWait{25}; ///< How long one watch waits.
     base::Duration shortestPoll = std::chrono::seconds(30); ///< Of nodes that hold no watch.
     double pollsPerSecond = 20; ///< Of all those nodes together; the platform takes 2,000 reads.
@@ -125,11 +125,15 @@
     FetchPlan platformListing(const config::FileListing &listing);
     /// All files of a plan came. Throws nothing: a revision that is broken or invalid is counted and left.
     void platformFiles(const config::FileListing &listing, const std::vector<config::ConfigurationFile> &fetched);
+    /// The platform holds `revision`, as something else that it said shows: worth a read at once if that is news.
+    void platformHolds(base::Revision revision);
     /// A watch ended without a new revision.
     void platformUnchanged();
     void platformFailed();
 
     void platformVmList(config::VmList list);
+    /// A list that every node makes for itself from what it reads: taken, and not passed on to others.
+    void localVmList(config::VmList list);
     void platformVmListUnchanged();
     void platformVmListFailed();
 
--- a/src/include/papayastep/membership/platformschedule.h
+++ b/src/include/papayastep/membership/platformschedule.h
@@ -39,6 +39,8 @@
     /// fleet.
     void readAnswered(base::TimePoint now, std::size_t fleet, std::mt19937_64 &random);
     void watchEnded();
+    /// There is news: the next call is a read, and due now.
+    void readNow();
     /// Waits a random part of a growing time, so that the fleet does not fall upon a platform that comes back.
     void failed(base::TimePoint now, std::mt19937_64 &random);
 
--- a/src/include/papayastep/net/httpclient.h
+++ b/src/include/papayastep/net/httpclient.h
@@ -38,6 +38,10 @@
     /// Called when the server acknowledged the request with an interim (1xx) answer.
     void onAcknowledged(std::function<void()> callback);
 
+    /// `accept` sees the head of each final answer. One that it refuses belongs to another request (a server answered
+    /// twice or late on this connection): it is read to its end and dropped, and the next one is awaited.
+    void onHead(std::function<bool(const ResponseHead &head)> accept);
+
     /// Sends `request` and reads the answer until it is whole or `holdBytes` of its body are held.
     /// Never throws for what the network does; see failure().
     Awaitable<void> run(ClientRequest request, std::size_t holdBytes);
@@ -56,16 +60,24 @@
 
 private:
     Awaitable<bool> connect(bool &reused);
-    Awaitable<bool> send(const ClientRequest &request);
+    struct Sending;
+
+    void beginSending(ClientRequest request);
     Awaitable<bool> readHead(bool isHead);
+    Awaitable<bool> readAnyHead(bool isHead);
+    Awaitable<bool> dropBody();
+    Awaitable<std::string> readBytes();
     Awaitable<void> readHeldBody(std::size_t holdBytes);
+    bool mayReuse() const;
     void fail(const beast::error_code &error);
     void finish();
 
     asio::io_context &m_context;
     HttpPool &m_pool;
     Endpoint m_endpoint;
-    std::unique_ptr<ClientConnection> m_connection;
+    std::shared_ptr<ClientConnection> m_connection;
+    std::shared_ptr<Sending> m_sending;
+    std::function<bool(const ResponseHead &)> m_accept;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::function<void()> m_acknowledged;
     std::string m_body;
@@ -73,6 +85,7 @@
     ExchangeProgress m_progress = ExchangeProgress::Connecting;
     ExchangeFailure m_failure = ExchangeFailure::None;
     bool m_cancelled = false;
+    bool m_foreignAnswer = false; ///< An answer to another request came on this connection.
 };
 
 /// Idle keep-alive connections to servers, by endpoint.
@@ -85,6 +98,9 @@
         base::Duration idleTimeout
             = std::chrono::seconds(20); ///< Shorter than the servers', so that they don't close first.
         base::Duration connectTimeout = std::chrono::milliseconds(500);
+        /// A connection whose other end went away without a word counts as broken after it. Without that, a request on
+        /// it hangs until its deadline; three round trips and some scheduling fit in many times over.
+        base::Duration silenceTimeout = std::chrono::seconds(2);
     };
 
     HttpPool(asio::io_context &context, const base::Clock &clock, Limits limits);
@@ -93,8 +109,11 @@
     const Limits &limits() const;
 
     /// An idle connection that is still open, or null.
-    std::unique_ptr<ClientConnection> take(const Endpoint &endpoint);
-    void put(const Endpoint &endpoint, std::unique_ptr<ClientConnection> connection);
+    std::shared_ptr<ClientConnection> take(const Endpoint &endpoint);
+    /// `idleTimeout`: after which the server says that it closes the connection.
+    void put(const Endpoint &endpoint,
+             std::shared_ptr<ClientConnection> connection,
+             std::optional<base::Duration> idleTimeout);
 
     /// Closes connections that were idle for too long.
     void sweep();
@@ -103,8 +122,8 @@
 private:
     struct Idle
     {
-        base::TimePoint since;
-        std::unique_ptr<ClientConnection> connection;
+        base::TimePoint until;
+        std::shared_ptr<ClientConnection> connection;
     };
 
     asio::io_context &m_context;
--- a/src/include/papayastep/net/httpserver.h
+++ b/src/include/papayastep/net/httpserver.h
@@ -76,6 +76,12 @@
     HttpServer(asio::io_context &context, const Endpoint &endpoint, ServerLimits limits, RequestHandler &handler);
     ~HttpServer();
 
+    /// Holds for requests that begin from now on.
+    void setLimits(const ServerLimits &limits);
+
+    /// From now on each answer ends its connection, so that callers go elsewhere without a request being lost.
+    void closeAfterAnswers();
+
     /// Closes the listener and the idle connections; requests in flight go on, each with `Connection: close`.
     void stop();
 
@@ -96,6 +102,7 @@
     std::shared_ptr<ConnectionSet> m_connections;
     std::size_t m_inFlight = 0;
     std::uint64_t m_refused = 0;
+    bool m_closesAfterAnswers = false;
     bool m_stopping = false;
 };
 
--- a/src/include/papayastep/net/signal.h
+++ b/src/include/papayastep/net/signal.h
@@ -18,6 +18,7 @@
     void notify();
 
 private:
+    const base::SystemClock m_clock; ///< Times of waitUntil() are the system's, whatever clock decides.
     asio::steady_timer m_timer;
     bool m_notified = false;
 };
--- a/src/include/papayastep/node/configurationkeeper.h
+++ b/src/include/papayastep/node/configurationkeeper.h
@@ -16,6 +16,8 @@
 
     /// Starts both loops.
     void start();
+    /// Without the VM list: that is made from the directory of backend servers.
+    void startConfiguration();
     void stop();
 
     /// The decisions may have changed: look at them again.
--- a/src/include/papayastep/node/node.h
+++ b/src/include/papayastep/node/node.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "papayastep/base/statechart.h"
+#include "papayastep/membership/vmroster.h"
 #include "papayastep/node/adminhandler.h"
 #include "papayastep/node/configurationkeeper.h"
+#include "papayastep/node/directorykeeper.h"
 #include "papayastep/node/entryhandler.h"
 #include "papayastep/node/hophandler.h"
 #include "papayastep/node/peerlink.h"
@@ -24,7 +26,11 @@
 {
 public:
     /// Listens at once. Throws Error (2004, 7001).
-    Node(net::asio::io_context &io, const base::Clock &clock, NodeSettings settings, std::uint64_t seed);
+    Node(net::asio::io_context &io,
+         const base::Clock &clock,
+         NodeSettings settings,
+         Interfaces interfaces,
+         std::uint64_t seed);
     ~Node();
 
     /// Begins a planned stop: announces it, refuses new requests, finishes those in flight, hands over, then stops
@@ -40,7 +46,10 @@
     void logHealthEvents();
     void startBuild();
     void applyConfiguration(const membership::Accepted &accepted);
+    void putInForce();
     void applyVmList();
+    void applyDirectory();
+    void applyCallerLimits();
     void tick();
     base::TimePoint nextTick() const;
     net::Awaitable<void> tickLoop();
@@ -57,17 +66,22 @@
     NodeContext m_context;
     membership::VmDirectory m_directory;
     membership::ConfigSpread m_spread;
-    net::HttpPlatformClient m_platform;
+    membership::ServerDirectory m_servers; ///< Empty without a source of servers.
+    membership::VmRoster m_roster;
     ConfigurationKeeper m_keeper;
+    std::unique_ptr<DirectoryKeeper> m_directoryKeeper; ///< Null: backend servers stand in the configuration.
     ServingNode m_serving;
     Prober m_prober;
     EntryHandler m_entry;
     HopHandler m_hop;
     AdminHandler m_admin;
+    AdminHandler m_ready;
     PeerLink m_peers;
     net::HttpServer m_callerServer;
     net::HttpServer m_hopServer;
     net::HttpServer m_adminServer;
+    std::unique_ptr<net::HttpServer> m_readyServer; ///< Null: asked at the admin endpoint only.
+    config::ConfigurationPtr m_published; ///< The revision in force without the servers of the directory.
     net::Signal m_tickSignal;
     base::TimePoint m_armedTick;
     base::TimePoint m_nextSweep;
--- a/src/include/papayastep/node/nodecontext.h
+++ b/src/include/papayastep/node/nodecontext.h
@@ -2,9 +2,11 @@
 
 #include "papayastep/base/clock.h"
 #include "papayastep/config/configuration.h"
+#include "papayastep/health/graybook.h"
 #include "papayastep/health/healthmonitor.h"
-#include "papayastep/limits/tokenbroker.h"
+#include "papayastep/limits/ratelimiter.h"
 #include "papayastep/net/httpclient.h"
+#include "papayastep/node/interfaces.h"
 #include "papayastep/node/metrics.h"
 #include "papayastep/node/settings.h"
 #include "papayastep/routing/ledgerclient.h"
@@ -33,18 +35,25 @@
     NodeContext(net::asio::io_context &ioContext,
                 const base::Clock &systemClock,
                 NodeSettings nodeSettings,
+                Interfaces outside,
                 std::uint64_t seed);
 
+    const CallerProtocol &callers() const;
+    const BackendProtocol &backends() const;
+
     net::asio::io_context &io;
     const base::Clock &clock;
     NodeSettings settings;
+    Interfaces interfaces;
     base::Incarnation incarnation;
     std::mt19937_64 random;
     wire::HopCodec hopCodec;
     net::HttpPool hopPool;
     net::HttpPool backendPool;
-    limits::TokenBroker tokens;
+    const std::unique_ptr<limits::RateLimiter> rateLimiter;
+    limits::RateLimiter &tokens; ///< The same, for short.
     health::HealthMonitor health;
+    health::GrayBook gray;
     routing::RetryBudget retryBudget;
     routing::RetryPolicy retryPolicy;
     routing::LedgerHome ledgerHome;
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -50,11 +50,14 @@
     Lane *laneOf(const base::BackendServerId &server);
     std::optional<base::ResultCode> checkKey(const wire::HopRequest &hop) const;
     std::optional<base::ResultCode> checkServer(const wire::HopRequest &hop);
+    bool isHeldBack(const Lane &lane, const wire::HopRequest &hop) const;
     std::optional<base::ResultCode> beginWork(Work &work);
     net::Awaitable<void> waitForSlot(WorkPtr work);
     net::Awaitable<void> runOnBackend(WorkPtr work, net::ClientRequest request);
     void finishWork(Work &work, health::AttemptOutcome outcome);
+    void noteOutcome(Lane &lane, const Work &work, health::AttemptOutcome outcome);
     ServedAnswer answerOf(const WorkPtr &work);
+    ServedAnswer refusedByServer(const WorkPtr &work);
     ServedAnswer refusalOf(const Work &work, base::ResultCode code, base::Duration retryAfter);
     wire::HopReply replyOf(const Work &work) const;
     base::BackendServerId advise(const Work &work);
--- a/src/include/papayastep/node/settings.h
+++ b/src/include/papayastep/node/settings.h
@@ -4,6 +4,7 @@
 #include "papayastep/net/endpoint.h"
 #include "papayastep/net/httpserver.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +14,14 @@
 /// How servers are chosen. Random is the baseline of the measures.
 enum class PlacementChoice { TwoChoices, Random };
 
+/// What a node speaks with callers, backend servers and the platform: papayastep's own interfaces, or those of the
+/// operators' platform (folder platform/).
+enum class InterfaceChoice { Own, Platform };
+
+/// What a node does with a request when it can't know whether its workspace is inside its rate: refuse, so that no
+/// workspace ever gets more, or serve within an excess that the operators tolerate.
+enum class RateLimitChoice { Strict, Pooled };
+
 /// What a node is told at its start: a JSON file, checked against a schema, and a few command line options over it.
 struct NodeSettings
 {
@@ -22,7 +31,14 @@
     net::Endpoint hop; ///< HTTP between nodes.
     net::Endpoint peer; ///< nng between nodes.
     net::Endpoint admin; ///< HTTP for operators.
+    std::optional<net::Endpoint> ready; ///< A listener of its own for the question whether the node is ready.
+    std::string readyPath = "/readyz"; ///< Where that question is asked.
     std::vector<net::Endpoint> platform;
+    std::vector<net::Endpoint> seeds; ///< Peer endpoints of some nodes, for a start while the platform is away.
+    std::vector<base::ZoneId> zones; ///< All of the fleet; empty: those of the backend servers.
+    base::ServiceId service; ///< Of the backend servers on this VM, which tells who calls; empty: not told.
+    InterfaceChoice interfaces = InterfaceChoice::Own;
+    RateLimitChoice rateLimits = RateLimitChoice::Strict;
     std::string secret; ///< Of the fleet. Never logged.
     PlacementChoice placement = PlacementChoice::TwoChoices;
     bool ejection = true; ///< False: the baseline without ejection.
@@ -31,6 +47,9 @@
     base::Duration acknowledgeAfter
         = std::chrono::milliseconds(10); ///< A hop answered sooner needs no acknowledgement.
     base::Duration drainTimeout = std::chrono::seconds(30); ///< A planned stop waits no longer for requests in flight.
+    /// At a planned stop: how long new requests are still taken. Until then callers and siblings hear of it and turn
+    /// away, so that few requests meet a closed door.
+    base::Duration announceFirst = std::chrono::milliseconds(500);
 };
 
 /// What stands on the command line beside the file; empty: not given.
--- a/src/include/papayastep/routing/placement.h
+++ b/src/include/papayastep/routing/placement.h
@@ -28,6 +28,7 @@
     int queueLength = 0;
     base::Duration latency{0}; ///< Typical, without queueing. 0: not known.
     bool pathUsable = true; ///< From here to its VM.
+    double failureRisk = 0; ///< How likely it is in a spell of gray failure.
     base::Duration freshness{0}; ///< Age of the load figures.
 
     auto operator<=>(const Candidate &) const = default;
@@ -107,6 +108,10 @@
     double sameZoneTolerance = 0.1; ///< A server of the same zone is taken while at most this much worse.
     base::Duration defaultLatency = std::chrono::milliseconds(10); ///< Where none is known.
     base::Duration staleAfter = std::chrono::seconds(3); ///< Older load figures count as the average ones.
+    /// What a failed answer costs besides the time that it took: for a request that can be repeated, the repeat; for
+    /// any other all that it is worth, which is put at some usual answers' time.
+    base::Duration repeatCost = std::chrono::milliseconds(500);
+    base::Duration lossCost = std::chrono::milliseconds(3000);
 };
 
 /// Draws two usable servers, one of them of the own zone where there is one, each as often as its weight says, and
@@ -124,8 +129,9 @@
                     const PlacementRequest &request,
                     std::mt19937_64 &random) const override;
 
-    /// Expected milliseconds for one more request: latency, stretched by slots in use and queue.
-    double score(const Candidate &candidate) const;
+    /// Expected milliseconds for one more request: latency, stretched by slots in use and queue, and what a failure
+    /// would cost.
+    double score(const Candidate &candidate, bool idempotent) const;
 
     /// All candidates with scores, and one sentence about `placement`.
     PlacementExplanation explain(std::span<const Candidate> candidates,
--- a/src/include/papayastep/routing/retrypolicy.h
+++ b/src/include/papayastep/routing/retrypolicy.h
@@ -26,6 +26,7 @@
     CancelStarted, ///< Cancel answered: too late, it is running.
     CancelDone, ///< Cancel answered: it has run to its end.
     CancelUnanswered, ///< No answer to the cancel within AttemptTimeouts::cancel.
+    CallerGone, ///< The caller closed its connection; nobody waits for an answer.
 };
 
 std::string_view name(AttemptEvent event);
@@ -68,7 +69,9 @@
     bool idempotent = false;
     bool hasIdempotencyKey = false;
     base::TimePoint deadline;
-    int attempts = 0; ///< Attempts begun.
+    int maxAttempts = 3; ///< As the route says.
+    int tries = 0; ///< Serving nodes asked so far; the number names the attempt.
+    int attempts = 0; ///< Of these, the ones that reached or may have reached a backend server.
     /// Some attempt may have had an effect, so that no later refusal may say not-run.
     bool mayHaveRun = false;
 
@@ -77,7 +80,9 @@
 
 struct RetrySettings
 {
-    int maxAttempts = 3;
+    /// Nodes asked for one request, most of which refuse before their backend server gets it. Each costs a round trip;
+    /// of six drawn servers one takes the request unless nearly all are full or ejected.
+    int maxTries = 6;
     base::Duration acknowledge = std::chrono::milliseconds(150); ///< A node acknowledges before it queues.
     double answerMultiple = 4; ///< Of the service's typical latency.
     base::Duration minAnswer = std::chrono::milliseconds(50);
@@ -123,7 +128,8 @@
                          base::ResultCode code,
                          base::Duration retryAfter,
                          std::string_view reason) const;
-    /// Whether another attempt may follow; takes it from the budget.
+    bool mayTryAgain(const RequestProgress &progress) const;
+    /// Whether another attempt may follow that a backend server gets beyond the first; takes it from the budget.
     bool takeRetry(const RequestProgress &progress);
 
     const base::Clock &m_clock;
--- a/src/include/papayastep/routing/routetable.h
+++ b/src/include/papayastep/routing/routetable.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,9 @@
 /// Whether requests of `route` with `method` may run more than once: the route's own word, else GET, HEAD, OPTIONS.
 bool isIdempotent(const config::Route &route, std::string_view method);
 
+/// The service of one request of `route`: by its weights where the route is split.
+base::ServiceId chooseService(const config::Route &route, std::mt19937_64 &random);
+
 struct RouteMatch
 {
     const config::Route *route = nullptr; ///< Lives as long as the table.
@@ -53,7 +57,8 @@
     const config::Route *routeOfGroup(std::uint64_t hash,
                                       std::string_view host,
                                       std::string_view method,
-                                      std::string_view prefix) const;
+                                      std::string_view prefix,
+                                      bool isBelow) const;
     void insertGroup(std::uint32_t group);
 
     config::ConfigurationPtr m_configuration;
--- a/src/include/papayastep/wire/hop.h
+++ b/src/include/papayastep/wire/hop.h
@@ -26,8 +26,11 @@
     std::int64_t remaining = 0; ///< Nanoseconds of the request's deadline that are left when it is sent.
     std::int64_t sent = 0; ///< The entry's monotonic clock when it is sent, in nanoseconds.
     bool idempotent = false;
-    bool trial = false; ///< A probe of a server that was ejected.
     bool redirected = false; ///< Came here on the advice of a sibling: no more advice.
+    base::ServiceId callerService; ///< Of the VM where the request entered; empty: not known.
+    std::string callerId; ///< The caller's own name for the request, for the logs of both sides; may be empty.
+    std::uint8_t priority = 0; ///< 0 is the most urgent.
+    bool lastResort = false; ///< All servers were found ejected, so this one is to try whatever it thinks of itself.
 
     base::RequestId requestId() const
     {
@@ -48,8 +51,11 @@
                    remaining,
                    sent,
                    idempotent,
-                   trial,
-                   redirected)
+                   redirected,
+                   callerService,
+                   callerId,
+                   priority,
+                   lastResort)
 };
 
 /// How an attempt ended, as the serving node knows it.
@@ -74,6 +80,7 @@
     std::uint32_t queueMicros = 0;
     std::uint32_t serverMicros = 0;
     std::string report; ///< State of the server and its siblings (package health), encoded there.
+    std::uint8_t grayPercent = 0; ///< How likely the server is in a spell of gray failure.
 
     base::RequestId requestId() const
     {
@@ -92,7 +99,8 @@
                    revision,
                    queueMicros,
                    serverMicros,
-                   report)
+                   report,
+                   grayPercent)
 };
 
 /// Kind CancelAttempt, entry to serving node: don't start the attempt, and say whether it has started.
--- a/src/include/papayastep/wire/message.h
+++ b/src/include/papayastep/wire/message.h
@@ -23,6 +23,8 @@
     ShareHandOver = 13,
     TenureQuery = 14,
     TenureAnswer = 15,
+    PoolAsk = 16,
+    PoolGrant = 17,
     // 20-29: health
     SiblingState = 20,
     SiblingLeaving = 21,
--- /dev/null
+++ b/src/limits/pooledlimiter.cpp
@@ -0,0 +1,533 @@
+#include "papayastep/limits/pooledlimiter.h"
+
+#include "papayastep/base/hashing.h"
+#include "papayastep/base/log.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace papayastep::limits {
+
+namespace {
+
+constexpr std::string_view logPrefix = "limits";
+
+/// The demand follows the requests of about this time.
+constexpr std::chrono::duration<double> demandMemory(1.0);
+
+/// Requests per second above which an entry asks in advance. Below, the tokens would mostly come back unused.
+constexpr double demandForPrefetch = 5;
+
+constexpr base::Duration shortestRetryAfter = std::chrono::milliseconds(50);
+/// Callers who were told to come back later than this had better see what has changed.
+constexpr base::Duration longestRetryAfter = std::chrono::seconds(2);
+
+double seconds(base::Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+base::Duration durationOf(double secondsCount)
+{
+    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(secondsCount));
+}
+
+template<typename Message>
+bool decodeInto(Message &message, std::string_view payload)
+{
+    try {
+        message = wire::decode<Message>(payload);
+        return true;
+    } catch (const base::Error &) {
+        return false;
+    }
+}
+
+}
+
+void PooledLimiter::Bucket::refill(double rate, double burst, base::TimePoint now)
+{
+    level = std::min(burst, level + rate * seconds(now - updated));
+    updated = now;
+}
+
+PooledLimiter::PooledLimiter(BrokerSelf self, const base::Clock &clock, PoolSettings settings)
+    : m_self(std::move(self))
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_listChanged(clock.now())
+{
+}
+
+void PooledLimiter::applyConfiguration(config::ConfigurationPtr configuration)
+{
+    m_configuration = std::move(configuration);
+    std::erase_if(m_pools, [&](const auto &entry) { return limited(entry.first) == nullptr; });
+    std::erase_if(m_entries, [&](const auto &entry) { return limited(entry.first) == nullptr; });
+}
+
+void PooledLimiter::applyVmList(const config::VmList &list, base::TimePoint)
+{
+    if (list.version <= m_listVersion) {
+        return;
+    }
+    m_listVersion = list.version;
+    std::vector<base::VmId> vms;
+    for (const config::VmEntry &vm : list.vms) {
+        if (!vm.leaving) {
+            vms.push_back(vm.id);
+        }
+    }
+    std::sort(vms.begin(), vms.end());
+    if (vms != m_vms) {
+        m_vms = std::move(vms);
+        m_listChanged = m_clock.now();
+    }
+}
+
+Admission PooledLimiter::acquire(const base::WorkspaceId &workspace, const base::RequestId &request, base::TimePoint)
+{
+    const config::Workspace *configured = limited(workspace);
+    if (configured == nullptr) {
+        return Refused{base::ResultCode::KeyUnknown, {}};
+    }
+    Entry &entry = m_entries[workspace];
+    noteDemand(entry);
+    if (entry.stock >= 1 && m_clock.now() < entry.stockUntil) {
+        entry.stock -= 1;
+        ++m_counters.admitted;
+        return Admitted{tokenOf(workspace)};
+    }
+    entry.stock = 0;
+    const base::VmId home = reachableHome(workspace);
+    if (home == m_self.vm && !m_draining) {
+        if (takeFromPool(*configured, 1, 1) == 1) {
+            ++m_counters.admitted;
+            return Admitted{tokenOf(workspace)};
+        }
+        ++m_counters.refused;
+        return Refused{base::ResultCode::RateExceeded, comeBackAfter(*configured)};
+    }
+    Wish wish;
+    wish.workspace = workspace;
+    wish.requests.push_back(request);
+    const double ahead = entry.demand > demandForPrefetch ? entry.demand * seconds(m_settings.prefetch) : 0;
+    wish.wanted = 1 + static_cast<std::uint32_t>(ahead);
+    ask(std::move(wish));
+    return Waiting{};
+}
+
+void PooledLimiter::cancelWaiting(const base::RequestId &request)
+{
+    for (auto &[number, wish] : m_wishes) {
+        std::erase(wish.requests, request);
+    }
+}
+
+void PooledLimiter::giveBack(const Token &token)
+{
+    const auto entry = m_entries.find(token.workspace);
+    if (entry == m_entries.end()) {
+        return;
+    }
+    ++m_counters.givenBack;
+    if (m_clock.now() >= entry->second.stockUntil) {
+        entry->second.stock = 0;
+    }
+    entry->second.stock += 1;
+    entry->second.stockUntil = m_clock.now() + m_settings.stockLifetime;
+}
+
+void PooledLimiter::receive(const base::VmId &from,
+                            base::Incarnation incarnation,
+                            wire::MessageKind kind,
+                            std::string_view payload)
+{
+    m_suspects.erase(from);
+    PoolAsk ask;
+    PoolGrant grant;
+    if (kind == wire::MessageKind::PoolAsk && decodeInto(ask, payload)) {
+        receiveAsk(from, incarnation, ask);
+    } else if (kind == wire::MessageKind::PoolGrant && decodeInto(grant, payload)) {
+        receiveGrant(from, grant);
+    } else {
+        ++m_counters.messagesIgnored;
+    }
+}
+
+/// A home that did not answer in time is suspected, and the next in the order is asked.
+void PooledLimiter::tick()
+{
+    const base::TimePoint now = m_clock.now();
+    std::vector<Wish> overdue;
+    for (auto entry = m_wishes.begin(); entry != m_wishes.end();) {
+        const auto current = entry++;
+        if (current->second.overdue <= now) {
+            overdue.push_back(std::move(current->second));
+            m_wishes.erase(current);
+        }
+    }
+    for (Wish &wish : overdue) {
+        passOver(wish.home);
+        ask(std::move(wish));
+    }
+    std::erase_if(m_suspects, [now](const auto &suspect) { return suspect.second <= now; });
+}
+
+std::optional<base::TimePoint> PooledLimiter::nextTick() const
+{
+    std::optional<base::TimePoint> next;
+    for (const auto &[number, wish] : m_wishes) {
+        next = std::min(next.value_or(wish.overdue), wish.overdue);
+    }
+    return next;
+}
+
+/// Still admits for its own callers, who may go on to send on open connections; it is no home any more.
+void PooledLimiter::drain()
+{
+    m_draining = true;
+}
+
+std::vector<wire::Outgoing> PooledLimiter::takeMessages()
+{
+    std::vector<wire::Outgoing> messages;
+    for (const auto &[home, ask] : m_asks) {
+        messages.push_back(wire::outgoing(home, wire::MessageKind::PoolAsk, ask));
+    }
+    for (const auto &[asker, grant] : m_grants) {
+        messages.push_back(wire::outgoing(asker.first, wire::MessageKind::PoolGrant, grant));
+    }
+    m_counters.messagesSent += messages.size();
+    m_asks.clear();
+    m_grants.clear();
+    return messages;
+}
+
+std::vector<AdmissionDecision> PooledLimiter::takeDecisions()
+{
+    return std::exchange(m_decisions, {});
+}
+
+bool PooledLimiter::isSettled() const
+{
+    return true;
+}
+
+bool PooledLimiter::chargesRepeats() const
+{
+    return false;
+}
+
+WorkspaceStatus PooledLimiter::status(const base::WorkspaceId &workspace) const
+{
+    WorkspaceStatus status;
+    status.workspace = workspace;
+    status.revision = m_configuration ? m_configuration->revision() : 0;
+    if (const auto entry = m_entries.find(workspace); entry != m_entries.end()) {
+        status.entryTokens = entry->second.stock;
+        status.demand = entry->second.demand;
+    }
+    const config::Workspace *configured = limited(workspace);
+    if (configured != nullptr) {
+        ShareStatus share;
+        share.holder = reachableHome(workspace);
+        share.rate = configured->rate;
+        share.burst = configured->burst;
+        if (const auto pool = m_pools.find(workspace); pool != m_pools.end()) {
+            share.held = share.holder == m_self.vm;
+            share.level = pool->second.bucket.level;
+        }
+        status.shares.push_back(share);
+    }
+    return status;
+}
+
+const BrokerCounters &PooledLimiter::counters() const
+{
+    return m_counters;
+}
+
+std::size_t PooledLimiter::activeWorkspaces() const
+{
+    return m_entries.size();
+}
+
+const config::Workspace *PooledLimiter::limited(const base::WorkspaceId &workspace) const
+{
+    const config::Workspace *configured = m_configuration ? m_configuration->workspace(workspace) : nullptr;
+    return configured != nullptr && configured->isLimited() ? configured : nullptr;
+}
+
+/// The first two in the order of their weights; more are never asked.
+std::vector<base::VmId> PooledLimiter::homesOf(const base::WorkspaceId &workspace) const
+{
+    std::vector<std::pair<std::uint64_t, const base::VmId *>> weighed;
+    weighed.reserve(m_vms.size());
+    for (const base::VmId &vm : m_vms) {
+        weighed.emplace_back(base::rendezvousWeight(workspace.value(), vm.value()), &vm);
+    }
+    const std::size_t count = std::min(weighed.size(), static_cast<std::size_t>(m_settings.homesTried));
+    std::partial_sort(weighed.begin(),
+                      weighed.begin() + static_cast<std::ptrdiff_t>(count),
+                      weighed.end(),
+                      [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::vector<base::VmId> homes;
+    for (std::size_t index = 0; index < count; ++index) {
+        homes.push_back(*weighed[index].second);
+    }
+    return homes;
+}
+
+/// Empty: none that could be asked.
+base::VmId PooledLimiter::reachableHome(const base::WorkspaceId &workspace) const
+{
+    for (const base::VmId &home : homesOf(workspace)) {
+        if (!isSuspect(home)) {
+            return home;
+        }
+    }
+    return {};
+}
+
+bool PooledLimiter::isSuspect(const base::VmId &vm) const
+{
+    const auto suspect = m_suspects.find(vm);
+    return suspect != m_suspects.end() && m_clock.now() < suspect->second;
+}
+
+double PooledLimiter::reachablePart() const
+{
+    if (m_vms.empty()) {
+        return 1;
+    }
+    const auto suspects = static_cast<double>(std::min(m_suspects.size(), m_vms.size()));
+    return 1 - suspects / static_cast<double>(m_vms.size());
+}
+
+bool PooledLimiter::isFirstHome(const base::WorkspaceId &workspace) const
+{
+    const std::vector<base::VmId> homes = homesOf(workspace);
+    return !homes.empty() && homes.front() == m_self.vm;
+}
+
+void PooledLimiter::noteDemand(Entry &entry)
+{
+    const base::TimePoint now = m_clock.now();
+    const double passed = seconds(now - entry.demandUpdated);
+    const double kept = std::exp(-passed / demandMemory.count());
+    entry.demand = entry.demand * kept + 1 / demandMemory.count();
+    entry.demandUpdated = now;
+}
+
+/// The pool with what has flown into it up to now.
+PooledLimiter::Pool &PooledLimiter::poolOf(const config::Workspace &workspace)
+{
+    const base::TimePoint now = m_clock.now();
+    const double part = isFirstHome(workspace.id) ? 1 : reachablePart();
+    const double rate = workspace.rate * (1 + m_settings.rateExcess) * part;
+    const double burst = workspace.burst + m_settings.burstExcess;
+    const auto [place, isNew] = m_pools.try_emplace(workspace.id);
+    Pool &pool = place->second;
+    if (isNew) {
+        // Whoever held the pool before may have given all of it out a moment ago.
+        pool.bucket.level = workspace.burst / 2;
+        pool.bucket.updated = m_listChanged;
+    }
+    pool.bucket.refill(rate, burst, now);
+    return pool;
+}
+
+std::uint32_t PooledLimiter::takeFromPool(const config::Workspace &workspace,
+                                          std::uint32_t urgent,
+                                          std::uint32_t wanted)
+{
+    Pool &pool = poolOf(workspace);
+    const auto whole = static_cast<std::uint32_t>(std::max(0.0, pool.bucket.level));
+    // In advance only out of a pool that is at least half full: others may have requests waiting.
+    const bool plenty = pool.bucket.level > workspace.burst / 2;
+    const std::uint32_t granted = std::min(whole, plenty ? std::max(urgent, wanted) : urgent);
+    pool.bucket.level -= granted;
+    m_counters.grantsMade += granted > 0 ? 1 : 0;
+    return granted;
+}
+
+/// Those who are refused are told different times, one token apart, so that each finds one when it comes back.
+base::Duration PooledLimiter::comeBackAfter(const config::Workspace &workspace)
+{
+    const base::TimePoint now = m_clock.now();
+    Pool &pool = m_pools[workspace.id];
+    pool.promisedUntil = std::max(pool.promisedUntil, now) + durationOf(1 / workspace.rate);
+    return std::clamp(pool.promisedUntil - now, shortestRetryAfter, longestRetryAfter);
+}
+
+bool PooledLimiter::takeAlone(const config::Workspace &workspace, Entry &entry)
+{
+    const base::TimePoint now = m_clock.now();
+    const double rate = workspace.rate / static_cast<double>(std::max<std::size_t>(1, m_vms.size()));
+    if (!entry.aloneUsed) {
+        entry.aloneUsed = true;
+        entry.alone = Bucket{m_settings.aloneBurst, now};
+    }
+    entry.alone.refill(rate, m_settings.aloneBurst, now);
+    if (entry.alone.level < 1) {
+        return false;
+    }
+    entry.alone.level -= 1;
+    return true;
+}
+
+Token PooledLimiter::tokenOf(const base::WorkspaceId &workspace) const
+{
+    Token token;
+    token.workspace = workspace;
+    token.usableUntil = base::TimePoint::max();
+    return token;
+}
+
+/// Asks the next home that is not suspected, or decides alone where there is none.
+void PooledLimiter::ask(Wish wish)
+{
+    const base::VmId home = reachableHome(wish.workspace);
+    const config::Workspace *configured = limited(wish.workspace);
+    if (configured == nullptr || home.empty() || wish.homesTried >= m_settings.homesTried) {
+        decideAlone(wish);
+        return;
+    }
+    const auto urgent = wish.asker.empty() ? static_cast<std::uint32_t>(wish.requests.size()) : wish.askerUrgent;
+    if (home == m_self.vm) {
+        const std::uint32_t granted = m_draining ? 0 : takeFromPool(*configured, urgent, wish.wanted);
+        const base::Duration retryAfter = granted < urgent ? comeBackAfter(*configured) : base::Duration::zero();
+        settle(wish, granted, retryAfter);
+        return;
+    }
+    const std::uint64_t number = ++m_lastAsk;
+    wish.home = home;
+    ++wish.homesTried;
+    // A stand-in asks the home itself before it answers, which takes a timeout of its own.
+    wish.overdue = m_clock.now() + m_settings.askTimeout * wish.homesTried;
+    PoolWish message;
+    message.workspace = wish.workspace;
+    message.ask = number;
+    message.urgent = urgent;
+    message.wanted = wish.wanted;
+    message.relayed = !wish.asker.empty();
+    m_asks[home].wishes.push_back(std::move(message));
+    ++m_counters.asksSent;
+    m_wishes.emplace(number, std::move(wish));
+}
+
+void PooledLimiter::answer(const base::VmId &to, base::Incarnation incarnation, const PoolAnswer &answer)
+{
+    PoolGrant &grant = m_grants[{to, incarnation}];
+    grant.asker = incarnation;
+    grant.answers.push_back(answer);
+}
+
+void PooledLimiter::decideAlone(const Wish &wish)
+{
+    if (!wish.asker.empty()) {
+        answer(wish.asker, wish.askerIncarnation, PoolAnswer{wish.askerAsk, false, 0, 0});
+        return;
+    }
+    const config::Workspace *configured = limited(wish.workspace);
+    for (const base::RequestId &request : wish.requests) {
+        if (configured == nullptr) {
+            m_decisions.push_back({request, Refused{base::ResultCode::KeyUnknown, {}}});
+        } else if (takeAlone(*configured, m_entries[wish.workspace])) {
+            ++m_counters.admittedWaiting;
+            m_decisions.push_back({request, Admitted{tokenOf(wish.workspace)}});
+        } else {
+            ++m_counters.refusedSilent;
+            m_decisions.push_back({request, Refused{base::ResultCode::RateExceeded, m_settings.suspicion}});
+        }
+    }
+}
+
+void PooledLimiter::settle(const Wish &wish, std::uint32_t granted, base::Duration retryAfter)
+{
+    if (!wish.asker.empty()) {
+        const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count();
+        answer(wish.asker,
+               wish.askerIncarnation,
+               PoolAnswer{wish.askerAsk, true, granted, static_cast<std::uint32_t>(milliseconds)});
+        return;
+    }
+    for (const base::RequestId &request : wish.requests) {
+        if (granted > 0) {
+            --granted;
+            ++m_counters.admittedWaiting;
+            m_decisions.push_back({request, Admitted{tokenOf(wish.workspace)}});
+        } else {
+            ++m_counters.refused;
+            m_decisions.push_back({request, Refused{base::ResultCode::RateExceeded, retryAfter}});
+        }
+    }
+    if (granted > 0) {
+        Entry &entry = m_entries[wish.workspace];
+        entry.stock = (m_clock.now() < entry.stockUntil ? entry.stock : 0) + granted;
+        entry.stockUntil = m_clock.now() + m_settings.stockLifetime;
+    }
+}
+
+void PooledLimiter::receiveAsk(const base::VmId &from, base::Incarnation incarnation, const PoolAsk &ask)
+{
+    for (const PoolWish &wish : ask.wishes) {
+        receiveWish(from, incarnation, wish);
+    }
+}
+
+/// Answers out of the own pool, or passes the wish on to the home that this node can reach: who asked here may have a
+/// broken path to it, or an older VM list.
+void PooledLimiter::receiveWish(const base::VmId &from, base::Incarnation incarnation, const PoolWish &message)
+{
+    Wish wish;
+    wish.workspace = message.workspace;
+    wish.wanted = message.wanted;
+    wish.asker = from;
+    wish.askerIncarnation = incarnation;
+    wish.askerAsk = message.ask;
+    wish.askerUrgent = message.urgent;
+    const bool passOn = reachableHome(message.workspace) != m_self.vm;
+    if (limited(message.workspace) == nullptr || m_draining || (passOn && message.relayed)) {
+        answer(from, incarnation, PoolAnswer{message.ask, false, 0, 0});
+        return;
+    }
+    ask(std::move(wish));
+}
+
+void PooledLimiter::receiveGrant(const base::VmId &from, const PoolGrant &grant)
+{
+    if (grant.asker != m_self.incarnation) {
+        ++m_counters.messagesIgnored;
+        return;
+    }
+    for (const PoolAnswer &answered : grant.answers) {
+        const auto found = m_wishes.find(answered.ask);
+        if (found == m_wishes.end()) {
+            ++m_counters.messagesIgnored; // Late: the wish was decided without it, and these tokens are lost.
+            continue;
+        }
+        Wish wish = std::move(found->second);
+        m_wishes.erase(found);
+        if (answered.known) {
+            settle(wish, answered.granted, std::chrono::milliseconds(answered.retryAfterMs));
+        } else {
+            passOver(from);
+            ask(std::move(wish));
+        }
+    }
+}
+
+void PooledLimiter::passOver(const base::VmId &home)
+{
+    if (!isSuspect(home)) {
+        PAPAYASTEP_LOG(WARNING, logPrefix)
+            << "Passing over a node that holds workspaces' rates." << base::field("vm", home)
+            << base::field("forMs",
+                           std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.suspicion).count());
+    }
+    m_suspects[home] = m_clock.now() + m_settings.suspicion;
+}
+
+}
--- a/src/limits/tokenbroker.cpp
+++ b/src/limits/tokenbroker.cpp
@@ -427,6 +427,11 @@
     return m_impl->isSettled();
 }
 
+bool TokenBroker::chargesRepeats() const
+{
+    return true;
+}
+
 WorkspaceStatus TokenBroker::status(const base::WorkspaceId &workspace) const
 {
     return m_impl->status(workspace);
--- a/src/membership/configspread.cpp
+++ b/src/membership/configspread.cpp
@@ -116,6 +116,13 @@
     }
 }
 
+void ConfigSpread::platformHolds(base::Revision revision)
+{
+    if (!isSettled(revision)) {
+        m_configurationSchedule.readNow();
+    }
+}
+
 void ConfigSpread::platformUnchanged()
 {
     m_configurationSchedule.watchEnded();
@@ -138,6 +145,15 @@
     adoptVmList(std::move(list), true);
 }
 
+void ConfigSpread::localVmList(config::VmList list)
+{
+    if (!m_directory.accept(std::move(list))) {
+        return;
+    }
+    m_vmListChanged = true;
+    m_vmListRepair.noteHave(m_directory.list().version);
+}
+
 void ConfigSpread::platformVmListUnchanged()
 {
     m_vmListSchedule.watchEnded();
--- a/src/membership/platformschedule.cpp
+++ b/src/membership/platformschedule.cpp
@@ -47,6 +47,13 @@
     m_watchNext = false;
 }
 
+void PlatformSchedule::readNow()
+{
+    m_pollAt = {};
+    m_backoffUntil = {};
+    m_watchNext = false;
+}
+
 void PlatformSchedule::failed(base::TimePoint now, std::mt19937_64 &random)
 {
     m_backoff = std::clamp(m_backoff * 2, m_settings.shortestBackoff, m_settings.longestBackoff);
--- /dev/null
+++ b/src/membership/serverdirectory.cpp
@@ -0,0 +1,163 @@
+#include "papayastep/membership/serverdirectory.h"
+
+#include "papayastep/base/log.h"
+
+#include <algorithm>
+#include <set>
+
+namespace papayastep::membership {
+
+namespace {
+
+constexpr std::string_view logPrefix = "membership";
+
+/// Whether `a` is surely a later user of an address than `b`.
+bool isYounger(const config::BackendServer &a, const config::BackendServer &b)
+{
+    return a.incarnation > b.incarnation;
+}
+
+}
+
+ServerDirectory::ServerDirectory(const base::Clock &clock, ServerDirectorySettings settings)
+    : m_clock(clock)
+    , m_settings(settings)
+{
+}
+
+bool ServerDirectory::apply(const ServerNews &news)
+{
+    const base::TimePoint now = m_clock.now();
+    m_heardAt = now;
+    if (m_unreachable) {
+        m_unreachable = false;
+        m_returnedAt = now;
+        PAPAYASTEP_LOG(INFO, logPrefix) << "The directory of backend servers answers again."
+                                        << base::field("version", news.version);
+    }
+    bool changed = false;
+    for (const config::BackendServer &server : news.changed) {
+        changed = put(server) || changed;
+    }
+    if (news.whole) {
+        std::set<base::BackendServerId> listed;
+        for (const config::BackendServer &server : news.changed) {
+            listed.insert(server.id);
+        }
+        for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+            const auto current = entry++;
+            if (!listed.contains(current->first)) {
+                changed = remove(current) || changed;
+            }
+        }
+        m_known = true;
+    }
+    for (const base::BackendServerId &id : news.removed) {
+        const auto entry = m_entries.find(id);
+        if (entry != m_entries.end()) {
+            changed = remove(entry) || changed;
+        }
+    }
+    m_version = std::max(m_version, news.version);
+    return changed;
+}
+
+void ServerDirectory::noteUnreachable()
+{
+    if (!m_unreachable) {
+        PAPAYASTEP_LOG(WARNING, logPrefix)
+            << "The directory of backend servers does not answer; the last entries stay."
+            << base::field("version", m_version) << base::field("servers", m_entries.size());
+    }
+    m_unreachable = true;
+}
+
+bool ServerDirectory::tick()
+{
+    if (m_unreachable || isAfterOutage()) {
+        return false;
+    }
+    return std::erase_if(m_entries,
+                         [](const auto &entry) {
+                             if (entry.second.missing) {
+                                 PAPAYASTEP_LOG(INFO, logPrefix)
+                                     << "A backend server did not come back." << base::field("server", entry.first);
+                             }
+                             return entry.second.missing;
+                         })
+        > 0;
+}
+
+std::optional<base::TimePoint> ServerDirectory::nextTick() const
+{
+    const bool anyMissing
+        = std::any_of(m_entries.begin(), m_entries.end(), [](const auto &entry) { return entry.second.missing; });
+    if (!anyMissing || m_unreachable || !m_returnedAt) {
+        return std::nullopt;
+    }
+    return *m_returnedAt + m_settings.returnGrace;
+}
+
+bool ServerDirectory::isKnown() const
+{
+    return m_known;
+}
+
+std::uint64_t ServerDirectory::version() const
+{
+    return m_version;
+}
+
+std::optional<base::Duration> ServerDirectory::age() const
+{
+    return m_heardAt ? std::optional(m_clock.now() - *m_heardAt) : std::nullopt;
+}
+
+std::vector<config::BackendServer> ServerDirectory::servers() const
+{
+    std::map<std::pair<std::string, std::uint16_t>, const config::BackendServer *> byAddress;
+    for (const auto &[id, entry] : m_entries) {
+        auto &owner = byAddress[{entry.server.address, entry.server.port}];
+        if (owner == nullptr || isYounger(entry.server, *owner)) {
+            owner = &entry.server;
+        }
+    }
+    std::vector<config::BackendServer> servers;
+    servers.reserve(byAddress.size());
+    for (const auto &[address, server] : byAddress) {
+        servers.push_back(*server);
+    }
+    std::sort(servers.begin(), servers.end(), [](const auto &a, const auto &b) { return a.id < b.id; });
+    return servers;
+}
+
+bool ServerDirectory::isAfterOutage() const
+{
+    return m_returnedAt && m_clock.now() < *m_returnedAt + m_settings.returnGrace;
+}
+
+bool ServerDirectory::put(const config::BackendServer &server)
+{
+    auto &entry = m_entries[server.id];
+    const bool isSame = !entry.missing && entry.server == server;
+    if (entry.server != server) {
+        PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server registered or changed." << base::field("server", server.id)
+                                        << base::field("service", server.service) << base::field("vm", server.vm)
+                                        << base::field("slots", server.slots) << base::field("drain", server.drain);
+    }
+    entry = Entry{server, false};
+    return !isSame;
+}
+
+bool ServerDirectory::remove(Entries::iterator entry)
+{
+    if (isAfterOutage()) {
+        entry->second.missing = true;
+        return false;
+    }
+    PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server is gone." << base::field("server", entry->first);
+    m_entries.erase(entry);
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/membership/vmroster.cpp
@@ -0,0 +1,40 @@
+#include "papayastep/membership/vmroster.h"
+
+namespace papayastep::membership {
+
+VmRoster::VmRoster(const base::Clock &clock, config::VmEntry self, FleetPorts ports, VmRosterSettings settings)
+    : m_clock(clock)
+    , m_self(std::move(self))
+    , m_ports(ports)
+    , m_settings(settings)
+{
+}
+
+config::VmList VmRoster::update(std::uint64_t version, const std::vector<config::BackendServer> &servers)
+{
+    const base::TimePoint now = m_clock.now();
+    m_known[m_self.id] = Known{m_self, now};
+    for (const config::BackendServer &server : servers) {
+        if (server.vm == m_self.id) {
+            continue;
+        }
+        config::VmEntry entry;
+        entry.id = server.vm;
+        entry.zone = server.zone;
+        entry.address = server.address;
+        entry.callerPort = m_ports.caller;
+        entry.hopPort = m_ports.hop;
+        entry.peerPort = m_ports.peer;
+        entry.adminPort = m_ports.admin;
+        m_known[server.vm] = Known{std::move(entry), now};
+    }
+    std::erase_if(m_known, [&](const auto &known) { return now - known.second.seenAt > m_settings.keepWithoutServer; });
+    config::VmList list;
+    list.version = version;
+    for (const auto &[id, known] : m_known) {
+        list.vms.push_back(known.entry);
+    }
+    return list;
+}
+
+}
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -326,7 +326,7 @@
     void prepareHead(ResponseHead &head, bool close)
     {
         head.version(11);
-        if (close || !m_bodyRead || m_server.m_stopping || !m_parser->get().keep_alive()) {
+        if (close || !m_bodyRead || m_server.m_closesAfterAnswers || !m_parser->get().keep_alive()) {
             head.set(http::field::connection, "close");
             m_closing = true;
         }
@@ -395,9 +395,20 @@
 
 HttpServer::~HttpServer() = default;
 
+void HttpServer::setLimits(const ServerLimits &limits)
+{
+    m_limits = limits;
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    m_closesAfterAnswers = true;
+}
+
 void HttpServer::stop()
 {
     m_stopping = true;
+    m_closesAfterAnswers = true;
     beast::error_code ignored;
     m_acceptor.close(ignored);
     for (ServerConnection *connection : *m_connections) {
--- a/src/net/platformclient.cpp
+++ b/src/net/platformclient.cpp
@@ -1,6 +1,7 @@
 #include "papayastep/net/platformclient.h"
 
 #include "papayastep/base/error.h"
+#include "papayastep/net/httpget.h"
 
 namespace papayastep::net {
 
@@ -70,31 +71,25 @@
 Awaitable<std::optional<std::string>> HttpPlatformClient::read(std::string target, std::chrono::seconds wait)
 {
     const Endpoint endpoint = m_endpoints[m_next % m_endpoints.size()];
-    auto exchange = std::make_shared<HttpExchange>(m_context, m_pool, endpoint);
-    ClientRequest request;
-    request.head.method(http::verb::get);
-    request.head.target(target);
-    request.head.set(http::field::host, toString(endpoint));
-    asio::steady_timer timer(m_context, wait + answerTimeout);
-    timer.async_wait([weak = std::weak_ptr<HttpExchange>(exchange)](const beast::error_code &error) {
-        const auto late = weak.lock();
-        if (!error && late) {
-            late->cancel();
-        }
-    });
-    co_await exchange->run(std::move(request), maxAnswerBytes);
-    if (exchange->progress() != ExchangeProgress::Complete) {
+    GetLimits limits;
+    limits.timeout = wait + answerTimeout;
+    limits.bodyBytes = maxAnswerBytes;
+    GetResult result;
+    try {
+        result = co_await httpGet(m_context, m_pool, endpoint, std::move(target), limits);
+    } catch (const base::Error &) {
         ++m_next;
-        throw base::Error(base::ResultCode::PlatformUnreachable, toString(endpoint));
+        throw;
     }
-    const auto status = exchange->head().result();
-    if (status == http::status::no_content) {
+    constexpr unsigned noContent = 204;
+    constexpr unsigned ok = 200;
+    if (result.status == noContent) {
         co_return std::nullopt;
     }
-    if (status != http::status::ok) {
-        refuse("status " + std::to_string(exchange->head().result_int()));
+    if (result.status != ok) {
+        refuse("status " + std::to_string(result.status));
     }
-    co_return std::move(exchange->body());
+    co_return std::move(result.body);
 }
 
 }
--- a/src/net/signal.cpp
+++ b/src/net/signal.cpp
@@ -11,7 +11,7 @@
 {
     if (!m_notified) {
         beast::error_code error;
-        m_timer.expires_at(until);
+        m_timer.expires_after(until - m_clock.now());
         co_await m_timer.async_wait(into(error));
     }
     co_return std::exchange(m_notified, false);
--- /dev/null
+++ b/src/node/backendprotocol.cpp
@@ -0,0 +1,38 @@
+#include "papayastep/node/backendprotocol.h"
+
+#include "papayastep/base/clock.h"
+
+namespace papayastep::node {
+
+namespace {
+
+constexpr unsigned firstFailure = 400;
+
+}
+
+void OwnBackendProtocol::prepare(net::RequestHead &head, const BackendCall &call) const
+{
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(call.remaining);
+    head.set("Papayastep-Request-Id", toString(call.request));
+    if (!call.workspace.empty()) {
+        head.set("Papayastep-Workspace", call.workspace.value());
+    }
+    head.set("Papayastep-Deadline-Ms", std::to_string(left.count()));
+}
+
+AnswerVerdict OwnBackendProtocol::judge(const net::ResponseHead &, const net::RequestHead &) const
+{
+    return AnswerVerdict::Answered;
+}
+
+std::optional<ServerLoad> OwnBackendProtocol::load(const net::ResponseHead &) const
+{
+    return std::nullopt;
+}
+
+bool OwnBackendProtocol::isHealthy(const net::ResponseHead &answer, const base::BackendServerId &) const
+{
+    return answer.result_int() < firstFailure;
+}
+
+}
--- a/src/node/configurationkeeper.cpp
+++ b/src/node/configurationkeeper.cpp
@@ -42,10 +42,15 @@
 
 void ConfigurationKeeper::start()
 {
-    net::asio::co_spawn(m_context.io, configurationLoop(), net::asio::detached);
+    startConfiguration();
     net::asio::co_spawn(m_context.io, vmListLoop(), net::asio::detached);
 }
 
+void ConfigurationKeeper::startConfiguration()
+{
+    net::asio::co_spawn(m_context.io, configurationLoop(), net::asio::detached);
+}
+
 void ConfigurationKeeper::stop()
 {
     m_stopped = true;
@@ -107,7 +112,7 @@
             co_return;
         }
         net::asio::steady_timer pause(m_context.io);
-        pause.expires_at(plan.notBefore);
+        pause.expires_after(plan.notBefore - m_context.clock.now());
         net::beast::error_code ignored;
         co_await pause.async_wait(net::into(ignored));
         std::vector<config::ConfigurationFile> files;
--- a/src/node/entryhandler.cpp
+++ b/src/node/entryhandler.cpp
@@ -20,7 +20,7 @@
 net::WholeAnswer EntryHandler::refusal(base::ResultCode code, const std::string &detail)
 {
     m_context.metrics.countRequest(base::ServiceId(), code, {});
-    return refusalAnswer(notRun(code), {}, detail);
+    return m_context.callers().refusal(notRun(code), {}, detail);
 }
 
 void EntryHandler::deliver(const limits::AdmissionDecision &decision)
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -1,19 +1,18 @@
 #pragma once
 
-#include "papayastep/net/signal.h"
-#include "papayastep/node/attempt.h"
+#include "attemptwatch.h"
+
+#include "papayastep/node/callerprotocol.h"
 #include "papayastep/node/entryhandler.h"
 #include "papayastep/routing/requestmachine.h"
 
 #include <optional>
-#include <set>
-#include <variant>
 
 namespace papayastep::node {
 
 /// One request of a caller at its entry, from its head to its answer. Lives in the coroutine that handles it.
 ///
-/// The order is: who (key, workspace), where (route), whether (token, idempotency key), then attempt by attempt. Each
+/// The order is: where (route), who (key, workspace), whether (token, idempotency key), then attempt by attempt. Each
 /// step either goes on or answers the caller with a refusal that says whether the request ran.
 class EntryRequest
 {
@@ -34,29 +33,30 @@
     /// A step's refusal; nothing means to go on.
     using Step = std::optional<routing::Refusal>;
 
+    net::Awaitable<Step> prepare();
     Step identify();
-    Step findRoute();
+    Step identifyWorkspace();
+    void takeRoute(const routing::RouteMatch &match);
     net::Awaitable<Step> readBody();
     net::Awaitable<Step> takeToken();
     net::Awaitable<Step> claimKey();
     net::Awaitable<void> runAttempts();
 
     Step place();
-    AttemptPtr makeAttempt(const config::BackendServer &server, bool trial);
+    AttemptPtr makeAttempt(const config::BackendServer &server);
+    bool wasTried(const base::BackendServerId &server) const;
     net::ClientRequest forwardedRequest() const;
-    net::Awaitable<routing::AttemptResult> waitForAttempt();
-    routing::AttemptResult resultOfAttempt();
-    std::optional<routing::AttemptResult> timeoutReached(base::TimePoint now);
-    base::TimePoint nextTimeout() const;
     net::Awaitable<bool> act(const routing::RetryDecision &decision);
     net::Awaitable<bool> retry(const routing::RetryDecision &decision);
 
     net::Awaitable<void> passAnswer();
+    net::Awaitable<void> passStoredAnswer();
     net::Awaitable<void> passLargeAnswer(ServedAnswer &answer, net::ResponseHead head);
     net::Awaitable<void> refuse(routing::Refusal refusal);
     void reportToLedger(const routing::Refusal &refusal);
     void reportAnswerToLedger(const ServedAnswer &answer);
-    void dropAttempt();
+    /// What the caller calls the request, or else our own id.
+    std::string shownId() const;
 
     EntryHandler &m_handler;
     NodeContext &m_context;
@@ -64,30 +64,25 @@
     base::RequestId m_id;
     base::TimePoint m_arrived;
     net::Signal m_changed;
+    AttemptWatch m_watch;
     routing::RequestMachine m_machine;
     routing::RequestProgress m_progress;
 
     InForce m_inForce; ///< Keeps the configuration of this request alive while it runs.
+    CallerRequest m_caller;
     std::string m_fingerprint;
-    base::WorkspaceId m_workspace;
+    base::WorkspaceId m_workspace; ///< Empty on a public route.
     const config::Route *m_route = nullptr;
+    int m_priority = 0;
     std::string m_body;
-    std::string m_idempotencyKey;
 
     std::optional<limits::Admission> m_admission;
     std::optional<limits::Token> m_token;
     std::optional<routing::ClaimAnswer> m_claim;
     bool m_claimed = false; ///< The ledger was told that this request runs and waits for its end.
 
-    AttemptPtr m_attempt;
     std::vector<base::BackendServerId> m_tried;
-    base::BackendServerId m_advice;
-    routing::AttemptTimeouts m_timeouts;
-    base::TimePoint m_cancelSince;
-    base::TimePoint m_cancelSent;
-    std::set<routing::AttemptEvent> m_reported; ///< Timeouts of this attempt that were acted on already.
-    bool m_resultTaken = false; ///< The end of the attempt was acted on; what is awaited now is word of a cancel.
-    bool m_cancelling = false;
+    int m_ejectedSeen = 0; ///< Attempts refused because their server was ejected.
     bool m_callerGone = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< For callbacks that may come after the end.
 };
--- /dev/null
+++ b/src/node/interfaces.cpp
@@ -0,0 +1,14 @@
+#include "papayastep/node/interfaces.h"
+
+namespace papayastep::node {
+
+Interfaces ownInterfaces(net::asio::io_context &io, const base::Clock &clock, const NodeSettings &settings)
+{
+    Interfaces interfaces;
+    interfaces.callers = std::make_unique<OwnCallerProtocol>();
+    interfaces.backends = std::make_unique<OwnBackendProtocol>();
+    interfaces.platform = std::make_shared<net::HttpPlatformClient>(io, clock, settings.platform);
+    return interfaces;
+}
+
+}
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,5 +1,7 @@
 // papayastepd: one node of the fleet.
 
+#include "adapter.h"
+
 #include "papayastep/base/error.h"
 #include "papayastep/base/log.h"
 #include "papayastep/node/node.h"
@@ -71,11 +73,22 @@
     return seed;
 }
 
+papayastep::node::Interfaces interfacesOf(papayastep::net::asio::io_context &io,
+                                          const papayastep::base::Clock &clock,
+                                          const papayastep::node::NodeSettings &settings)
+{
+    if (settings.interfaces == papayastep::node::InterfaceChoice::Platform) {
+        return papayastep::platform::interfaces(io, clock, settings);
+    }
+    return papayastep::node::ownInterfaces(io, clock, settings);
+}
+
 void run(papayastep::node::NodeSettings settings)
 {
     papayastep::net::asio::io_context io(1);
     const papayastep::base::SystemClock clock;
-    papayastep::node::Node node(io, clock, std::move(settings), randomSeed());
+    auto interfaces = interfacesOf(io, clock, settings);
+    papayastep::node::Node node(io, clock, std::move(settings), std::move(interfaces), randomSeed());
     papayastep::net::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const papayastep::net::beast::error_code &error, int) {
         if (!error) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -21,9 +21,9 @@
 constexpr base::Duration sweepEvery = std::chrono::seconds(5);
 constexpr base::Duration drainPoll = std::chrono::milliseconds(20);
 
-// Between the announcement and the closing of the listeners: callers and siblings hear of it and turn away, so that
-// few requests have to be refused.
-constexpr base::Duration announceFirst = std::chrono::milliseconds(500);
+// After an outage a change must be in force some five seconds later; nodes that ask once a second at least see it in
+// time.
+constexpr base::Duration longestBackoff = std::chrono::milliseconds(1000);
 
 std::shared_ptr<const base::StateChart> nodeChart()
 {
@@ -32,13 +32,36 @@
                                    {"configured", "stop-requested", "drained", "patience-ended"});
 }
 
-membership::SpreadSettings spreadSettings()
+membership::SpreadSettings spreadSettings(bool hasDirectory)
 {
     membership::SpreadSettings settings;
     settings.buildElsewhere = true;
+    if (hasDirectory) {
+        // The watch of the directory tells of a new revision too, so no node needs a second watch for it.
+        settings.readersPerZone = 0;
+        settings.longestBackoff = longestBackoff;
+    }
     return settings;
 }
 
+config::VmEntry ownEntry(const NodeSettings &settings)
+{
+    config::VmEntry entry;
+    entry.id = settings.vm;
+    entry.zone = settings.zone;
+    entry.address = settings.hop.address;
+    entry.callerPort = settings.caller.port;
+    entry.hopPort = settings.hop.port;
+    entry.peerPort = settings.peer.port;
+    entry.adminPort = settings.admin.port;
+    return entry;
+}
+
+membership::FleetPorts fleetPorts(const NodeSettings &settings)
+{
+    return {settings.caller.port, settings.hop.port, settings.peer.port, settings.admin.port};
+}
+
 bool isBetween(wire::MessageKind kind, int first, int last)
 {
     const int number = static_cast<int>(kind);
@@ -47,16 +70,21 @@
 
 }
 
-Node::Node(net::asio::io_context &io, const base::Clock &clock, NodeSettings settings, std::uint64_t seed)
-    : m_context(io, clock, std::move(settings), seed)
+Node::Node(net::asio::io_context &io,
+           const base::Clock &clock,
+           NodeSettings settings,
+           Interfaces interfaces,
+           std::uint64_t seed)
+    : m_context(io, clock, std::move(settings), std::move(interfaces), seed)
     , m_directory(clock)
     , m_spread({m_context.settings.vm, m_context.settings.zone, m_context.incarnation},
                m_directory,
                clock,
                seed + 1,
-               spreadSettings())
-    , m_platform(io, clock, m_context.settings.platform)
-    , m_keeper(m_context, m_spread, m_platform)
+               spreadSettings(m_context.interfaces.servers != nullptr))
+    , m_servers(clock)
+    , m_roster(clock, ownEntry(m_context.settings), fleetPorts(m_context.settings))
+    , m_keeper(m_context, m_spread, *m_context.interfaces.platform)
     , m_serving(m_context)
     , m_prober(m_context)
     , m_entry(m_context, m_serving)
@@ -73,7 +101,23 @@
     m_context.isLeaving = [this](const base::VmId &vm) { return m_directory.isLeaving(vm); };
     m_context.send = [this](const wire::Outgoing &message) { m_peers.send(message); };
     addAdminPages();
-    m_keeper.start();
+    if (m_context.settings.ready) {
+        m_readyServer
+            = std::make_unique<net::HttpServer>(io, *m_context.settings.ready, m_context.settings.limits, m_ready);
+    }
+    if (m_context.interfaces.servers) {
+        m_directoryKeeper = std::make_unique<DirectoryKeeper>(m_context, m_servers, *m_context.interfaces.servers);
+        m_directoryKeeper->start([this](base::Revision published, bool changed) {
+            m_spread.platformHolds(published);
+            m_keeper.wake();
+            if (changed) {
+                applyDirectory();
+            }
+        });
+        m_keeper.startConfiguration();
+    } else {
+        m_keeper.start();
+    }
     m_prober.start();
     net::asio::co_spawn(io, tickLoop(), net::asio::detached);
     PAPAYASTEP_LOG(INFO, logPrefix) << "Started." << base::field("vm", m_context.settings.vm)
@@ -215,29 +259,67 @@
 
 void Node::applyConfiguration(const membership::Accepted &accepted)
 {
-    const auto &configuration = accepted.configuration;
-    m_context.inForce = {configuration, m_builtRoutes};
-    m_context.tokens.applyConfiguration(configuration);
-    m_context.health.applyConfiguration(configuration);
-    m_context.ledgerClient.applyConfiguration(configuration);
-    m_context.ledgerHome.applyConfiguration(configuration);
-    m_serving.applyConfiguration();
-    m_life.handle(NodeEvent::Configured);
+    m_published = accepted.configuration;
+    m_context.inForce.routes = m_builtRoutes;
+    putInForce();
+    applyCallerLimits();
     PAPAYASTEP_LOG(INFO, "config") << "Put a configuration in force."
-                                   << base::field("revision", configuration->revision())
+                                   << base::field("revision", m_published->revision())
                                    << base::field("source", accepted.source)
-                                   << base::field("workspaces", configuration->workspaces().size())
-                                   << base::field("routes", configuration->routes().size());
+                                   << base::field("workspaces", m_published->workspaces().size())
+                                   << base::field("routes", m_published->routes().size());
     // A build takes some three times the memory of its result and frees it in small pieces, which the allocator keeps:
     // a node of the planned size then shows 92 MB for a configuration of 30 MB. So it is told to give them back.
     net::asio::post(m_builder, [] { malloc_trim(0); });
+}
+
+/// The published configuration with the backend servers of the directory, if there is one.
+void Node::putInForce()
+{
+    config::ConfigurationPtr configuration = m_published;
+    if (m_directoryKeeper) {
+        configuration = m_published->withBackendServers(m_servers.servers());
+    }
+    m_context.inForce.configuration = configuration;
+    m_context.tokens.applyConfiguration(configuration);
+    m_context.health.applyConfiguration(configuration);
+    m_context.ledgerClient.applyConfiguration(configuration);
+    m_context.ledgerHome.applyConfiguration(configuration);
+    m_serving.applyConfiguration();
+    if (!m_directoryKeeper || m_servers.isKnown()) {
+        m_life.handle(NodeEvent::Configured);
+    }
+    schedulePump();
+}
+
+void Node::applyCallerLimits()
+{
+    const config::CallerLimits &wanted = m_published->limits();
+    net::ServerLimits limits = m_context.settings.limits;
+    limits.headerBytes = wanted.headerBytes.value_or(limits.headerBytes);
+    limits.bodyBytes = wanted.bodyBytes.value_or(limits.bodyBytes);
+    limits.headerTimeout = wanted.headerTimeout.value_or(limits.headerTimeout);
+    limits.idleTimeout = wanted.idleTimeout.value_or(limits.idleTimeout);
+    m_callerServer.setLimits(limits);
+    limits.idleTimeout = m_context.settings.limits.idleTimeout;
+    m_hopServer.setLimits(limits);
+}
+
+void Node::applyDirectory()
+{
+    m_spread.localVmList(m_roster.update(m_servers.version(), m_servers.servers()));
+    m_context.tokens.applyVmList(m_context.vms, m_directoryKeeper->askedAt());
+    if (m_published) {
+        putInForce();
+    }
     schedulePump();
 }
 
 void Node::applyVmList()
 {
     m_context.vms = m_directory.list();
-    m_context.tokens.applyVmList(m_context.vms, m_keeper.vmListAskedAt());
+    m_context.tokens.applyVmList(m_context.vms,
+                                 m_directoryKeeper ? m_directoryKeeper->askedAt() : m_keeper.vmListAskedAt());
     m_context.health.applyVmList(m_context.vms);
     m_context.ledgerHome.applyVmList(m_context.vms);
     PAPAYASTEP_LOG(INFO, "membership") << "Took a VM list." << base::field("version", m_context.vms.version)
@@ -254,10 +336,14 @@
     m_context.ledgerHome.tick();
     m_spread.tick();
     m_serving.tick();
+    if (m_servers.tick()) {
+        applyDirectory();
+    }
     const auto now = m_context.clock.now();
     if (now >= m_nextSweep) {
         m_nextSweep = now + sweepEvery;
         m_context.retryBudget.tick();
+        m_context.gray.expire();
         m_context.hopPool.sweep();
         m_context.backendPool.sweep();
         m_peers.sweep();
@@ -274,6 +360,7 @@
     next = std::min(next, m_context.ledgerHome.nextTick());
     next = std::min(next, m_spread.nextTick());
     next = std::min(next, m_serving.nextTick().value_or(next));
+    next = std::min(next, m_servers.nextTick().value_or(next));
     return std::max(next, now + shortestTick);
 }
 
@@ -295,7 +382,8 @@
 
     net::asio::steady_timer timer(m_context.io);
     net::beast::error_code ignored;
-    timer.expires_after(announceFirst);
+    m_callerServer.closeAfterAnswers();
+    timer.expires_after(m_context.settings.announceFirst);
     co_await timer.async_wait(net::into(ignored));
 
     m_context.draining = true;
@@ -317,6 +405,9 @@
                                     << base::field("serving", m_serving.inFlight());
     m_stopped = true;
     m_keeper.stop();
+    if (m_directoryKeeper) {
+        m_directoryKeeper->stop();
+    }
     m_context.io.stop();
 }
 
--- a/src/node/nodecontext.cpp
+++ b/src/node/nodecontext.cpp
@@ -1,5 +1,8 @@
 #include "papayastep/node/nodecontext.h"
 
+#include "papayastep/limits/pooledlimiter.h"
+#include "papayastep/limits/tokenbroker.h"
+
 namespace papayastep::node {
 
 namespace {
@@ -11,6 +14,17 @@
     return ledger;
 }
 
+std::unique_ptr<limits::RateLimiter> makeRateLimiter(const NodeSettings &settings,
+                                                     base::Incarnation incarnation,
+                                                     const base::Clock &clock)
+{
+    const limits::BrokerSelf self{settings.vm, settings.zone, incarnation};
+    if (settings.rateLimits == RateLimitChoice::Pooled) {
+        return std::make_unique<limits::PooledLimiter>(self, clock);
+    }
+    return std::make_unique<limits::TokenBroker>(self, clock);
+}
+
 std::unique_ptr<routing::PlacementPolicy> placementPolicy(PlacementChoice choice)
 {
     if (choice == PlacementChoice::Random) {
@@ -24,17 +38,21 @@
 NodeContext::NodeContext(net::asio::io_context &ioContext,
                          const base::Clock &systemClock,
                          NodeSettings nodeSettings,
+                         Interfaces outside,
                          std::uint64_t seed)
     : io(ioContext)
     , clock(systemClock)
     , settings(std::move(nodeSettings))
+    , interfaces(std::move(outside))
     , incarnation(std::mt19937_64(seed)())
     , random(seed)
     , hopCodec(settings.secret)
     , hopPool(io, clock, {})
     , backendPool(io, clock, {})
-    , tokens({settings.vm, settings.zone, incarnation}, clock)
+    , rateLimiter(makeRateLimiter(settings, incarnation, clock))
+    , tokens(*rateLimiter)
     , health({settings.vm, incarnation}, clock, random())
+    , gray(clock)
     , retryBudget(clock)
     , retryPolicy(clock, retryBudget)
     , ledgerHome(clock, settings.vm, incarnation, ledgerSettings(settings))
@@ -43,6 +61,16 @@
 {
 }
 
+const CallerProtocol &NodeContext::callers() const
+{
+    return *interfaces.callers;
+}
+
+const BackendProtocol &NodeContext::backends() const
+{
+    return *interfaces.backends;
+}
+
 base::RequestId NodeContext::newRequestId()
 {
     return {random(), random()};
--- a/src/node/nodepages.cpp
+++ b/src/node/nodepages.cpp
@@ -100,6 +100,7 @@
     m_admin.addPage("/readyz", [this](const auto &) { return readyPage(); });
     m_admin.addPage("/status", [this](const auto &query) { return statusPage(query); });
     m_admin.addPage("/explain", [this](const auto &query) { return explainPage(query); });
+    m_ready.addPage(m_context.settings.readyPath, [this](const auto &) { return readyPage(); });
     m_admin.addPage("/metrics", [this](const auto &) { return metricsPage(); });
 }
 
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -65,7 +65,7 @@
     request.head.set(net::http::field::host, net::toString(endpoint));
     co_await exchange->run(std::move(request), answerBytes);
     const bool whole = exchange->progress() == net::ExchangeProgress::Complete;
-    const bool good = whole && exchange->head().result_int() < 400;
+    const bool good = whole && m_context.backends().isHealthy(exchange->head(), server.id);
     m_context.health.healthHint(server.id, good);
     m_context.schedulePump();
     VLOG(1) << "health: Probed a backend server." << base::field("server", server.id) << base::field("good", good);
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -21,9 +21,13 @@
     return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(duration).count());
 }
 
-health::AttemptOutcome outcomeOfStatus(net::http::status status)
+health::AttemptOutcome outcomeOf(AnswerVerdict verdict, net::http::status status)
 {
-    if (status == net::http::status::service_unavailable || status == net::http::status::too_many_requests) {
+    if (verdict == AnswerVerdict::OtherServer) {
+        return health::AttemptOutcome::CancelledByUs;
+    }
+    if (verdict == AnswerVerdict::NotRun || status == net::http::status::service_unavailable
+        || status == net::http::status::too_many_requests) {
         return health::AttemptOutcome::Shed;
     }
     return static_cast<unsigned>(status) >= 500 ? health::AttemptOutcome::Error : health::AttemptOutcome::Success;
@@ -37,11 +41,14 @@
     Lane(const base::Clock &clock, const config::BackendServer &configured)
         : server(configured)
         , queue(clock, configured.slots)
+        , filter(clock.now())
     {
     }
 
     config::BackendServer server;
     limits::SlotQueue queue;
+    health::FailureFilter filter;
+    std::optional<limits::AttemptId> trial; ///< Shows whether the server is out of its spell.
     bool gone = false; ///< No longer configured; kept until its attempts have ended.
 };
 
@@ -71,6 +78,7 @@
     net::Signal changed;
     std::optional<limits::QueueDecision> decision;
     std::shared_ptr<net::HttpExchange> exchange;
+    AnswerVerdict verdict = AnswerVerdict::Answered;
     bool running = false;
     bool timedOut = false;
     bool stopped = false; ///< Nobody wants the answer any more.
@@ -160,7 +168,11 @@
         const auto retryAfter = work->decision ? work->decision->retryAfter : base::Duration::zero();
         co_return refusalOf(*work, code, retryAfter);
     }
+    // Much may have changed while it waited.
     refused = checkKey(work->hop);
+    if (!refused) {
+        refused = checkServer(work->hop);
+    }
     if (!refused && !m_registry.start({work->hop.requestId(), static_cast<int>(work->hop.attempt)})) {
         refused = ResultCode::HopCancelled;
     }
@@ -200,12 +212,24 @@
 void ServingNode::entryGone(const base::RequestId &request, int attempt)
 {
     const auto found = m_work.find({request, attempt});
-    if (found == m_work.end() || !found->second->hop.idempotent) {
+    if (found == m_work.end()) {
+        return;
+    }
+    Work &work = *found->second;
+    if (!work.running && !work.decision) {
+        // Still queued: whatever it is, nobody waits for it any more.
+        m_registry.drop({request, attempt});
+        laneOf(work.hop.server)->queue.cancel(work.id());
+        work.stopped = true;
+        work.changed.notify();
         return;
     }
-    found->second->stopped = true;
-    if (found->second->exchange) {
-        found->second->exchange->cancel();
+    if (!work.hop.idempotent) {
+        return; // It has begun and must not be left half done.
+    }
+    work.stopped = true;
+    if (work.exchange) {
+        work.exchange->cancel();
     }
 }
 
@@ -302,6 +326,10 @@
     if (hop.revision > configuration->revision()) {
         return std::nullopt;
     }
+    if (hop.workspace.empty()) {
+        const config::Route *route = configuration->route(hop.route);
+        return route == nullptr || route->isPublic ? std::nullopt : std::optional(ResultCode::KeyMissing);
+    }
     const config::Workspace *workspace
         = configuration->workspaceOfKey(config::KeyFingerprint::parse(hop.keyFingerprint));
     if (workspace == nullptr || workspace->id != hop.workspace) {
@@ -319,9 +347,12 @@
     if (m_context.draining) {
         return ResultCode::NodeDraining;
     }
-    if (!m_context.settings.ejection) {
+    if (!m_context.settings.ejection || hop.lastResort) {
         return std::nullopt;
     }
+    if (isHeldBack(*lane, hop)) {
+        return ResultCode::HopBackendServerEjected;
+    }
     switch (m_context.health.admission(hop.server)) {
     case health::Admission::Admit:
     case health::Admission::Unknown:
@@ -336,6 +367,17 @@
     return std::nullopt;
 }
 
+/// A refusal here proves that the request did not run, so that the entry can send it elsewhere at once. On trial the
+/// one request that shows how the server is should be one that may fail.
+bool ServingNode::isHeldBack(const Lane &lane, const wire::HopRequest &hop) const
+{
+    const auto now = m_context.clock.now();
+    if (lane.filter.isHeld(now)) {
+        return true;
+    }
+    return lane.filter.isOnTrial(now) && (lane.trial || !hop.idempotent);
+}
+
 std::optional<ResultCode> ServingNode::beginWork(Work &work)
 {
     const routing::AttemptId id{work.hop.requestId(), static_cast<int>(work.hop.attempt)};
@@ -373,15 +415,27 @@
     work->exchange = std::make_shared<net::HttpExchange>(m_context.io, m_context.backendPool, endpoint);
     m_context.metrics.observeQueueWait(work->started - work->arrived);
     m_context.health.attemptStarted(work->hop.server, work->healthKey(), work->hop.route);
+    Lane &lane = *laneOf(work->hop.server);
+    if (lane.filter.isOnTrial(work->started)) {
+        lane.trial = work->id();
+    }
     VLOG(1) << logPrefix << ": Started an attempt." << base::field("request", work->hop.requestId())
             << base::field("server", work->hop.server);
 
-    request.head.set("Papayastep-Request-Id", toString(work->hop.requestId()));
-    request.head.set("Papayastep-Workspace", work->hop.workspace.value());
-    request.head.set("Papayastep-Deadline-Ms", std::to_string(milliseconds(work->deadline - work->started)));
+    BackendCall call;
+    call.request = work->hop.requestId();
+    call.server = work->hop.server;
+    call.workspace = work->hop.workspace;
+    call.callerService = work->hop.callerService;
+    call.remaining = work->deadline - work->started;
+    m_context.backends().prepare(request.head, call);
+    work->exchange->onHead([this, &verdict = work->verdict, sent = request.head](const net::ResponseHead &head) {
+        verdict = m_context.backends().judge(head, sent);
+        return verdict != AnswerVerdict::OtherRequest;
+    });
 
     net::asio::steady_timer deadline(m_context.io);
-    deadline.expires_at(work->deadline);
+    deadline.expires_after(work->deadline - work->started);
     deadline.async_wait([weak = std::weak_ptr<Work>(work)](const net::beast::error_code &error) {
         const auto late = weak.lock();
         if (!error && late && late->running) {
@@ -401,21 +455,52 @@
     m_registry.finish({work.hop.requestId(), static_cast<int>(work.hop.attempt)});
     if (Lane *lane = laneOf(work.hop.server)) {
         lane->queue.finished(work.id());
+        noteOutcome(*lane, work, outcome);
     }
     m_work.erase(work.id());
     m_context.schedulePump();
 }
 
+void ServingNode::noteOutcome(Lane &lane, const Work &work, health::AttemptOutcome outcome)
+{
+    if (lane.trial == work.id()) {
+        lane.trial.reset();
+    }
+    const auto now = m_context.clock.now();
+    switch (outcome) {
+    case health::AttemptOutcome::Success:
+        lane.filter.noteOutcome(false, now);
+        break;
+    case health::AttemptOutcome::Error:
+    case health::AttemptOutcome::Partial:
+    case health::AttemptOutcome::Timeout:
+        lane.filter.noteOutcome(true, now);
+        PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server failed." << base::field("request", work.hop.callerId)
+                                        << base::field("server", work.hop.server)
+                                        << base::field("grayPercent",
+                                                       static_cast<int>(100 * lane.filter.grayProbability(now)));
+        break;
+    case health::AttemptOutcome::ConnectionRefused:
+    case health::AttemptOutcome::Shed:
+    case health::AttemptOutcome::CancelledByUs:
+        break; // Load, or our own doing.
+    }
+}
+
 ServedAnswer ServingNode::answerOf(const WorkPtr &work)
 {
     const net::HttpExchange &exchange = *work->exchange;
     ServedAnswer answer;
     const bool headCame = exchange.progress() >= net::ExchangeProgress::HeadReceived;
-    if (headCame && exchange.failure() == net::ExchangeFailure::None) {
+    const bool proven = work->verdict != AnswerVerdict::Unproven;
+    if (headCame && proven && exchange.failure() == net::ExchangeFailure::None) {
+        if (work->verdict == AnswerVerdict::NotRun || work->verdict == AnswerVerdict::OtherServer) {
+            return refusedByServer(work);
+        }
         answer.head = exchange.head();
         answer.body = std::move(work->exchange->body());
         if (exchange.progress() == net::ExchangeProgress::Complete) {
-            finishWork(*work, outcomeOfStatus(exchange.head().result()));
+            finishWork(*work, outcomeOf(work->verdict, exchange.head().result()));
         } else {
             answer.rest = std::make_unique<BackendBody>(*this, work);
         }
@@ -447,6 +532,14 @@
     return answer;
 }
 
+/// The backend server itself says that it did not run the attempt, which is proof.
+ServedAnswer ServingNode::refusedByServer(const WorkPtr &work)
+{
+    const bool otherServer = work->verdict == AnswerVerdict::OtherServer;
+    finishWork(*work, outcomeOf(work->verdict, work->exchange->head().result()));
+    return refusalOf(*work, otherServer ? ResultCode::HopBackendServerReplaced : ResultCode::HopBackendServerShed, {});
+}
+
 ServedAnswer ServingNode::refusalOf(const Work &work, ResultCode code, base::Duration retryAfter)
 {
     // A replay says nothing about what the first copy did, so it is the one refusal that is not a `not-run`.
@@ -478,6 +571,10 @@
         reply.queueMicros = static_cast<std::uint32_t>(microseconds(work.started - work.arrived));
         reply.serverMicros = static_cast<std::uint32_t>(microseconds(now - work.started));
     }
+    const auto lane = m_lanes.find(work.hop.server);
+    if (lane != m_lanes.end()) {
+        reply.grayPercent = static_cast<std::uint8_t>(100 * lane->second->filter.grayProbability(now));
+    }
     reply.report = wire::encode(m_context.health.report(work.hop.server));
     return reply;
 }
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -135,6 +135,23 @@
     for (std::size_t index = 0; index < document["platform"].size(); ++index) {
         settings.platform.push_back(endpointAt(document, "/platform/" + std::to_string(index), file));
     }
+    if (document["listen"].contains("ready")) {
+        settings.ready = endpointAt(document, "/listen/ready", file);
+    }
+    settings.readyPath = document.value("readyPath", settings.readyPath);
+    settings.service = base::ServiceId(document.value("service", ""));
+    for (const Json &zone : document.value("zones", Json::array())) {
+        settings.zones.emplace_back(zone.get<std::string>());
+    }
+    for (std::size_t index = 0; index < document.value("seeds", Json::array()).size(); ++index) {
+        settings.seeds.push_back(endpointAt(document, "/seeds/" + std::to_string(index), file));
+    }
+    if (document.value("interfaces", "own") == "platform") {
+        settings.interfaces = InterfaceChoice::Platform;
+    }
+    if (document.value("rateLimits", "strict") == "pooled") {
+        settings.rateLimits = RateLimitChoice::Pooled;
+    }
     if (document.value("placement", "two-choices") == "random") {
         settings.placement = PlacementChoice::Random;
     }
@@ -143,6 +160,7 @@
     settings.limits = readLimits(document);
     settings.acknowledgeAfter = milliseconds(document, "acknowledgeAfterMs", settings.acknowledgeAfter);
     settings.drainTimeout = milliseconds(document, "drainTimeoutMs", settings.drainTimeout);
+    settings.announceFirst = milliseconds(document, "announceFirstMs", settings.announceFirst);
     return settings;
 }
 
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -170,7 +170,7 @@
     return "two-choices";
 }
 
-double TwoChoicePlacement::score(const Candidate &candidate) const
+double TwoChoicePlacement::score(const Candidate &candidate, bool idempotent) const
 {
     const bool known = candidate.latency > base::Duration::zero();
     const double latency = milliseconds(known ? candidate.latency : m_settings.defaultLatency);
@@ -179,7 +179,8 @@
     const bool stale = candidate.freshness > m_settings.staleAfter;
     const double load = stale ? 0.5 : (candidate.slotsInUse + candidate.queueLength) / slots;
     const double queueing = stale ? 0 : candidate.queueLength / slots;
-    return latency * (1 + load + queueing);
+    const double failure = milliseconds(idempotent ? m_settings.repeatCost : m_settings.lossCost);
+    return latency * (1 + load + queueing) + candidate.failureRisk * failure;
 }
 
 Placement TwoChoicePlacement::place(std::span<const Candidate> candidates,
@@ -240,8 +241,8 @@
 {
     const bool prefersFirst = candidates[first].zone == request.zone && candidates[second].zone != request.zone;
     const double tolerance = prefersFirst ? 1 + m_settings.sameZoneTolerance : 1;
-    const double scoreOfFirst = score(candidates[first]);
-    const double scoreOfSecond = score(candidates[second]);
+    const double scoreOfFirst = score(candidates[first], request.idempotent);
+    const double scoreOfSecond = score(candidates[second], request.idempotent);
     if (scoreOfFirst <= scoreOfSecond * tolerance) {
         const auto reason = prefersFirst ? PlacementReason::SameZone : PlacementReason::BetterOfTwo;
         return Placement{first, second, reason};
@@ -313,7 +314,8 @@
     for (const Candidate &candidate : candidates) {
         const std::string note = noteOn(candidate, request);
         const bool eligible = note.empty() || (candidate.trial && request.idempotent && !candidate.drained);
-        explanation.candidates.push_back(ScoredCandidate{candidate, score(candidate), eligible, note});
+        explanation.candidates.push_back(
+            ScoredCandidate{candidate, score(candidate, request.idempotent), eligible, note});
     }
     explanation.sentence = sentenceOn(explanation.candidates, placement);
     return explanation;
--- a/src/routing/retrypolicy.cpp
+++ b/src/routing/retrypolicy.cpp
@@ -42,6 +42,15 @@
     }
 }
 
+/// Refused by the serving node, so that the backend server never saw the attempt: it costs the server nothing, and
+/// counts neither as one of the servers that the route allows nor as a repeat.
+bool neverReachedServer(const AttemptResult &result)
+{
+    const bool byServer
+        = result.code == ResultCode::HopBackendServerShed || result.code == ResultCode::HopBackendServerReplaced;
+    return !(result.event == AttemptEvent::RefusedNotRun && byServer);
+}
+
 RetryDecision plain(RetryAction action, std::string_view reason)
 {
     return RetryDecision{action, false, {}, reason};
@@ -80,6 +89,8 @@
         return "cancel-done";
     case AttemptEvent::CancelUnanswered:
         return "cancel-unanswered";
+    case AttemptEvent::CallerGone:
+        return "caller-gone";
     }
     return "unknown";
 }
@@ -112,16 +123,22 @@
 
 void RetryPolicy::beginAttempt(RequestProgress &progress)
 {
-    if (progress.attempts == 0) {
+    if (progress.tries == 0) {
         m_budget.countRequest(progress.service, progress.workspace);
     }
+    ++progress.tries;
     ++progress.attempts;
 }
 
+bool RetryPolicy::mayTryAgain(const RequestProgress &progress) const
+{
+    return progress.attempts < progress.maxAttempts && progress.tries < m_settings.maxTries
+        && m_clock.now() < progress.deadline;
+}
+
 bool RetryPolicy::takeRetry(const RequestProgress &progress)
 {
-    return progress.attempts < m_settings.maxAttempts && m_clock.now() < progress.deadline
-        && m_budget.spend(progress.service, progress.workspace);
+    return mayTryAgain(progress) && m_budget.spend(progress.service, progress.workspace);
 }
 
 RetryDecision RetryPolicy::decide(RequestProgress &progress, const AttemptResult &result)
@@ -154,6 +171,9 @@
     case AttemptEvent::Complete:
         progress.mayHaveRun = true;
         return plain(RetryAction::AnswerCaller, "The answer is whole.");
+    case AttemptEvent::CallerGone:
+        progress.mayHaveRun = true;
+        return plain(RetryAction::BreakOff, "The caller has gone, so nobody waits for the answer.");
     }
     return refuse(progress, ResultCode::Internal, base::Duration::zero(), "The event is not known.");
 }
@@ -165,6 +185,8 @@
         const bool refused = result.event == AttemptEvent::ConnectionRefused;
         code = refused ? ResultCode::NoBackendServer : ResultCode::HopUnacknowledged;
     }
+    const bool free = neverReachedServer(result);
+    progress.attempts -= free ? 1 : 0;
     if (m_clock.now() >= progress.deadline) {
         return refuse(progress, ResultCode::DeadlineExceeded, result.retryAfter, "The deadline passed.");
     }
@@ -174,7 +196,7 @@
     if (progress.mayHaveRun && !progress.idempotent) {
         return refuse(progress, code, result.retryAfter, "An earlier attempt may have run.");
     }
-    if (takeRetry(progress)) {
+    if (free ? mayTryAgain(progress) : takeRetry(progress)) {
         return plain(RetryAction::RetryElsewhere, "The attempt did not run, which is proved.");
     }
     return refuse(progress, code, result.retryAfter, "No attempt or no retry budget is left.");
@@ -259,7 +281,7 @@
     timeouts.cancel = std::min(m_settings.cancel, remaining);
     timeouts.answer = remaining;
 
-    const bool isLast = progress.attempts >= m_settings.maxAttempts;
+    const bool isLast = progress.attempts >= progress.maxAttempts;
     if (isLast || typicalLatency <= base::Duration::zero()) {
         return timeouts;
     }
--- a/src/routing/routetable.cpp
+++ b/src/routing/routetable.cpp
@@ -178,8 +178,11 @@
     return keys;
 }
 
-bool allows(const config::Route &route, std::string_view method)
+bool allows(const config::Route &route, std::string_view method, bool isBelow)
 {
+    if (route.below && !isBelow) {
+        return false;
+    }
     return route.methods.empty()
         || std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
 }
@@ -194,6 +197,25 @@
     return method == "GET" || method == "HEAD" || method == "OPTIONS";
 }
 
+base::ServiceId chooseService(const config::Route &route, std::mt19937_64 &random)
+{
+    if (route.split.empty()) {
+        return route.service;
+    }
+    double sum = 0;
+    for (const config::RouteTarget &target : route.split) {
+        sum += target.weight;
+    }
+    double drawn = std::uniform_real_distribution<double>(0, sum)(random);
+    for (const config::RouteTarget &target : route.split) {
+        if (drawn < target.weight) {
+            return target.service;
+        }
+        drawn -= target.weight;
+    }
+    return route.service;
+}
+
 RouteTable::RouteTable(config::ConfigurationPtr configuration)
     : m_configuration(std::move(configuration))
 {
@@ -238,10 +260,8 @@
     m_slots[position] = Slot{static_cast<std::uint32_t>(hash >> 32), group + 1};
 }
 
-const config::Route *RouteTable::routeOfGroup(std::uint64_t hash,
-                                              std::string_view host,
-                                              std::string_view method,
-                                              std::string_view prefix) const
+const config::Route *RouteTable::routeOfGroup(
+    std::uint64_t hash, std::string_view host, std::string_view method, std::string_view prefix, bool isBelow) const
 {
     const auto &routes = m_configuration->routes();
     const std::size_t mask = m_slots.size() - 1;
@@ -259,7 +279,7 @@
         }
         for (std::uint32_t i = m_groups[group]; i < m_groups[group + 1]; ++i) {
             const auto &route = routes[m_order[i]];
-            if (allows(route, method)) {
+            if (allows(route, method, isBelow)) {
                 return &route;
             }
         }
@@ -271,12 +291,12 @@
 const config::Route *RouteTable::find(std::string_view host, std::string_view method, std::string_view path) const
 {
     std::uint64_t hash = hashOfHost(host);
-    const config::Route *best = routeOfGroup(hash, host, method, {});
+    const config::Route *best = routeOfGroup(hash, host, method, {}, true);
     std::size_t begin = 0;
     for (std::size_t segment = 0; segment < m_longestPrefix && begin < path.size(); ++segment) {
         const auto end = std::min(path.find('/', begin + 1), path.size());
         hash = hashOfSegment(hash, path.substr(begin, end - begin));
-        const auto *route = routeOfGroup(hash, host, method, path.substr(0, end));
+        const auto *route = routeOfGroup(hash, host, method, path.substr(0, end), end < path.size());
         best = route != nullptr ? route : best;
         begin = end;
     }
