Queue by priority and refuse early; see hangs beside the server; bound retries by fleet

Change: tiers by priority with a fixed part for the next one; room for a run before the deadline; failed runs don't count for run times; the serving node tells a suspected hang by a second acknowledgement and the entry decides; FleetRetryLimit and its part for one node; refusals that are true not-run are told as such.

--- a/src/health/failurefilter.cpp
+++ b/src/health/failurefilter.cpp
@@ -33,9 +33,20 @@
 
 void FailureFilter::noteOutcome(bool failed, base::TimePoint now)
 {
-    const double prior = grayProbability(now);
     const double ifGray = failed ? m_settings.grayFailures : 1 - m_settings.grayFailures;
     const double ifWell = failed ? m_settings.wellFailures : 1 - m_settings.wellFailures;
+    weigh(ifGray, ifWell, now);
+}
+
+void FailureFilter::noteOverdue(base::TimePoint now)
+{
+    weigh(m_settings.grayOverdue, m_settings.wellOverdue, now);
+}
+
+/// Bayes' rule, on what the past makes likely by now.
+void FailureFilter::weigh(double ifGray, double ifWell, base::TimePoint now)
+{
+    const double prior = grayProbability(now);
     const double gray = prior * ifGray;
     m_probability = std::clamp(gray / (gray + (1 - prior) * ifWell), 1 - surest, surest);
     m_updated = now;
--- a/src/include/papayastep/health/failurefilter.h
+++ b/src/include/papayastep/health/failurefilter.h
@@ -10,6 +10,10 @@
     double wellFailures = 0.02;
     /// How often one fails in a gray spell. Spells with 75 to 85 % were measured; lower shares are told as well.
     double grayFailures = 0.6;
+    /// How often a request of a well server, and of one that hangs, is still running after three mean run times. With
+    /// run times spread as measured (log-normal, sigma 0.8) it is 4 % of the well ones.
+    double wellOverdue = 0.05;
+    double grayOverdue = 0.6;
     /// Between two spells and in one, on average. Both were measured as seconds: spells of 3 s in every 9 to 12 s.
     base::Duration meanWell = std::chrono::seconds(12);
     base::Duration meanGray = std::chrono::milliseconds(2500);
@@ -36,6 +40,9 @@
 
     void noteOutcome(bool failed, base::TimePoint now);
 
+    /// A request has run for several times the usual without an end.
+    void noteOverdue(base::TimePoint now);
+
     /// Takes over what another filter found.
     void assume(double probability, base::TimePoint now);
 
@@ -47,6 +54,8 @@
     bool isOnTrial(base::TimePoint now) const;
 
 private:
+    void weigh(double ifGray, double ifWell, base::TimePoint now);
+
     FailureFilterSettings m_settings;
     double m_probability;
     base::TimePoint m_updated;
--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -10,7 +10,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <unordered_map>
 #include <vector>
 
 namespace papayastep::limits {
@@ -29,6 +28,28 @@
     std::size_t maxQueued = 256; ///< Over all workspaces.
     std::size_t maxQueuedPerWorkspace = 64;
     base::Duration expectedRun = std::chrono::milliseconds(50); ///< First guess of how long an attempt runs.
+
+    /// How much of a usual run must fit between start and deadline. With 0 an attempt may start at its deadline.
+    double roomForRun = 0;
+
+    /// How far beyond the moment at which an answer is wanted, as a share of the time from there to the deadline, an
+    /// answer may be expected and the attempt is still queued. A long queue makes every answer late without one more
+    /// being given; a short one refuses in a burst what could still be served. 1: up to the deadline.
+    double lateness = 1;
+
+    /// Of what a more urgent tier gets, the next one gets this part while both wait. Above 0, since a kind of request
+    /// that is never served helps nobody; small, since the more urgent one should not suffer first.
+    double nextTierShare = 0.25;
+};
+
+/// An attempt that asks for a slot.
+struct QueueOffer
+{
+    AttemptId attempt;
+    base::WorkspaceId workspace;
+    base::TimePoint deadline;
+    int priority = 0; ///< 0 is the most urgent.
+    std::optional<base::TimePoint> wanted; ///< An answer after it is worth less to the caller.
 };
 
 /// The answer to an offer. An accepted attempt gets a decision from poll(), perhaps at once.
@@ -56,15 +77,17 @@
 
 /// The queue in front of one backend server.
 ///
-/// Slots go to workspaces in turn (deficit round robin with a quantum of one request), so a workspace that floods the
-/// queue delays itself, not the others. When the queue is full, the newest attempt of the longest workspace queue
-/// makes room. An attempt that can't start before its deadline is dropped at once, so that it can still be
-/// refused as not run while its caller waits.
+/// Attempts wait in tiers by priority. While several tiers wait, each gets a fixed part of what the next more urgent one
+/// gets. Within a tier slots go to workspaces in turn (deficit round robin with a quantum of one request), so a
+/// workspace that floods the queue delays itself, not the others. When the queue is full, the newest attempt of the
+/// longest workspace queue of the least urgent tier makes room. An attempt that can't be answered in time is refused or
+/// dropped at once, so that it can still be refused as not run while its caller waits.
 class SlotQueue
 {
 public:
     SlotQueue(const base::Clock &clock, int slots, SlotQueueSettings settings = {});
 
+    Verdict offer(const QueueOffer &offer);
     Verdict offer(const AttemptId &attempt, const base::WorkspaceId &workspace, base::TimePoint deadline);
 
     /// Decisions due now. Starting an attempt occupies a slot until finished().
@@ -72,8 +95,9 @@
 
     CancelVerdict cancel(const AttemptId &attempt);
 
-    /// The attempt has left its slot. Ignored for one that has none.
-    void finished(const AttemptId &attempt);
+    /// The attempt has left its slot. Ignored for one that has none. `usual`: its run time tells how long runs take. A
+    /// server that fails at once would else look fast, and all that waits for it soon served.
+    void finished(const AttemptId &attempt, bool usual = true);
 
     /// Fewer slots than running attempts: none starts until enough have finished.
     void setSlots(int slots);
@@ -84,38 +108,59 @@
     int slots() const;
     std::size_t running() const;
     std::size_t queued() const;
-    std::size_t queuedOf(const base::WorkspaceId &workspace) const;
 
-    /// How long an attempt of `workspace` offered now would wait for its slot, judged by recent run times.
-    base::Duration expectedWait(const base::WorkspaceId &workspace) const;
+    /// How long an attempt offered now would wait for its slot, judged by recent run times.
+    base::Duration expectedWait(const base::WorkspaceId &workspace, int priority = 0) const;
+
+    /// The mean of recent runs.
+    base::Duration meanRun() const;
 
 private:
     struct Queued
     {
         AttemptId attempt;
-        base::TimePoint deadline;
+        base::TimePoint latestStart;
     };
     struct Lane
     {
         base::WorkspaceId workspace;
         std::deque<Queued> attempts;
     };
-    using Lanes = std::list<Lane>;
+    /// The attempts of one priority: workspaces in the order of their turns.
+    struct Tier
+    {
+        std::list<Lane> lanes;
+        std::size_t size = 0;
+        double pass = 0; ///< Rises with each start; the tier with the smallest goes next (stride scheduling).
+    };
+    using Tiers = std::map<int, Tier>;
+    struct Place
+    {
+        int priority = 0;
+        base::WorkspaceId workspace;
+    };
 
-    Verdict refusal(base::ResultCode code, const base::WorkspaceId &workspace) const;
-    bool makeRoom(const base::WorkspaceId &workspace);
+    static std::list<Lane>::iterator laneOf(Tier &tier, const base::WorkspaceId &workspace);
+    std::size_t queuedOf(const base::WorkspaceId &workspace, int priority) const;
+    double weight(int priority) const;
+    Verdict refusal(base::ResultCode code, const base::WorkspaceId &workspace, int priority) const;
+    base::TimePoint latestStart(const QueueOffer &offer) const;
+    bool comesInTime(const QueueOffer &offer) const;
+    bool makeRoom(const base::WorkspaceId &workspace, int priority);
+    void enqueue(const QueueOffer &offer);
     void dropOverdue(std::vector<QueueDecision> &decisions);
     void startNext(std::vector<QueueDecision> &decisions);
+    Tiers::iterator nextTier();
     bool removeQueued(const AttemptId &attempt);
     base::Duration waitBehind(std::size_t ahead) const;
 
     const base::Clock &m_clock;
     SlotQueueSettings m_settings;
     int m_slots;
-    Lanes m_lanes; ///< Workspaces with queued attempts, in the order of their turns.
-    std::unordered_map<base::WorkspaceId, Lanes::iterator> m_laneOf;
-    std::map<AttemptId, base::WorkspaceId> m_queued;
-    std::set<std::pair<base::TimePoint, AttemptId>> m_deadlines;
+    Tiers m_tiers; ///< Only those in which attempts wait.
+    double m_pass = 0; ///< Of the tier that went last; a tier that comes begins there.
+    std::map<AttemptId, Place> m_queued;
+    std::set<std::pair<base::TimePoint, AttemptId>> m_deadlines; ///< Latest starts.
     std::map<AttemptId, base::TimePoint> m_running; ///< Attempt -> when it started.
     std::vector<QueueDecision> m_evicted; ///< Pushed out by an offer, to be told by the next poll().
     base::Duration m_meanRun;
--- a/src/include/papayastep/node/attempt.h
+++ b/src/include/papayastep/node/attempt.h
@@ -39,6 +39,7 @@
     const base::VmId &vm() const;
     base::TimePoint startedAt() const;
     bool acknowledged() const;
+    bool suspect() const; ///< Its serving node says that it seems to hang.
     bool finished() const; ///< answer() is there, or the link failed.
     bool linkFailed() const; ///< No valid answer came over the hop.
     bool neverSent() const; ///< With linkFailed(): not a byte was written.
@@ -56,6 +57,7 @@
     ServedAnswer m_answer;
     std::optional<routing::CancelAnswer> m_cancelAnswer;
     bool m_acknowledged = false;
+    bool m_suspect = false;
     bool m_finished = false;
     bool m_linkFailed = false;
     bool m_neverSent = false;
--- a/src/include/papayastep/node/node.h
+++ b/src/include/papayastep/node/node.h
@@ -51,7 +51,7 @@
     void applyDirectory();
     void applyCallerLimits();
     void tick();
-    base::TimePoint nextTick() const;
+    base::TimePoint nextTick();
     net::Awaitable<void> tickLoop();
     net::Awaitable<void> drain();
     bool isIdle() const;
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -21,8 +21,11 @@
     explicit ServingNode(NodeContext &context);
     ~ServingNode();
 
-    /// Runs one attempt. `request` holds the caller's end-to-end headers without any key.
-    net::Awaitable<ServedAnswer> serve(wire::HopRequest hop, net::ClientRequest request);
+    /// Runs one attempt. `request` holds the caller's end-to-end headers without any key. `suspect` is called at most
+    /// once, when the attempt seems to hang.
+    net::Awaitable<ServedAnswer> serve(wire::HopRequest hop,
+                                       net::ClientRequest request,
+                                       std::function<void()> suspect);
 
     /// The entry asks to cancel; the attempt may not have come yet.
     routing::CancelAnswer cancel(const wire::CancelAttempt &cancel, const routing::SentStamp &stamp);
@@ -35,7 +38,7 @@
     /// Starts and drops queued attempts that are due.
     void poll();
     void tick();
-    std::optional<base::TimePoint> nextTick() const;
+    std::optional<base::TimePoint> nextTick();
 
     /// Attempts queued or running.
     std::size_t inFlight() const;
@@ -50,6 +53,9 @@
     Lane *laneOf(const base::BackendServerId &server);
     std::optional<base::ResultCode> checkKey(const wire::HopRequest &hop) const;
     std::optional<base::ResultCode> checkServer(const wire::HopRequest &hop);
+    base::TimePoint overdueAt(const Work &work);
+    void watchOverdue();
+    limits::QueueOffer offerOf(const Work &work) const;
     bool isHeldBack(const Lane &lane, const wire::HopRequest &hop) const;
     std::optional<base::ResultCode> beginWork(Work &work);
     net::Awaitable<void> waitForSlot(WorkPtr work);
--- a/src/include/papayastep/node/settings.h
+++ b/src/include/papayastep/node/settings.h
@@ -3,6 +3,7 @@
 #include "papayastep/base/identifiers.h"
 #include "papayastep/net/endpoint.h"
 #include "papayastep/net/httpserver.h"
+#include "papayastep/routing/retrybudget.h"
 
 #include <optional>
 #include <string>
@@ -39,6 +40,7 @@
     base::ServiceId service; ///< Of the backend servers on this VM, which tells who calls; empty: not told.
     InterfaceChoice interfaces = InterfaceChoice::Own;
     RateLimitChoice rateLimits = RateLimitChoice::Strict;
+    std::optional<routing::FleetRetryLimit> retryLimit; ///< Absent: a fifth of each node's own requests.
     std::string secret; ///< Of the fleet. Never logged.
     PlacementChoice placement = PlacementChoice::TwoChoices;
     bool ejection = true; ///< False: the baseline without ejection.
--- a/src/include/papayastep/routing/retrybudget.h
+++ b/src/include/papayastep/routing/retrybudget.h
@@ -13,8 +13,27 @@
     base::Duration window = std::chrono::seconds(10); ///< Traffic older than this hardly counts.
     double reservePerSecond = 1; ///< Retries allowed without traffic, so that a rare service can retry at all.
     double reserve = 5; ///< How many of those may gather.
+
+    /// How much faster one workspace may spend than it earns, out of what the others leave. Small fleets see so few
+    /// requests of one workspace at one entry that its own part would never make a whole retry.
+    double workspaceFactor = 4;
 };
 
+/// What operators allow a service in any span of `window`, over all nodes together.
+struct FleetRetryLimit
+{
+    double ratio = 0.2; ///< Of the requests of the service.
+    double slack = 0; ///< Retries besides.
+    base::Duration window = std::chrono::seconds(10);
+
+    auto operator<=>(const FleetRetryLimit &) const = default;
+};
+
+/// One node's part of `limit` in a fleet of `nodes`. What has gathered can be spent at once, on top of what is earned
+/// during the window; so each part is cut until the worst case adds up to the limit: with a memory of half a window,
+/// 0.65 of the ratio over one and a half windows, and 0.45 of the slack twice.
+RetryBudgetSettings partOf(const FleetRetryLimit &limit, std::size_t nodes);
+
 /// Bounds retries to a share of recent first attempts, per service and per workspace.
 ///
 /// Without it a sick service is hit with several times its traffic just when it can least bear it, and one
@@ -24,6 +43,9 @@
 public:
     explicit RetryBudget(const base::Clock &clock, RetryBudgetSettings settings = {});
 
+    /// For spending from now on; what has gathered stays.
+    void setSettings(const RetryBudgetSettings &settings);
+
     /// Counts a first attempt.
     void countRequest(const base::ServiceId &service, const base::WorkspaceId &workspace);
 
--- a/src/include/papayastep/routing/retrypolicy.h
+++ b/src/include/papayastep/routing/retrypolicy.h
@@ -84,7 +84,9 @@
     /// of six drawn servers one takes the request unless nearly all are full or ejected.
     int maxTries = 6;
     base::Duration acknowledge = std::chrono::milliseconds(150); ///< A node acknowledges before it queues.
-    double answerMultiple = 4; ///< Of the service's typical latency.
+    /// Of the service's typical latency, after which an acknowledged attempt counts as silent. 0: never, where the node
+    /// beside the server sees a hang itself. A request that simply takes long is only run once more by giving up on it.
+    double answerMultiple = 4;
     base::Duration minAnswer = std::chrono::milliseconds(50);
     base::Duration cancel = std::chrono::milliseconds(500); ///< The node resends the cancel within it.
     base::Duration defaultRetryAfter = std::chrono::seconds(1);
--- a/src/include/papayastep/wire/hop.h
+++ b/src/include/papayastep/wire/hop.h
@@ -30,6 +30,7 @@
     base::ServiceId callerService; ///< Of the VM where the request entered; empty: not known.
     std::string callerId; ///< The caller's own name for the request, for the logs of both sides; may be empty.
     std::uint8_t priority = 0; ///< 0 is the most urgent.
+    std::int64_t wantedIn = 0; ///< Nanoseconds after which an answer is worth less, as `remaining`; 0: not stated.
     bool lastResort = false; ///< All servers were found ejected, so this one is to try whatever it thinks of itself.
 
     base::RequestId requestId() const
@@ -55,6 +56,7 @@
                    callerService,
                    callerId,
                    priority,
+                   wantedIn,
                    lastResort)
 };
 
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -3,6 +3,7 @@
 #include "papayastep/base/log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace papayastep::limits {
@@ -11,6 +12,12 @@
 
 constexpr int runMemory = 8; ///< The mean run time follows about this many attempts.
 constexpr base::Duration shortestRetryAfter = std::chrono::milliseconds(1);
+constexpr int leastUrgent = 8; ///< Less urgent tiers share its weight, which is next to nothing already.
+
+base::Duration part(base::Duration duration, double share)
+{
+    return std::chrono::duration_cast<base::Duration>(duration * share);
+}
 
 }
 
@@ -24,24 +31,22 @@
 
 Verdict SlotQueue::offer(const AttemptId &attempt, const base::WorkspaceId &workspace, base::TimePoint deadline)
 {
-    if (m_queued.contains(attempt) || m_running.contains(attempt)) {
-        return refusal(base::ResultCode::HopReplayed, workspace);
+    return offer(QueueOffer{attempt, workspace, deadline, 0, std::nullopt});
+}
+
+Verdict SlotQueue::offer(const QueueOffer &offer)
+{
+    if (m_queued.contains(offer.attempt) || m_running.contains(offer.attempt)) {
+        return refusal(base::ResultCode::HopReplayed, offer.workspace, offer.priority);
     }
     // An attempt that would wait past its deadline is refused now: later its caller could do nothing any more.
-    if (m_clock.now() + expectedWait(workspace) >= deadline) {
-        return refusal(base::ResultCode::HopQueueTimeout, workspace);
+    if (!comesInTime(offer)) {
+        return refusal(base::ResultCode::HopQueueTimeout, offer.workspace, offer.priority);
     }
-    if (!makeRoom(workspace)) {
-        return refusal(base::ResultCode::HopQueueFull, workspace);
+    if (!makeRoom(offer.workspace, offer.priority)) {
+        return refusal(base::ResultCode::HopQueueFull, offer.workspace, offer.priority);
     }
-    auto lane = m_laneOf.find(workspace);
-    if (lane == m_laneOf.end()) {
-        m_lanes.push_back(Lane{workspace, {}});
-        lane = m_laneOf.emplace(workspace, std::prev(m_lanes.end())).first;
-    }
-    lane->second->attempts.push_back(Queued{attempt, deadline});
-    m_queued.emplace(attempt, workspace);
-    m_deadlines.emplace(deadline, attempt);
+    enqueue(offer);
     return Verdict{true, base::ResultCode::Ok, {}};
 }
 
@@ -66,14 +71,16 @@
     return evicted != m_evicted.end() ? CancelVerdict::NeverStarted : CancelVerdict::Unknown;
 }
 
-void SlotQueue::finished(const AttemptId &attempt)
+void SlotQueue::finished(const AttemptId &attempt, bool usual)
 {
     const auto found = m_running.find(attempt);
     if (found == m_running.end()) {
         return;
     }
     const base::Duration run = m_clock.now() - found->second;
-    m_meanRun += (run - m_meanRun) / runMemory;
+    if (usual) {
+        m_meanRun += (run - m_meanRun) / runMemory;
+    }
     m_running.erase(found);
 }
 
@@ -105,60 +112,142 @@
     return m_queued.size();
 }
 
-std::size_t SlotQueue::queuedOf(const base::WorkspaceId &workspace) const
+base::Duration SlotQueue::meanRun() const
 {
-    const auto lane = m_laneOf.find(workspace);
-    return lane != m_laneOf.end() ? lane->second->attempts.size() : 0;
+    return m_meanRun;
 }
 
-base::Duration SlotQueue::expectedWait(const base::WorkspaceId &workspace) const
+base::Duration SlotQueue::expectedWait(const base::WorkspaceId &workspace, int priority) const
 {
-    const std::size_t own = queuedOf(workspace);
+    const std::size_t own = queuedOf(workspace, priority);
     std::size_t ahead = own;
-    for (const Lane &lane : m_lanes) {
-        // Each other workspace has one turn for each turn of this one.
-        ahead += lane.workspace == workspace ? 0 : std::min(lane.attempts.size(), own + 1);
+    const auto tier = m_tiers.find(priority);
+    if (tier != m_tiers.end()) {
+        for (const Lane &lane : tier->second.lanes) {
+            // Each other workspace has one turn for each turn of this one.
+            ahead += lane.workspace == workspace ? 0 : std::min(lane.attempts.size(), own + 1);
+        }
+    }
+    const std::size_t turns = ahead + 1;
+    for (const auto &[other, waiting] : m_tiers) {
+        if (other != priority) {
+            const double starts = static_cast<double>(turns) * weight(other) / weight(priority);
+            ahead += std::min(waiting.size, static_cast<std::size_t>(std::llround(starts)));
+        }
     }
     return waitBehind(ahead);
 }
 
-Verdict SlotQueue::refusal(base::ResultCode code, const base::WorkspaceId &workspace) const
+std::list<SlotQueue::Lane>::iterator SlotQueue::laneOf(Tier &tier, const base::WorkspaceId &workspace)
 {
-    const base::Duration wait = std::max(shortestRetryAfter, expectedWait(workspace));
+    return std::find_if(
+        tier.lanes.begin(), tier.lanes.end(), [&](const Lane &lane) { return lane.workspace == workspace; });
+}
+
+std::size_t SlotQueue::queuedOf(const base::WorkspaceId &workspace, int priority) const
+{
+    const auto tier = m_tiers.find(priority);
+    if (tier == m_tiers.end()) {
+        return 0;
+    }
+    const auto lane = std::find_if(tier->second.lanes.begin(), tier->second.lanes.end(), [&](const Lane &candidate) {
+        return candidate.workspace == workspace;
+    });
+    return lane != tier->second.lanes.end() ? lane->attempts.size() : 0;
+}
+
+double SlotQueue::weight(int priority) const
+{
+    return std::pow(m_settings.nextTierShare, std::clamp(priority, 0, leastUrgent));
+}
+
+Verdict SlotQueue::refusal(base::ResultCode code, const base::WorkspaceId &workspace, int priority) const
+{
+    const base::Duration wait = std::max(shortestRetryAfter, expectedWait(workspace, priority));
     PAPAYASTEP_LOG(INFO, "limits") << "Refused to queue an attempt." << base::field("workspace", workspace)
-                                   << base::field("code", base::number(code)) << base::field("queued", m_queued.size());
+                                   << base::field("priority", priority) << base::field("code", base::number(code))
+                                   << base::field("queued", m_queued.size())
+                                   << base::field("running", m_running.size());
     return Verdict{false, code, wait};
 }
 
-/// Whether one more attempt of `workspace` fits. In a full queue the longest workspace queue gives up its newest
-/// attempt, if it is longer than that of `workspace` would be: so no workspace can keep another one out.
-bool SlotQueue::makeRoom(const base::WorkspaceId &workspace)
+/// After it a usual run would not end before the deadline.
+base::TimePoint SlotQueue::latestStart(const QueueOffer &offer) const
 {
-    const std::size_t own = queuedOf(workspace);
+    return offer.deadline - part(m_meanRun, m_settings.roomForRun);
+}
+
+/// Whether an answer can be expected soon enough for the caller.
+bool SlotQueue::comesInTime(const QueueOffer &offer) const
+{
+    const base::TimePoint now = m_clock.now();
+    const base::Duration wait = expectedWait(offer.workspace, offer.priority);
+    if (wait == base::Duration::zero()) {
+        return now < offer.deadline;
+    }
+    const base::TimePoint start = now + wait;
+    if (start >= latestStart(offer)) {
+        return false;
+    }
+    if (!offer.wanted || *offer.wanted >= offer.deadline) {
+        return true;
+    }
+    return start + m_meanRun <= *offer.wanted + part(offer.deadline - *offer.wanted, m_settings.lateness);
+}
+
+/// Whether one more attempt fits. In a full queue the longest workspace queue of the least urgent tier gives up its
+/// newest attempt, if that tier is less urgent or that queue longer than the one of `workspace` would be: so no
+/// workspace can keep another one out.
+bool SlotQueue::makeRoom(const base::WorkspaceId &workspace, int priority)
+{
+    const std::size_t own = queuedOf(workspace, priority);
     if (own >= m_settings.maxQueuedPerWorkspace) {
         return false;
     }
     if (m_queued.size() < m_settings.maxQueued) {
         return true;
     }
-    const auto longest = std::max_element(m_lanes.begin(), m_lanes.end(), [](const Lane &a, const Lane &b) {
+    const auto least = std::prev(m_tiers.end());
+    auto &lanes = least->second.lanes;
+    const auto longest = std::max_element(lanes.begin(), lanes.end(), [](const Lane &a, const Lane &b) {
         return a.attempts.size() < b.attempts.size();
     });
-    if (longest == m_lanes.end() || longest->attempts.size() <= own + 1) {
+    const bool isLessUrgent = least->first > priority;
+    if (least->first < priority || (!isLessUrgent && longest->attempts.size() <= own + 1)) {
         return false;
     }
     const AttemptId newest = longest->attempts.back().attempt;
-    const base::Duration wait = std::max(shortestRetryAfter, expectedWait(longest->workspace));
+    const base::Duration wait = std::max(shortestRetryAfter, expectedWait(longest->workspace, least->first));
     removeQueued(newest);
     m_evicted.push_back(QueueDecision{newest, false, base::ResultCode::HopQueueFull, wait});
     return true;
 }
 
+void SlotQueue::enqueue(const QueueOffer &offer)
+{
+    const auto [place, isNew] = m_tiers.try_emplace(offer.priority);
+    Tier &tier = place->second;
+    if (isNew) {
+        tier.pass = m_pass;
+    }
+    auto lane = laneOf(tier, offer.workspace);
+    if (lane == tier.lanes.end()) {
+        tier.lanes.push_back(Lane{offer.workspace, {}});
+        lane = std::prev(tier.lanes.end());
+    }
+    const base::TimePoint latest = latestStart(offer);
+    lane->attempts.push_back(Queued{offer.attempt, latest});
+    ++tier.size;
+    m_queued.emplace(offer.attempt, Place{offer.priority, offer.workspace});
+    m_deadlines.emplace(latest, offer.attempt);
+}
+
 void SlotQueue::dropOverdue(std::vector<QueueDecision> &decisions)
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= m_clock.now()) {
         const AttemptId attempt = m_deadlines.begin()->second;
-        const base::Duration wait = std::max(shortestRetryAfter, expectedWait(m_queued.at(attempt)));
+        const Place place = m_queued.at(attempt);
+        const base::Duration wait = std::max(shortestRetryAfter, expectedWait(place.workspace, place.priority));
         removeQueued(attempt);
         decisions.push_back(QueueDecision{attempt, false, base::ResultCode::HopQueueTimeout, wait});
     }
@@ -166,31 +255,48 @@
 
 void SlotQueue::startNext(std::vector<QueueDecision> &decisions)
 {
-    while (!m_lanes.empty() && m_running.size() < static_cast<std::size_t>(m_slots)) {
-        const AttemptId attempt = m_lanes.front().attempts.front().attempt;
+    while (!m_tiers.empty() && m_running.size() < static_cast<std::size_t>(m_slots)) {
+        const auto place = nextTier();
+        Tier &tier = place->second;
+        m_pass = tier.pass;
+        tier.pass += 1 / weight(place->first);
+        const AttemptId attempt = tier.lanes.front().attempts.front().attempt;
         // The workspace has had its turn and goes to the back, before it may vanish as empty.
-        m_lanes.splice(m_lanes.end(), m_lanes, m_lanes.begin());
+        tier.lanes.splice(tier.lanes.end(), tier.lanes, tier.lanes.begin());
         removeQueued(attempt);
         m_running.emplace(attempt, m_clock.now());
         decisions.push_back(QueueDecision{attempt, true, base::ResultCode::Ok, {}});
     }
 }
 
+/// The one that has had the least of its part. Of two alike the more urgent one.
+SlotQueue::Tiers::iterator SlotQueue::nextTier()
+{
+    return std::min_element(m_tiers.begin(), m_tiers.end(), [](const auto &a, const auto &b) {
+        return a.second.pass < b.second.pass;
+    });
+}
+
 bool SlotQueue::removeQueued(const AttemptId &attempt)
 {
     const auto queued = m_queued.find(attempt);
     if (queued == m_queued.end()) {
         return false;
     }
-    const auto lane = m_laneOf.find(queued->second)->second;
+    const auto place = m_tiers.find(queued->second.priority);
+    Tier &tier = place->second;
+    const auto lane = laneOf(tier, queued->second.workspace);
     const auto position = std::find_if(lane->attempts.begin(), lane->attempts.end(), [&attempt](const Queued &entry) {
         return entry.attempt == attempt;
     });
-    m_deadlines.erase({position->deadline, attempt});
+    m_deadlines.erase({position->latestStart, attempt});
     lane->attempts.erase(position);
     if (lane->attempts.empty()) {
-        m_laneOf.erase(lane->workspace);
-        m_lanes.erase(lane);
+        tier.lanes.erase(lane);
+    }
+    --tier.size;
+    if (tier.size == 0) {
+        m_tiers.erase(place);
     }
     m_queued.erase(queued);
     return true;
--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -101,6 +101,11 @@
     return m_acknowledged;
 }
 
+bool Attempt::suspect() const
+{
+    return m_suspect;
+}
+
 bool Attempt::finished() const
 {
     return m_finished;
@@ -145,7 +150,13 @@
     m_changed = std::move(changed);
     auto self = std::static_pointer_cast<LocalAttempt>(shared_from_this());
     auto run = [self, request = std::move(request)]() mutable -> net::Awaitable<void> {
-        self->m_answer = co_await self->m_serving.serve(self->m_hop, std::move(request));
+        auto suspect = [weak = std::weak_ptr<LocalAttempt>(self)] {
+            if (const auto attempt = weak.lock()) {
+                attempt->m_suspect = true;
+                attempt->notifyChanged();
+            }
+        };
+        self->m_answer = co_await self->m_serving.serve(self->m_hop, std::move(request), std::move(suspect));
         self->m_finished = true;
         self->notifyChanged();
     };
@@ -178,6 +189,7 @@
     auto self = std::static_pointer_cast<RemoteAttempt>(shared_from_this());
     m_exchange->onAcknowledged([weak = std::weak_ptr<RemoteAttempt>(self)] {
         if (const auto attempt = weak.lock()) {
+            attempt->m_suspect = attempt->m_acknowledged;
             attempt->m_acknowledged = true;
             attempt->m_context.health.hopAcknowledged(attempt->m_vm,
                                                       {attempt->m_hop.requestId(), attempt->m_hop.attempt});
--- a/src/node/attemptwatch.cpp
+++ b/src/node/attemptwatch.cpp
@@ -163,7 +163,7 @@
             return result;
         }
     }
-    if (m_attempt->acknowledged() && age >= m_timeouts.answer) {
+    if (m_attempt->acknowledged() && (m_attempt->suspect() || age >= m_timeouts.answer)) {
         return once(AttemptEvent::AcknowledgedThenSilent, ResultCode::DeadlineExceeded);
     }
     return std::nullopt;
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -341,6 +341,9 @@
     hop.callerService = m_context.settings.service;
     hop.callerId = m_caller.id;
     hop.priority = static_cast<std::uint8_t>(m_priority);
+    if (m_route->targetLatency > base::Duration::zero()) {
+        hop.wantedIn = std::max<std::int64_t>(1, (m_arrived + m_route->targetLatency - now).count());
+    }
     hop.lastResort = m_ejectedSeen >= ejectedBeforeLastResort || wasTried(server.id);
     const config::VmEntry *vm = m_context.vms.find(server.vm);
     if (server.vm == m_context.settings.vm || vm == nullptr) {
--- a/src/node/hophandler.cpp
+++ b/src/node/hophandler.cpp
@@ -21,6 +21,7 @@
     }
     net::Signal changed;
     std::optional<ServedAnswer> answer;
+    bool suspect = false; ///< The attempt seems to hang, which the entry is yet to be told.
 };
 
 net::ClientRequest backendRequest(const net::RequestHead &head, std::string body)
@@ -54,7 +55,11 @@
                   pending,
                   hop,
                   request = backendRequest(exchange.head(), std::move(body))]() mutable -> net::Awaitable<void> {
-        pending->answer = co_await m_serving.serve(std::move(hop), std::move(request));
+        auto suspect = [pending] {
+            pending->suspect = true;
+            pending->changed.notify();
+        };
+        pending->answer = co_await m_serving.serve(std::move(hop), std::move(request), std::move(suspect));
         pending->changed.notify();
     };
     net::asio::co_spawn(m_context.io, std::move(serve), net::asio::detached);
@@ -68,6 +73,12 @@
         co_await exchange.acknowledge();
     }
     while (!pending->answer) {
+        const bool tell = std::exchange(pending->suspect, false);
+        if (tell) {
+            // A second acknowledgement says so; the entry knows the first by its being the first.
+            co_await exchange.acknowledge();
+            continue;
+        }
         co_await pending->changed.waitUntil(m_context.clock.now() + std::chrono::hours(1));
     }
     co_await pass(exchange, std::move(*pending->answer));
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -318,6 +318,10 @@
 void Node::applyVmList()
 {
     m_context.vms = m_directory.list();
+    if (m_context.settings.retryLimit) {
+        m_context.retryBudget.setSettings(
+            routing::partOf(*m_context.settings.retryLimit, m_context.vms.vms.size()));
+    }
     m_context.tokens.applyVmList(m_context.vms,
                                  m_directoryKeeper ? m_directoryKeeper->askedAt() : m_keeper.vmListAskedAt());
     m_context.health.applyVmList(m_context.vms);
@@ -350,7 +354,7 @@
     }
 }
 
-base::TimePoint Node::nextTick() const
+base::TimePoint Node::nextTick()
 {
     const auto now = m_context.clock.now();
     auto next = now + longestTick;
--- a/src/node/nodecontext.cpp
+++ b/src/node/nodecontext.cpp
@@ -25,6 +25,13 @@
     return std::make_unique<limits::TokenBroker>(self, clock);
 }
 
+routing::RetrySettings retrySettings()
+{
+    routing::RetrySettings settings;
+    settings.answerMultiple = 0; // ServingNode gives up on what hangs.
+    return settings;
+}
+
 std::unique_ptr<routing::PlacementPolicy> placementPolicy(PlacementChoice choice)
 {
     if (choice == PlacementChoice::Random) {
@@ -54,7 +61,7 @@
     , health({settings.vm, incarnation}, clock, random())
     , gray(clock)
     , retryBudget(clock)
-    , retryPolicy(clock, retryBudget)
+    , retryPolicy(clock, retryBudget, retrySettings())
     , ledgerHome(clock, settings.vm, incarnation, ledgerSettings(settings))
     , ledgerClient(clock, settings.vm, ledgerHome, ledgerSettings(settings))
     , placement(placementPolicy(settings.placement))
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -11,6 +11,23 @@
 
 using base::ResultCode;
 
+/// Where an answer is wanted by a certain time, three tenths of the time from there to the deadline are still used. Most of a run
+/// must fit before the deadline, or it only takes the slot from another.
+limits::SlotQueueSettings queueSettings()
+{
+    limits::SlotQueueSettings settings;
+    settings.roomForRun = 0.7;
+    settings.lateness = 0.3;
+    return settings;
+}
+
+/// Mean run times after which an attempt is overdue. See FailureFilterSettings::wellOverdue.
+constexpr int overdueRuns = 3;
+/// Above it an attempt that hangs is worth running once more elsewhere: of ten repeats, one is for nothing.
+constexpr double suspectAbove = 0.9;
+/// Shorter runs are not watched: scheduling on a shared core takes some tens of milliseconds by itself.
+constexpr base::Duration shortestOverdue = std::chrono::milliseconds(200);
+
 std::int64_t microseconds(base::Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
@@ -40,7 +57,7 @@
 {
     Lane(const base::Clock &clock, const config::BackendServer &configured)
         : server(configured)
-        , queue(clock, configured.slots)
+        , queue(clock, configured.slots, queueSettings())
         , filter(clock.now())
     {
     }
@@ -78,10 +95,12 @@
     net::Signal changed;
     std::optional<limits::QueueDecision> decision;
     std::shared_ptr<net::HttpExchange> exchange;
+    std::function<void()> suspect; ///< Tells the entry that the server seems to hang.
     AnswerVerdict verdict = AnswerVerdict::Answered;
     bool running = false;
     bool timedOut = false;
     bool stopped = false; ///< Nobody wants the answer any more.
+    bool overdue = false; ///< Runs for several times the usual.
 };
 
 /// The rest of a large answer. Holds the slot of the backend server until its end.
@@ -140,9 +159,12 @@
 
 ServingNode::~ServingNode() = default;
 
-net::Awaitable<ServedAnswer> ServingNode::serve(wire::HopRequest hop, net::ClientRequest request)
+net::Awaitable<ServedAnswer> ServingNode::serve(wire::HopRequest hop,
+                                                net::ClientRequest request,
+                                                std::function<void()> suspect)
 {
     auto work = std::make_shared<Work>(m_context.io, std::move(hop), m_context.clock.now());
+    work->suspect = std::move(suspect);
     auto refused = checkKey(work->hop);
     if (!refused) {
         refused = checkServer(work->hop);
@@ -153,8 +175,7 @@
     if (refused) {
         co_return refusalOf(*work, *refused, {});
     }
-    const limits::Verdict verdict
-        = laneOf(work->hop.server)->queue.offer(work->id(), work->hop.workspace, work->deadline);
+    const limits::Verdict verdict = laneOf(work->hop.server)->queue.offer(offerOf(*work));
     if (!verdict.accepted) {
         m_registry.drop({work->hop.requestId(), static_cast<int>(work->hop.attempt)});
         co_return refusalOf(*work, verdict.code, verdict.retryAfter);
@@ -178,7 +199,7 @@
     }
     if (refused) {
         m_registry.drop({work->hop.requestId(), static_cast<int>(work->hop.attempt)});
-        laneOf(work->hop.server)->queue.finished(work->id());
+        laneOf(work->hop.server)->queue.finished(work->id(), false);
         m_work.erase(work->id());
         m_context.schedulePump();
         co_return refusalOf(*work, *refused, {});
@@ -264,7 +285,7 @@
         for (const limits::QueueDecision &decision : lane->queue.poll()) {
             const auto found = m_work.find(decision.attempt);
             if (found == m_work.end()) {
-                lane->queue.finished(decision.attempt);
+                lane->queue.finished(decision.attempt, false);
                 continue;
             }
             if (!decision.start) {
@@ -277,13 +298,45 @@
     }
 }
 
+base::TimePoint ServingNode::overdueAt(const Work &work)
+{
+    const base::Duration usual = laneOf(work.hop.server)->queue.meanRun();
+    return work.started + std::max(overdueRuns * usual, shortestOverdue);
+}
+
+/// A server that hangs answers nobody, so no failure is seen until the deadlines pass. The age of what runs shows it
+/// sooner; the entry is told, which may run it elsewhere while there is still time. It goes on here: the entry may have
+/// no repeat left, and to break off what may only be slow would lose it.
+void ServingNode::watchOverdue()
+{
+    const auto now = m_context.clock.now();
+    for (const auto &[id, work] : m_work) {
+        Lane *lane = laneOf(work->hop.server);
+        if (!work->running || work->overdue || lane == nullptr || now < overdueAt(*work)) {
+            continue;
+        }
+        work->overdue = true;
+        lane->filter.noteOverdue(now);
+        const bool mayMoveOn = work->hop.idempotent && work->deadline - now > lane->queue.meanRun();
+        PAPAYASTEP_LOG(INFO, logPrefix)
+            << "An attempt is overdue." << base::field("request", work->hop.callerId)
+            << base::field("server", work->hop.server) << base::field("runMs", milliseconds(now - work->started))
+            << base::field("usualMs", milliseconds(lane->queue.meanRun()))
+            << base::field("grayPercent", static_cast<int>(100 * lane->filter.grayProbability(now)));
+        if (mayMoveOn && lane->filter.grayProbability(now) > suspectAbove) {
+            work->suspect();
+        }
+    }
+}
+
 void ServingNode::tick()
 {
     m_registry.tick();
+    watchOverdue();
     poll();
 }
 
-std::optional<base::TimePoint> ServingNode::nextTick() const
+std::optional<base::TimePoint> ServingNode::nextTick()
 {
     std::optional<base::TimePoint> next;
     for (const auto &[id, lane] : m_lanes) {
@@ -292,6 +345,12 @@
             next = due;
         }
     }
+    for (const auto &[id, work] : m_work) {
+        if (work->running && !work->overdue && laneOf(work->hop.server) != nullptr) {
+            const auto due = overdueAt(*work);
+            next = std::min(next.value_or(due), due);
+        }
+    }
     return next;
 }
 
@@ -399,6 +458,19 @@
     return ResultCode::Internal;
 }
 
+limits::QueueOffer ServingNode::offerOf(const Work &work) const
+{
+    limits::QueueOffer offer;
+    offer.attempt = work.id();
+    offer.workspace = work.hop.workspace;
+    offer.deadline = work.deadline;
+    offer.priority = work.hop.priority;
+    if (work.hop.wantedIn > 0) {
+        offer.wanted = work.deadline - base::Duration(work.hop.remaining - work.hop.wantedIn);
+    }
+    return offer;
+}
+
 net::Awaitable<void> ServingNode::waitForSlot(WorkPtr work)
 {
     while (!work->decision && !work->stopped) {
@@ -454,7 +526,9 @@
     m_context.health.attemptFinished(work.hop.server, work.healthKey(), outcome, m_context.clock.now() - work.started);
     m_registry.finish({work.hop.requestId(), static_cast<int>(work.hop.attempt)});
     if (Lane *lane = laneOf(work.hop.server)) {
-        lane->queue.finished(work.id());
+        const bool ranToItsEnd
+            = outcome == health::AttemptOutcome::Success || outcome == health::AttemptOutcome::Timeout;
+        lane->queue.finished(work.id(), ranToItsEnd);
         noteOutcome(*lane, work, outcome);
     }
     m_work.erase(work.id());
@@ -474,6 +548,9 @@
     case health::AttemptOutcome::Error:
     case health::AttemptOutcome::Partial:
     case health::AttemptOutcome::Timeout:
+        if (work.overdue && outcome == health::AttemptOutcome::Timeout) {
+            break; // Counted when it became overdue.
+        }
         lane.filter.noteOutcome(true, now);
         PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server failed." << base::field("request", work.hop.callerId)
                                         << base::field("server", work.hop.server)
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -97,6 +97,25 @@
                                  : fallback;
 }
 
+base::Duration secondsOf(const Json &value)
+{
+    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(value.get<double>()));
+}
+
+/// Whoever stops a node from outside states one time for all of it: it is cut into the announcement, the wait for
+/// requests in flight, and a rest for the process to end by itself.
+void readStopTime(const Json &document, NodeSettings &settings)
+{
+    constexpr base::Duration rest = std::chrono::milliseconds(800);
+    constexpr double announcePart = 0.4;
+    if (!document.contains("stopWithinS")) {
+        return;
+    }
+    const base::Duration all = secondsOf(document["stopWithinS"]) - rest;
+    settings.announceFirst = std::chrono::duration_cast<base::Duration>(all * announcePart);
+    settings.drainTimeout = all - settings.announceFirst;
+}
+
 net::ServerLimits readLimits(const Json &document)
 {
     net::ServerLimits limits;
@@ -149,6 +168,12 @@
     if (document.value("interfaces", "own") == "platform") {
         settings.interfaces = InterfaceChoice::Platform;
     }
+    if (document.contains("retryLimit")) {
+        const Json &limit = document["retryLimit"];
+        settings.retryLimit = routing::FleetRetryLimit{limit["ratio"].get<double>(),
+                                                       limit["slack"].get<double>(),
+                                                       secondsOf(limit["windowS"])};
+    }
     if (document.value("rateLimits", "strict") == "pooled") {
         settings.rateLimits = RateLimitChoice::Pooled;
     }
@@ -160,6 +185,7 @@
     settings.limits = readLimits(document);
     settings.acknowledgeAfter = milliseconds(document, "acknowledgeAfterMs", settings.acknowledgeAfter);
     settings.drainTimeout = milliseconds(document, "drainTimeoutMs", settings.drainTimeout);
+    readStopTime(document, settings);
     settings.announceFirst = milliseconds(document, "announceFirstMs", settings.announceFirst);
     return settings;
 }
--- a/src/routing/requestmachine_test.cpp
+++ b/src/routing/requestmachine_test.cpp
@@ -31,6 +31,16 @@
     BOOST_TEST(machine.stateName() == "answered");
 }
 
+// A lookup is silent before its serving node has acknowledged it, and no retry is left, so it is awaited. A chart that
+// knows no such wait cuts the caller's connection without an answer.
+BOOST_FIXTURE_TEST_CASE(requestMachine_waitingBeforeTheAcknowledgement_staysPlaced, RequestMachineFixture)
+{
+    handle({RequestEvent::Admit, RequestEvent::Place, RequestEvent::CancelFailed});
+    BOOST_TEST((machine.state() == RequestState::Placed));
+    handle({RequestEvent::Acknowledge, RequestEvent::Answer});
+    BOOST_TEST(machine.isFinal());
+}
+
 // The answer of an attempt comes after its caller was told that the outcome is unknown. A second answer on the same
 // connection would be taken for the answer to the caller's next request.
 BOOST_FIXTURE_TEST_CASE(requestMachine_afterItsEnd_ignoresLateNews, RequestMachineFixture)
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -16,6 +16,24 @@
 
 }
 
+RetryBudgetSettings partOf(const FleetRetryLimit &limit, std::size_t nodes)
+{
+    constexpr double ratioPart = 0.65;
+    constexpr double slackPart = 0.45;
+    constexpr int memory = 2; ///< Part of the window.
+    RetryBudgetSettings settings;
+    settings.share = ratioPart * limit.ratio;
+    settings.window = limit.window / memory;
+    settings.reserve = slackPart * limit.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
+    settings.reservePerSecond = settings.reserve / seconds(limit.window);
+    return settings;
+}
+
+void RetryBudget::setSettings(const RetryBudgetSettings &settings)
+{
+    m_settings = settings;
+}
+
 RetryBudget::RetryBudget(const base::Clock &clock, RetryBudgetSettings settings)
     : m_clock(clock)
     , m_settings(settings)
@@ -39,19 +57,20 @@
 
 bool RetryBudget::canSpend(const Account &account)
 {
-    return account.earned + epsilon >= 1 || account.reserve + epsilon >= 1;
+    return account.earned + account.reserve + epsilon >= 1;
 }
 
 void RetryBudget::take(Account &account)
 {
-    double &from = account.earned + epsilon >= 1 ? account.earned : account.reserve;
-    from -= 1;
+    const double fromEarned = std::min(1.0, account.earned);
+    account.earned -= fromEarned;
+    account.reserve -= 1 - fromEarned;
 }
 
 void RetryBudget::countRequest(const base::ServiceId &service, const base::WorkspaceId &workspace)
 {
     refreshed(m_services, service).earned += m_settings.share;
-    refreshed(m_workspaces, workspace).earned += m_settings.share;
+    refreshed(m_workspaces, workspace).earned += m_settings.share * m_settings.workspaceFactor;
 }
 
 bool RetryBudget::spend(const base::ServiceId &service, const base::WorkspaceId &workspace)
--- a/src/routing/retrypolicy.cpp
+++ b/src/routing/retrypolicy.cpp
@@ -282,7 +282,8 @@
     timeouts.answer = remaining;
 
     const bool isLast = progress.attempts >= progress.maxAttempts;
-    if (isLast || typicalLatency <= base::Duration::zero()) {
+    const bool neverSilent = m_settings.answerMultiple <= 0;
+    if (isLast || neverSilent || typicalLatency <= base::Duration::zero()) {
         return timeouts;
     }
     const auto multiple = std::chrono::duration_cast<base::Duration>(typicalLatency * m_settings.answerMultiple);
