Place by least cost and tell entries of gray spells

Change: LeastCostPlacement (load, risk, zone, a common order for what can't be repeated), GrayNotice to the entries of the last seconds, longestHoldS.

--- a/src/health/entryevidence.cpp
+++ b/src/health/entryevidence.cpp
@@ -88,7 +88,7 @@
         m_since = now;
         return HealthEventKind::EntryEjected;
     }
-    if (m_stance == Stance::Avoided && now - m_since >= m_settings.baseHold * (1 << (m_avoided - 1))) {
+    if (m_stance == Stance::Avoided && now - m_since >= hold()) {
         m_stance = Stance::Probation;
         m_goodInProbation = 0;
         m_hops.clear();
@@ -106,6 +106,11 @@
     return std::nullopt;
 }
 
+base::Duration EntryEvidence::hold() const
+{
+    return std::min<base::Duration>(m_settings.baseHold * (1 << (m_avoided - 1)), m_settings.maxHold);
+}
+
 double EntryEvidence::weight() const
 {
     switch (m_stance) {
--- a/src/health/entryevidence.h
+++ b/src/health/entryevidence.h
@@ -39,6 +39,7 @@
     bool idleSince(base::TimePoint limit) const;
 
 private:
+    base::Duration hold() const;
     enum class Stance { Good, Avoided, Probation };
     struct Hop
     {
--- a/src/include/papayastep/health/messages.h
+++ b/src/include/papayastep/health/messages.h
@@ -61,6 +61,17 @@
     MSGPACK_DEFINE(vm)
 };
 
+/// MessageKind::GrayNotice: a backend server beside the sender has begun a spell of gray failure. Sent to the entries that
+/// have lately used it, so that each need not find out by a refusal.
+struct GrayNotice
+{
+    std::string serverId; ///< BackendServerId.
+    std::uint8_t percent = 0; ///< How likely it is.
+
+    auto operator<=>(const GrayNotice &) const = default;
+    MSGPACK_DEFINE(serverId, percent)
+};
+
 /// Rides on the answer of a hop: what an entry learns about a service without any control traffic.
 struct ServerReport
 {
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -61,6 +61,8 @@
     net::Awaitable<void> waitForSlot(WorkPtr work);
     net::Awaitable<void> runOnBackend(WorkPtr work, net::ClientRequest request);
     void finishWork(Work &work, health::AttemptOutcome outcome);
+    void noteEntry(Lane &lane, const base::VmId &entry);
+    void noteFailure(Lane &lane, const base::BackendServerId &server, bool overdue);
     void noteOutcome(Lane &lane, const Work &work, health::AttemptOutcome outcome);
     ServedAnswer answerOf(const WorkPtr &work);
     ServedAnswer refusedByServer(const WorkPtr &work);
--- a/src/include/papayastep/node/settings.h
+++ b/src/include/papayastep/node/settings.h
@@ -13,7 +13,7 @@
 namespace papayastep::node {
 
 /// How servers are chosen. Random is the baseline of the measures.
-enum class PlacementChoice { TwoChoices, Random };
+enum class PlacementChoice { TwoChoices, LeastCost, Random };
 
 /// What a node speaks with callers, backend servers and the platform: papayastep's own interfaces, or those of the
 /// operators' platform (folder platform/).
@@ -43,6 +43,8 @@
     std::optional<routing::FleetRetryLimit> retryLimit; ///< Absent: a fifth of each node's own requests.
     std::string secret; ///< Of the fleet. Never logged.
     PlacementChoice placement = PlacementChoice::TwoChoices;
+    /// The longest that an ejected server gets no work before it is tried again; absent: minutes, after several ejections.
+    std::optional<base::Duration> longestHold;
     bool ejection = true; ///< False: the baseline without ejection.
     bool noEarlierRuns = false; ///< The fleet's first start: no idempotency key can have been used before.
     net::ServerLimits limits;
--- a/src/include/papayastep/routing/placement.h
+++ b/src/include/papayastep/routing/placement.h
@@ -48,6 +48,7 @@
     SameZone, ///< The other of two was no better and stands in another zone.
     OnlyOne,
     Trial,
+    LeastCost,
     AllBad, ///< Nobody is usable, so all that are not drained share the traffic.
     Random, ///< The baseline policy.
     Nobody, ///< No candidate at all.
--- a/src/include/papayastep/wire/message.h
+++ b/src/include/papayastep/wire/message.h
@@ -28,6 +28,7 @@
     // 20-29: health
     SiblingState = 20,
     SiblingLeaving = 21,
+    GrayNotice = 22,
     // 30-39: configuration and membership
     RevisionNotice = 30,
     ConfigurationDelta = 31,
--- a/src/node/nodecontext.cpp
+++ b/src/node/nodecontext.cpp
@@ -2,6 +2,7 @@
 
 #include "papayastep/limits/pooledlimiter.h"
 #include "papayastep/limits/tokenbroker.h"
+#include "papayastep/routing/leastcostplacement.h"
 
 namespace papayastep::node {
 
@@ -25,6 +26,17 @@
     return std::make_unique<limits::TokenBroker>(self, clock);
 }
 
+health::HealthSettings healthSettings(const NodeSettings &settings)
+{
+    health::HealthSettings health;
+    if (settings.longestHold) {
+        health.maxHold = *settings.longestHold;
+        health.baseHold = std::min(health.baseHold, health.maxHold);
+        health.pathMaxHold = std::min(health.pathMaxHold, health.maxHold);
+    }
+    return health;
+}
+
 routing::RetrySettings retrySettings()
 {
     routing::RetrySettings settings;
@@ -32,9 +44,12 @@
     return settings;
 }
 
-std::unique_ptr<routing::PlacementPolicy> placementPolicy(PlacementChoice choice)
+std::unique_ptr<routing::PlacementPolicy> placementPolicy(const NodeSettings &settings)
 {
-    if (choice == PlacementChoice::Random) {
+    if (settings.placement == PlacementChoice::LeastCost) {
+        return std::make_unique<routing::LeastCostPlacement>(settings.vm);
+    }
+    if (settings.placement == PlacementChoice::Random) {
         return std::make_unique<routing::RandomPlacement>();
     }
     return std::make_unique<routing::TwoChoicePlacement>();
@@ -58,13 +73,13 @@
     , backendPool(io, clock, {})
     , rateLimiter(makeRateLimiter(settings, incarnation, clock))
     , tokens(*rateLimiter)
-    , health({settings.vm, incarnation}, clock, random())
+    , health({settings.vm, incarnation}, clock, random(), healthSettings(settings))
     , gray(clock)
     , retryBudget(clock)
     , retryPolicy(clock, retryBudget, retrySettings())
     , ledgerHome(clock, settings.vm, incarnation, ledgerSettings(settings))
     , ledgerClient(clock, settings.vm, ledgerHome, ledgerSettings(settings))
-    , placement(placementPolicy(settings.placement))
+    , placement(placementPolicy(settings))
 {
 }
 
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -23,6 +23,11 @@
 
 /// Mean run times after which an attempt is overdue. See FailureFilterSettings::wellOverdue.
 constexpr int overdueRuns = 3;
+/// Entries that sent nothing for so long have likely lost what they knew of the server anyway.
+constexpr base::Duration entryMemory = std::chrono::seconds(5);
+/// Bounds what a notice costs in a large fleet; the other entries find out by a refusal.
+constexpr std::size_t mostNotified = 32;
+
 /// Above it an attempt that hangs is worth running once more elsewhere: of ten repeats, one is for nothing.
 constexpr double suspectAbove = 0.9;
 /// Shorter runs are not watched: scheduling on a shared core takes some tens of milliseconds by itself.
@@ -65,6 +70,7 @@
     config::BackendServer server;
     limits::SlotQueue queue;
     health::FailureFilter filter;
+    std::map<base::VmId, base::TimePoint> entries; ///< That sent attempts lately, and when.
     std::optional<limits::AttemptId> trial; ///< Shows whether the server is out of its spell.
     bool gone = false; ///< No longer configured; kept until its attempts have ended.
 };
@@ -175,6 +181,7 @@
     if (refused) {
         co_return refusalOf(*work, *refused, {});
     }
+    noteEntry(*laneOf(work->hop.server), work->hop.entry);
     const limits::Verdict verdict = laneOf(work->hop.server)->queue.offer(offerOf(*work));
     if (!verdict.accepted) {
         m_registry.drop({work->hop.requestId(), static_cast<int>(work->hop.attempt)});
@@ -316,7 +323,7 @@
             continue;
         }
         work->overdue = true;
-        lane->filter.noteOverdue(now);
+        noteFailure(*lane, work->hop.server, true);
         const bool mayMoveOn = work->hop.idempotent && work->deadline - now > lane->queue.meanRun();
         PAPAYASTEP_LOG(INFO, logPrefix)
             << "An attempt is overdue." << base::field("request", work->hop.callerId)
@@ -535,6 +542,40 @@
     m_context.schedulePump();
 }
 
+void ServingNode::noteEntry(Lane &lane, const base::VmId &entry)
+{
+    const auto now = m_context.clock.now();
+    if (lane.entries.size() >= mostNotified) {
+        std::erase_if(lane.entries, [&](const auto &known) { return now - known.second > entryMemory; });
+    }
+    if (entry != m_context.settings.vm && (lane.entries.size() < mostNotified || lane.entries.contains(entry))) {
+        lane.entries[entry] = now;
+    }
+}
+
+/// Weighs evidence of a failure, and tells the entries if it begins a spell.
+void ServingNode::noteFailure(Lane &lane, const base::BackendServerId &server, bool overdue)
+{
+    const auto now = m_context.clock.now();
+    const bool wasHeld = lane.filter.isHeld(now);
+    if (overdue) {
+        lane.filter.noteOverdue(now);
+    } else {
+        lane.filter.noteOutcome(true, now);
+    }
+    if (wasHeld || !lane.filter.isHeld(now)) {
+        return;
+    }
+    const auto percent = static_cast<std::uint8_t>(100 * lane.filter.grayProbability(now));
+    m_context.gray.note(server, lane.filter.grayProbability(now));
+    const health::GrayNotice notice{server.value(), percent};
+    for (const auto &[entry, seen] : lane.entries) {
+        if (now - seen <= entryMemory) {
+            m_context.send(wire::outgoing(entry, wire::MessageKind::GrayNotice, notice));
+        }
+    }
+}
+
 void ServingNode::noteOutcome(Lane &lane, const Work &work, health::AttemptOutcome outcome)
 {
     if (lane.trial == work.id()) {
@@ -544,6 +585,7 @@
     switch (outcome) {
     case health::AttemptOutcome::Success:
         lane.filter.noteOutcome(false, now);
+        m_context.gray.note(work.hop.server, lane.filter.grayProbability(now));
         break;
     case health::AttemptOutcome::Error:
     case health::AttemptOutcome::Partial:
@@ -551,7 +593,7 @@
         if (work.overdue && outcome == health::AttemptOutcome::Timeout) {
             break; // Counted when it became overdue.
         }
-        lane.filter.noteOutcome(true, now);
+        noteFailure(lane, work.hop.server, false);
         PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server failed." << base::field("request", work.hop.callerId)
                                         << base::field("server", work.hop.server)
                                         << base::field("grayPercent",
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -168,6 +168,9 @@
     if (document.value("interfaces", "own") == "platform") {
         settings.interfaces = InterfaceChoice::Platform;
     }
+    if (document.contains("longestHoldS")) {
+        settings.longestHold = secondsOf(document["longestHoldS"]);
+    }
     if (document.contains("retryLimit")) {
         const Json &limit = document["retryLimit"];
         settings.retryLimit = routing::FleetRetryLimit{limit["ratio"].get<double>(),
@@ -177,6 +180,9 @@
     if (document.value("rateLimits", "strict") == "pooled") {
         settings.rateLimits = RateLimitChoice::Pooled;
     }
+    if (document.value("placement", "two-choices") == "least-cost") {
+        settings.placement = PlacementChoice::LeastCost;
+    }
     if (document.value("placement", "two-choices") == "random") {
         settings.placement = PlacementChoice::Random;
     }
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -129,6 +129,8 @@
         return "only-one";
     case PlacementReason::Trial:
         return "trial";
+    case PlacementReason::LeastCost:
+        return "least-cost";
     case PlacementReason::AllBad:
         return "all-bad";
     case PlacementReason::Random:
@@ -293,6 +295,9 @@
     case PlacementReason::Trial:
         sentence << "on trial, to see whether it is well again.";
         break;
+    case PlacementReason::LeastCost:
+        sentence << "for the least expected cost.";
+        break;
     case PlacementReason::AllBad:
         sentence << "at random, since no backend server looks well.";
         break;
