Placement costs as parts of a request's worth

Change: the risk of a failure, of a late and of a lost answer, the zone and the hop are parts of what the request is worth; waiting inside the wanted time is nearly free.

--- a/src/include/papayastep/routing/leastcostplacement.h
+++ b/src/include/papayastep/routing/leastcostplacement.h
@@ -4,34 +4,37 @@
 
 namespace papayastep::routing {
 
+/// Costs are parts of what a request is worth to its caller: 1 is a request that is lost.
 struct LeastCostSettings
 {
-    base::Duration defaultLatency = std::chrono::milliseconds(100); ///< Where none is known.
+    base::Duration defaultLatency = std::chrono::milliseconds(200); ///< Where none is known.
     base::Duration staleAfter = std::chrono::seconds(2); ///< Older load figures say nothing about now.
 
-    /// What a failed answer costs: a repeatable request is tried once more; any other is lost, which callers put at
-    /// several times a usual answer.
-    base::Duration repeatCost = std::chrono::milliseconds(100);
-    base::Duration lossCost = std::chrono::milliseconds(3000);
+    /// A failed answer loses a request, but for one that can be repeated: that costs the repeat's work and time.
+    double lossCost = 1;
+    double repeatCost = 0.15;
+    /// An answer that comes later than it is wanted. Operators measured put it at 0.3 of a timely one.
+    double lateCost = 0.7;
+    /// An answer within the time wanted costs the same whenever it comes; a little is charged for the time all the same,
+    /// so that work goes where it is done soonest.
+    double costPerSecond = 0.1;
 
-    /// What a request and its answer cost on the way to another availability zone, as the time that one would rather
-    /// wait: operators pay for such bytes. At the prices measured, 4 KB are 5 % of what a refund is worth, as is a
-    /// twentieth of the lateness that loses two thirds of it.
-    base::Duration zoneCost = std::chrono::milliseconds(120);
-    /// A hop to another VM costs two nodes' work.
-    base::Duration hopCost = std::chrono::milliseconds(15);
+    /// A request and its answer on the way to another availability zone. At the prices measured 4 KB are 5 % of what a
+    /// refund is worth.
+    double zoneCost = 0.05;
+    double hopCost = 0.005; ///< To another VM: two nodes' work.
 
     /// Between the first and the last of the common order of servers, for requests that can't be repeated. They gather
     /// on few servers, so that fewer of them are the first to meet a server whose gray spell begins.
-    base::Duration orderCost = std::chrono::milliseconds(120);
+    double orderCost = 0.03;
 
-    /// Random part of each score. Entries with the same stale figures would otherwise all take the same server.
-    double jitter = 0.15;
+    /// Random part of the expected time. Entries with the same stale figures would otherwise all take the same server.
+    double jitter = 0.2;
     std::size_t mostScored = 48; ///< Of larger services a random part is looked at.
 };
 
-/// Takes the server with the least expected cost in milliseconds: waiting and answering, the risk of a gray spell, and
-/// the way there. For services whose servers are told apart by more than their load; TwoChoicePlacement only compares
+/// Takes the server with the least expected cost: the risk that the answer fails in a gray spell or comes late, and the
+/// way there. For services whose servers are told apart by more than their load; TwoChoicePlacement only compares
 /// two, and of two draws from fourteen servers one is often in a spell or far away.
 class LeastCostPlacement final : public PlacementPolicy
 {
@@ -43,11 +46,12 @@
                     const PlacementRequest &request,
                     std::mt19937_64 &random) const override;
 
-    /// Without the random part.
-    double cost(const Candidate &candidate, const PlacementRequest &request) const;
+    /// `noise` stretches the expected time; 1: not at all.
+    double cost(const Candidate &candidate, const PlacementRequest &request, double noise = 1) const;
 
 private:
-    double waitAndRun(const Candidate &candidate) const;
+    base::Duration waitAndRun(const Candidate &candidate) const;
+    double lateness(base::Duration expected, const PlacementRequest &request) const;
     double orderOf(const Candidate &candidate) const;
 
     base::VmId m_self;
--- a/src/include/papayastep/routing/placement.h
+++ b/src/include/papayastep/routing/placement.h
@@ -39,6 +39,8 @@
     base::ZoneId zone; ///< Of the node that places.
     bool idempotent = false;
     std::vector<base::BackendServerId> tried; ///< Servers of earlier attempts, not chosen again.
+    base::Duration wantedIn{0}; ///< An answer after it is worth less to the caller; 0: not stated.
+    base::Duration remaining{0}; ///< Until the deadline; 0: not stated.
 
     auto operator<=>(const PlacementRequest &) const = default;
 };
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -286,7 +286,12 @@
 {
     // Between two attempts the configuration may have moved on; the placement follows it, the route stays.
     const auto candidates = candidatesOf(m_context, m_progress.service);
-    const routing::PlacementRequest request{m_context.settings.zone, m_progress.idempotent, m_tried};
+    routing::PlacementRequest request{m_context.settings.zone, m_progress.idempotent, m_tried};
+    const auto now = m_context.clock.now();
+    request.remaining = m_progress.deadline - now;
+    if (m_route->targetLatency > base::Duration::zero()) {
+        request.wantedIn = m_arrived + m_route->targetLatency - now;
+    }
     auto placement = m_context.placement->place(candidates, request, m_context.random);
     const base::BackendServerId &advice = m_watch.advice();
     const auto advised = std::find_if(candidates.begin(), candidates.end(), [&](const routing::Candidate &candidate) {
@@ -299,8 +304,8 @@
     }
     if (!placement.candidate && m_ejectedSeen > 0) {
         // Every server that is left was found ejected; one that may fail is better than none.
-        placement = m_context.placement->place(
-            candidates, {m_context.settings.zone, m_progress.idempotent, {}}, m_context.random);
+        request.tried.clear();
+        placement = m_context.placement->place(candidates, request, m_context.random);
     }
     if (!placement.candidate) {
         return m_context.retryPolicy.refuseInstead(m_progress, ResultCode::NoBackendServer, {});
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -712,6 +712,8 @@
     }
     const auto candidates = candidatesOf(m_context, server->service);
     routing::PlacementRequest request{m_context.settings.zone, work.hop.idempotent, {work.hop.server}};
+    request.remaining = base::Duration(work.hop.remaining);
+    request.wantedIn = base::Duration(work.hop.wantedIn);
     const auto placement = m_context.placement->place(candidates, request, m_context.random);
     return placement.candidate ? candidates[*placement.candidate].server : base::BackendServerId();
 }
--- a/src/routing/leastcostplacement.cpp
+++ b/src/routing/leastcostplacement.cpp
@@ -3,6 +3,7 @@
 #include "papayastep/base/hashing.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace papayastep::routing {
@@ -14,9 +15,25 @@
 /// Load that is assumed where nothing is known.
 constexpr double unknownLoad = 0.5;
 
-double milliseconds(base::Duration duration)
+double seconds(base::Duration duration)
 {
-    return std::chrono::duration<double, std::milli>(duration).count();
+    return std::chrono::duration<double>(duration).count();
+}
+
+base::Duration stretched(base::Duration duration, double factor)
+{
+    return std::chrono::duration_cast<base::Duration>(duration * factor);
+}
+
+/// Probability that an answer expected after `expected` comes after `limit`: run times spread by about half of their
+/// mean, which a logistic curve of a fifth of the limit describes well enough.
+double probabilityAfter(base::Duration expected, base::Duration limit)
+{
+    constexpr double spread = 0.2;
+    if (limit <= base::Duration::zero()) {
+        return 1;
+    }
+    return 1 / (1 + std::exp((1 - seconds(expected) / seconds(limit)) / spread));
 }
 
 double share(std::mt19937_64 &random)
@@ -71,7 +88,7 @@
         const int rank = rankOf(candidate, request);
         const double noise = 1 + m_settings.jitter * (2 * share(random) - 1);
         const double weight = std::clamp(candidate.weight, 0.05, 1.0);
-        const double total = cost(candidate, request) * noise / weight;
+        const double total = cost(candidate, request, noise / weight);
         if (rank < bestRank || (rank == bestRank && total < bestCost)) {
             placement.other = placement.candidate;
             placement.candidate = index;
@@ -89,29 +106,40 @@
     return placement;
 }
 
-double LeastCostPlacement::cost(const Candidate &candidate, const PlacementRequest &request) const
+double LeastCostPlacement::cost(const Candidate &candidate, const PlacementRequest &request, double noise) const
 {
-    double total = waitAndRun(candidate);
-    total += candidate.failureRisk * milliseconds(request.idempotent ? m_settings.repeatCost : m_settings.lossCost);
-    total += candidate.vm != m_self ? milliseconds(m_settings.hopCost) : 0;
-    total += candidate.zone != request.zone ? milliseconds(m_settings.zoneCost) : 0;
+    const base::Duration expected = stretched(waitAndRun(candidate), noise);
+    double total = seconds(expected) * m_settings.costPerSecond + lateness(expected, request);
+    total += candidate.failureRisk * (request.idempotent ? m_settings.repeatCost : m_settings.lossCost);
+    total += candidate.vm != m_self ? m_settings.hopCost : 0;
+    total += candidate.zone != request.zone ? m_settings.zoneCost : 0;
     if (!request.idempotent) {
-        total += orderOf(candidate) * milliseconds(m_settings.orderCost);
+        total += orderOf(candidate) * m_settings.orderCost;
     }
     return total;
 }
 
-double LeastCostPlacement::waitAndRun(const Candidate &candidate) const
+double LeastCostPlacement::lateness(base::Duration expected, const PlacementRequest &request) const
+{
+    const bool hasDeadline = request.remaining > base::Duration::zero();
+    const double lost = hasDeadline ? probabilityAfter(expected, request.remaining) : 0;
+    // A time that has passed already makes all servers alike, and only the deadline counts.
+    const bool isWanted = request.wantedIn > base::Duration::zero();
+    const double late = isWanted ? probabilityAfter(expected, request.wantedIn) : 0;
+    return lost * m_settings.lossCost + (1 - lost) * late * m_settings.lateCost;
+}
+
+base::Duration LeastCostPlacement::waitAndRun(const Candidate &candidate) const
 {
     const bool known = candidate.latency > base::Duration::zero();
-    const double latency = milliseconds(known ? candidate.latency : m_settings.defaultLatency);
+    const base::Duration latency = known ? candidate.latency : m_settings.defaultLatency;
     const double slots = std::max(candidate.slots, 1);
     const bool stale = candidate.freshness > m_settings.staleAfter;
     const double busy = stale ? std::max<double>(candidate.slotsInUse, unknownLoad * slots)
                               : candidate.slotsInUse + candidate.queueLength;
     const double load = busy / slots;
     const double wait = std::max(0.0, busy + 1 - slots) / slots;
-    return latency * (1 + crowding * std::min(1.0, load * load) + wait);
+    return stretched(latency, 1 + crowding * std::min(1.0, load * load) + wait);
 }
 
 /// 0 to 1, the same at every entry.
