Ask for free slots, hold to what the node beside a server would do

Change: asksForFreeSlots, held servers as a fallback, debt of retry accounts, siblings hear of each other every three seconds, no repeat of a suspected hang during a stop.

--- a/src/include/papayastep/health/messages.h
+++ b/src/include/papayastep/health/messages.h
@@ -61,8 +61,8 @@
     MSGPACK_DEFINE(vm)
 };
 
-/// MessageKind::GrayNotice: a backend server beside the sender has begun a spell of gray failure. Sent to the entries that
-/// have lately used it, so that each need not find out by a refusal.
+/// MessageKind::GrayNotice: a backend server beside the sender has begun a spell of gray failure. Sent to the entries
+/// that have lately used it, so that each need not find out by a refusal.
 struct GrayNotice
 {
     std::string serverId; ///< BackendServerId.
--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -77,8 +77,8 @@
 
 /// The queue in front of one backend server.
 ///
-/// Attempts wait in tiers by priority. While several tiers wait, each gets a fixed part of what the next more urgent one
-/// gets. Within a tier slots go to workspaces in turn (deficit round robin with a quantum of one request), so a
+/// Attempts wait in tiers by priority. While several tiers wait, each gets a fixed part of what the next more urgent
+/// one gets. Within a tier slots go to workspaces in turn (deficit round robin with a quantum of one request), so a
 /// workspace that floods the queue delays itself, not the others. When the queue is full, the newest attempt of the
 /// longest workspace queue of the least urgent tier makes room. An attempt that can't be answered in time is refused or
 /// dropped at once, so that it can still be refused as not run while its caller waits.
@@ -106,6 +106,8 @@
     std::optional<base::TimePoint> nextTick() const;
 
     int slots() const;
+    /// Whether an attempt offered now would start at once.
+    bool hasFreeSlot() const;
     std::size_t running() const;
     std::size_t queued() const;
 
--- a/src/include/papayastep/node/nodecontext.h
+++ b/src/include/papayastep/node/nodecontext.h
@@ -62,7 +62,8 @@
     NodeMetrics metrics;
     InForce inForce; ///< Null pointers until the first configuration.
     config::VmList vms;
-    bool draining = false;
+    bool stopping = false; ///< A planned stop has begun; new requests are still taken for a while.
+    bool draining = false; ///< New requests are refused.
 
     /// Called after anything that may have left decisions or messages in the parts above.
     std::function<void()> schedulePump;
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -23,9 +23,7 @@
 
     /// Runs one attempt. `request` holds the caller's end-to-end headers without any key. `suspect` is called at most
     /// once, when the attempt seems to hang.
-    net::Awaitable<ServedAnswer> serve(wire::HopRequest hop,
-                                       net::ClientRequest request,
-                                       std::function<void()> suspect);
+    net::Awaitable<ServedAnswer> serve(wire::HopRequest hop, net::ClientRequest request, std::function<void()> suspect);
 
     /// The entry asks to cancel; the attempt may not have come yet.
     routing::CancelAnswer cancel(const wire::CancelAttempt &cancel, const routing::SentStamp &stamp);
--- a/src/include/papayastep/node/settings.h
+++ b/src/include/papayastep/node/settings.h
@@ -43,8 +43,10 @@
     std::optional<routing::FleetRetryLimit> retryLimit; ///< Absent: a fifth of each node's own requests.
     std::string secret; ///< Of the fleet. Never logged.
     PlacementChoice placement = PlacementChoice::TwoChoices;
-    /// The longest that an ejected server gets no work before it is tried again; absent: minutes, after several ejections.
+    /// The longest that an ejected server gets no work before it is tried again; absent: minutes, after several
+    /// ejections.
     std::optional<base::Duration> longestHold;
+    bool asksForFreeSlots = false; ///< Whether a request asks some servers for a free slot before it queues at one.
     bool ejection = true; ///< False: the baseline without ejection.
     bool noEarlierRuns = false; ///< The fleet's first start: no idempotency key can have been used before.
     net::ServerLimits limits;
--- a/src/include/papayastep/routing/leastcostplacement.h
+++ b/src/include/papayastep/routing/leastcostplacement.h
@@ -15,8 +15,8 @@
     double repeatCost = 0.15;
     /// An answer that comes later than it is wanted. Operators measured put it at 0.3 of a timely one.
     double lateCost = 0.7;
-    /// An answer within the time wanted costs the same whenever it comes; a little is charged for the time all the same,
-    /// so that work goes where it is done soonest.
+    /// An answer within the time wanted costs the same whenever it comes; a little is charged for the time all the
+    /// same, so that work goes where it is done soonest.
     double costPerSecond = 0.1;
 
     /// A request and its answer on the way to another availability zone. At the prices measured 4 KB are 5 % of what a
@@ -24,10 +24,6 @@
     double zoneCost = 0.05;
     double hopCost = 0.005; ///< To another VM: two nodes' work.
 
-    /// Between the first and the last of the common order of servers, for requests that can't be repeated. They gather
-    /// on few servers, so that fewer of them are the first to meet a server whose gray spell begins.
-    double orderCost = 0.03;
-
     /// Random part of the expected time. Entries with the same stale figures would otherwise all take the same server.
     double jitter = 0.2;
     std::size_t mostScored = 48; ///< Of larger services a random part is looked at.
@@ -42,6 +38,8 @@
     explicit LeastCostPlacement(base::VmId self, LeastCostSettings settings = {});
 
     std::string_view name() const override;
+    /// Each refusal tells how loaded its server is, and the way there counts; a sibling's advice knows neither as well.
+    bool followsAdvice() const override;
     Placement place(std::span<const Candidate> candidates,
                     const PlacementRequest &request,
                     std::mt19937_64 &random) const override;
@@ -52,7 +50,6 @@
 private:
     base::Duration waitAndRun(const Candidate &candidate) const;
     double lateness(base::Duration expected, const PlacementRequest &request) const;
-    double orderOf(const Candidate &candidate) const;
 
     base::VmId m_self;
     LeastCostSettings m_settings;
--- a/src/include/papayastep/routing/placement.h
+++ b/src/include/papayastep/routing/placement.h
@@ -91,6 +91,12 @@
 
     virtual std::string_view name() const = 0;
 
+    /// Whether a sibling that a refusal names goes before the policy's own choice.
+    virtual bool followsAdvice() const
+    {
+        return true;
+    }
+
     virtual Placement place(std::span<const Candidate> candidates,
                             const PlacementRequest &request,
                             std::mt19937_64 &random) const = 0;
--- a/src/include/papayastep/routing/retrybudget.h
+++ b/src/include/papayastep/routing/retrybudget.h
@@ -14,6 +14,10 @@
     double reservePerSecond = 1; ///< Retries allowed without traffic, so that a rare service can retry at all.
     double reserve = 5; ///< How many of those may gather.
 
+    /// How far an account may go below zero. A node that sees a few requests a second earns a whole retry only every
+    /// few seconds, and would mostly have a part of one when it needs it.
+    double debt = 0;
+
     /// How much faster one workspace may spend than it earns, out of what the others leave. Small fleets see so few
     /// requests of one workspace at one entry that its own part would never make a whole retry.
     double workspaceFactor = 4;
@@ -31,7 +35,7 @@
 
 /// One node's part of `limit` in a fleet of `nodes`. What has gathered can be spent at once, on top of what is earned
 /// during the window; so each part is cut until the worst case adds up to the limit: with a memory of half a window,
-/// 0.65 of the ratio over one and a half windows, and 0.45 of the slack twice.
+/// 0.65 of the ratio over one and a half windows, and 0.3 of the slack twice. The debt takes what is left of the slack.
 RetryBudgetSettings partOf(const FleetRetryLimit &limit, std::size_t nodes);
 
 /// Bounds retries to a share of recent first attempts, per service and per workspace.
@@ -67,7 +71,7 @@
 
     template<typename Map, typename Id>
     Account &refreshed(Map &accounts, const Id &id);
-    static bool canSpend(const Account &account);
+    bool canSpend(const Account &account) const;
     static void take(Account &account);
 
     const base::Clock &m_clock;
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -102,6 +102,11 @@
     return m_slots;
 }
 
+bool SlotQueue::hasFreeSlot() const
+{
+    return m_running.size() + m_queued.size() < static_cast<std::size_t>(m_slots);
+}
+
 std::size_t SlotQueue::running() const
 {
     return m_running.size();
@@ -209,9 +214,8 @@
     }
     const auto least = std::prev(m_tiers.end());
     auto &lanes = least->second.lanes;
-    const auto longest = std::max_element(lanes.begin(), lanes.end(), [](const Lane &a, const Lane &b) {
-        return a.attempts.size() < b.attempts.size();
-    });
+    const auto longest = std::max_element(
+        lanes.begin(), lanes.end(), [](const Lane &a, const Lane &b) { return a.attempts.size() < b.attempts.size(); });
     const bool isLessUrgent = least->first > priority;
     if (least->first < priority || (!isLessUrgent && longest->attempts.size() <= own + 1)) {
         return false;
@@ -272,9 +276,8 @@
 /// The one that has had the least of its part. Of two alike the more urgent one.
 SlotQueue::Tiers::iterator SlotQueue::nextTier()
 {
-    return std::min_element(m_tiers.begin(), m_tiers.end(), [](const auto &a, const auto &b) {
-        return a.second.pass < b.second.pass;
-    });
+    return std::min_element(
+        m_tiers.begin(), m_tiers.end(), [](const auto &a, const auto &b) { return a.second.pass < b.second.pass; });
 }
 
 bool SlotQueue::removeQueued(const AttemptId &attempt)
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -14,6 +14,10 @@
 
 constexpr std::string_view logPrefix = "routing";
 
+/// Servers asked for a free slot before the request may queue. A third one found a slot in few cases more, at loads up
+/// to nine tenths, and costs a hop for every request when all are full.
+constexpr int triesForFreeSlot = 2;
+
 /// Servers found ejected after which the next one is to try. With a third of the servers in a spell, four draws in a
 /// row find one by chance in 1 of 81 requests; more often it means that nearly all are.
 constexpr int ejectedBeforeLastResort = 4;
@@ -265,7 +269,11 @@
     }
     for (;;) {
         const routing::AttemptResult result = co_await m_watch.next(m_progress.deadline, m_callerGone);
-        m_ejectedSeen += result.code == ResultCode::HopBackendServerEjected ? 1 : 0;
+        if (result.event == routing::AttemptEvent::AcknowledgedThenSilent && m_context.stopping) {
+            // A planned stop must not break off what a server is at work on, and a repeat may find no place.
+            continue;
+        }
+        noteServer(result);
         const routing::RetryDecision decision = m_context.retryPolicy.decide(m_progress, result);
         m_context.metrics.countAttempt(m_progress.service, routing::name(result.event));
         if (decision.action != routing::RetryAction::AnswerCaller) {
@@ -287,6 +295,9 @@
     // Between two attempts the configuration may have moved on; the placement follows it, the route stays.
     const auto candidates = candidatesOf(m_context, m_progress.service);
     routing::PlacementRequest request{m_context.settings.zone, m_progress.idempotent, m_tried};
+    if (!mayQueue()) {
+        request.tried.insert(request.tried.end(), m_full.begin(), m_full.end());
+    }
     const auto now = m_context.clock.now();
     request.remaining = m_progress.deadline - now;
     if (m_route->targetLatency > base::Duration::zero()) {
@@ -298,7 +309,7 @@
         return !advice.empty() && candidate.server == advice && !candidate.drained && candidate.pathUsable;
     });
     const bool untried = std::find(m_tried.begin(), m_tried.end(), advice) == m_tried.end();
-    const bool followAdvice = advised != candidates.end() && untried;
+    const bool followAdvice = advised != candidates.end() && untried && m_context.placement->followsAdvice();
     if (followAdvice) {
         placement.candidate = static_cast<std::size_t>(advised - candidates.begin());
     }
@@ -313,7 +324,7 @@
     const routing::Candidate &chosen = candidates[*placement.candidate];
     m_context.retryPolicy.beginAttempt(m_progress);
     auto attempt = makeAttempt(*m_context.inForce.configuration->backendServer(chosen.server));
-    m_tried.push_back(chosen.server);
+    m_current = chosen.server;
     m_machine.handle(RequestEvent::Place);
     PAPAYASTEP_LOG(INFO, logPrefix) << "Placed an attempt." << base::field("request", shownId())
                                     << base::field("attempt", m_progress.tries) << base::field("workspace", m_workspace)
@@ -349,6 +360,7 @@
     if (m_route->targetLatency > base::Duration::zero()) {
         hop.wantedIn = std::max<std::int64_t>(1, (m_arrived + m_route->targetLatency - now).count());
     }
+    hop.mayQueue = mayQueue();
     hop.lastResort = m_ejectedSeen >= ejectedBeforeLastResort || wasTried(server.id);
     const config::VmEntry *vm = m_context.vms.find(server.vm);
     if (server.vm == m_context.settings.vm || vm == nullptr) {
@@ -358,6 +370,13 @@
         m_context, std::move(hop), server.vm, net::Endpoint{vm->address, vm->hopPort});
 }
 
+/// What an entry knows of other queues is a second old, so it queues at one server while another has a free slot.
+/// Asking for a free slot first costs a round trip in a zone and finds nearly every one.
+bool EntryRequest::mayQueue() const
+{
+    return m_progress.tries > triesForFreeSlot || !m_context.settings.asksForFreeSlots;
+}
+
 bool EntryRequest::wasTried(const base::BackendServerId &server) const
 {
     return std::find(m_tried.begin(), m_tried.end(), server) != m_tried.end();
@@ -378,6 +397,18 @@
     return request;
 }
 
+/// Remembers what the server of the last attempt is good for.
+void EntryRequest::noteServer(const routing::AttemptResult &result)
+{
+    const bool wasFull = result.event == routing::AttemptEvent::RefusedNotRun && result.code == ResultCode::HopQueueFull
+        && !m_watch.attempt()->hop().mayQueue;
+    auto &servers = wasFull ? m_full : m_tried;
+    if (std::find(servers.begin(), servers.end(), m_current) == servers.end()) {
+        servers.push_back(m_current);
+    }
+    m_ejectedSeen += result.code == ResultCode::HopBackendServerEjected ? 1 : 0;
+}
+
 net::Awaitable<bool> EntryRequest::act(const routing::RetryDecision &decision)
 {
     switch (decision.action) {
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -45,6 +45,8 @@
     Step place();
     AttemptPtr makeAttempt(const config::BackendServer &server);
     bool wasTried(const base::BackendServerId &server) const;
+    bool mayQueue() const;
+    void noteServer(const routing::AttemptResult &result);
     net::ClientRequest forwardedRequest() const;
     net::Awaitable<bool> act(const routing::RetryDecision &decision);
     net::Awaitable<bool> retry(const routing::RetryDecision &decision);
@@ -81,7 +83,9 @@
     std::optional<routing::ClaimAnswer> m_claim;
     bool m_claimed = false; ///< The ledger was told that this request runs and waits for its end.
 
-    std::vector<base::BackendServerId> m_tried;
+    base::BackendServerId m_current; ///< Of the last attempt.
+    std::vector<base::BackendServerId> m_tried; ///< Not to be asked again.
+    std::vector<base::BackendServerId> m_full; ///< Had no free slot.
     int m_ejectedSeen = 0; ///< Attempts refused because their server was ejected.
     bool m_callerGone = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< For callbacks that may come after the end.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -322,8 +322,7 @@
 {
     m_context.vms = m_directory.list();
     if (m_context.settings.retryLimit) {
-        m_context.retryBudget.setSettings(
-            routing::partOf(*m_context.settings.retryLimit, m_context.vms.vms.size()));
+        m_context.retryBudget.setSettings(routing::partOf(*m_context.settings.retryLimit, m_context.vms.vms.size()));
     }
     m_context.tokens.applyVmList(m_context.vms,
                                  m_directoryKeeper ? m_directoryKeeper->askedAt() : m_keeper.vmListAskedAt());
@@ -383,6 +382,7 @@
 
 net::Awaitable<void> Node::drain()
 {
+    m_context.stopping = true;
     m_context.health.setLeaving(m_context.settings.vm);
     m_spread.announceLeaving();
     schedulePump();
--- a/src/node/nodecontext.cpp
+++ b/src/node/nodecontext.cpp
@@ -29,6 +29,12 @@
 health::HealthSettings healthSettings(const NodeSettings &settings)
 {
     health::HealthSettings health;
+    if (settings.placement == PlacementChoice::LeastCost) {
+        // Entries learn from each answer and from notices, so siblings need to hear of each other only now and then:
+        // at one state a second they made a sixth of the bytes between zones of a fleet of 22.
+        health.siblingInterval = std::chrono::seconds(3);
+        health.controlBytesPerSecond = 500;
+    }
     if (settings.longestHold) {
         health.maxHold = *settings.longestHold;
         health.baseHold = std::min(health.baseHold, health.maxHold);
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -11,8 +11,8 @@
 
 using base::ResultCode;
 
-/// Where an answer is wanted by a certain time, three tenths of the time from there to the deadline are still used. Most of a run
-/// must fit before the deadline, or it only takes the slot from another.
+/// Where an answer is wanted by a certain time, three tenths of the time from there to the deadline are still used.
+/// Most of a run must fit before the deadline, or it only takes the slot from another.
 limits::SlotQueueSettings queueSettings()
 {
     limits::SlotQueueSettings settings;
@@ -181,8 +181,13 @@
     if (refused) {
         co_return refusalOf(*work, *refused, {});
     }
-    noteEntry(*laneOf(work->hop.server), work->hop.entry);
-    const limits::Verdict verdict = laneOf(work->hop.server)->queue.offer(offerOf(*work));
+    Lane &lane = *laneOf(work->hop.server);
+    noteEntry(lane, work->hop.entry);
+    if (!work->hop.mayQueue && !lane.queue.hasFreeSlot()) {
+        m_registry.drop({work->hop.requestId(), static_cast<int>(work->hop.attempt)});
+        co_return refusalOf(*work, ResultCode::HopQueueFull, lane.queue.expectedWait(work->hop.workspace));
+    }
+    const limits::Verdict verdict = lane.queue.offer(offerOf(*work));
     if (!verdict.accepted) {
         m_registry.drop({work->hop.requestId(), static_cast<int>(work->hop.attempt)});
         co_return refusalOf(*work, verdict.code, verdict.retryAfter);
@@ -325,11 +330,12 @@
         work->overdue = true;
         noteFailure(*lane, work->hop.server, true);
         const bool mayMoveOn = work->hop.idempotent && work->deadline - now > lane->queue.meanRun();
-        PAPAYASTEP_LOG(INFO, logPrefix)
-            << "An attempt is overdue." << base::field("request", work->hop.callerId)
-            << base::field("server", work->hop.server) << base::field("runMs", milliseconds(now - work->started))
-            << base::field("usualMs", milliseconds(lane->queue.meanRun()))
-            << base::field("grayPercent", static_cast<int>(100 * lane->filter.grayProbability(now)));
+        PAPAYASTEP_LOG(INFO, logPrefix) << "An attempt is overdue." << base::field("request", work->hop.callerId)
+                                        << base::field("server", work->hop.server)
+                                        << base::field("runMs", milliseconds(now - work->started))
+                                        << base::field("usualMs", milliseconds(lane->queue.meanRun()))
+                                        << base::field("grayPercent",
+                                                       static_cast<int>(100 * lane->filter.grayProbability(now)));
         if (mayMoveOn && lane->filter.grayProbability(now) > suspectAbove) {
             work->suspect();
         }
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -168,14 +168,14 @@
     if (document.value("interfaces", "own") == "platform") {
         settings.interfaces = InterfaceChoice::Platform;
     }
+    settings.asksForFreeSlots = document.value("asksForFreeSlots", settings.asksForFreeSlots);
     if (document.contains("longestHoldS")) {
         settings.longestHold = secondsOf(document["longestHoldS"]);
     }
     if (document.contains("retryLimit")) {
         const Json &limit = document["retryLimit"];
-        settings.retryLimit = routing::FleetRetryLimit{limit["ratio"].get<double>(),
-                                                       limit["slack"].get<double>(),
-                                                       secondsOf(limit["windowS"])};
+        settings.retryLimit = routing::FleetRetryLimit{
+            limit["ratio"].get<double>(), limit["slack"].get<double>(), secondsOf(limit["windowS"])};
     }
     if (document.value("rateLimits", "strict") == "pooled") {
         settings.rateLimits = RateLimitChoice::Pooled;
--- a/src/routing/leastcostplacement.cpp
+++ b/src/routing/leastcostplacement.cpp
@@ -1,7 +1,5 @@
 #include "papayastep/routing/leastcostplacement.h"
 
-#include "papayastep/base/hashing.h"
-
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -12,6 +10,12 @@
 
 /// A server that is nearly full slows down: with all slots busy, answers take about half as long again.
 constexpr double crowding = 0.5;
+/// A server that warms up is taken for at most twice as slow, as was measured; with its slow start's weight of a tenth
+/// it would get nothing for seconds, while its siblings are full.
+constexpr double leastWeight = 0.5;
+/// health::FailureFilterSettings::holdAbove and trialAbove: what the node beside the server goes by.
+constexpr double heldRisk = 0.5;
+constexpr double trialRisk = 0.3;
 /// Load that is assumed where nothing is known.
 constexpr double unknownLoad = 0.5;
 
@@ -43,11 +47,16 @@
 
 bool isOpen(const Candidate &candidate, const PlacementRequest &request)
 {
-    const bool tried
-        = std::find(request.tried.begin(), request.tried.end(), candidate.server) != request.tried.end();
+    const bool tried = std::find(request.tried.begin(), request.tried.end(), candidate.server) != request.tried.end();
     return !tried && !candidate.drained;
 }
 
+/// Whether the node beside the server would refuse the request for a gray spell, which costs a hop for nothing.
+bool wouldBeHeldBack(const Candidate &candidate, const PlacementRequest &request)
+{
+    return candidate.failureRisk > (request.idempotent ? heldRisk : trialRisk);
+}
+
 /// In which order classes of candidates are fallen back on.
 int rankOf(const Candidate &candidate, const PlacementRequest &request)
 {
@@ -55,7 +64,8 @@
         return 2;
     }
     const bool trialFits = candidate.trial && request.idempotent;
-    return candidate.usable && (!candidate.trial || trialFits) ? 0 : 1;
+    const bool isWell = candidate.usable && (!candidate.trial || trialFits);
+    return isWell && !wouldBeHeldBack(candidate, request) ? 0 : 1;
 }
 
 }
@@ -71,6 +81,11 @@
     return "least-cost";
 }
 
+bool LeastCostPlacement::followsAdvice() const
+{
+    return false;
+}
+
 Placement LeastCostPlacement::place(std::span<const Candidate> candidates,
                                     const PlacementRequest &request,
                                     std::mt19937_64 &random) const
@@ -87,7 +102,7 @@
         }
         const int rank = rankOf(candidate, request);
         const double noise = 1 + m_settings.jitter * (2 * share(random) - 1);
-        const double weight = std::clamp(candidate.weight, 0.05, 1.0);
+        const double weight = std::clamp(candidate.weight, leastWeight, 1.0);
         const double total = cost(candidate, request, noise / weight);
         if (rank < bestRank || (rank == bestRank && total < bestCost)) {
             placement.other = placement.candidate;
@@ -113,9 +128,6 @@
     total += candidate.failureRisk * (request.idempotent ? m_settings.repeatCost : m_settings.lossCost);
     total += candidate.vm != m_self ? m_settings.hopCost : 0;
     total += candidate.zone != request.zone ? m_settings.zoneCost : 0;
-    if (!request.idempotent) {
-        total += orderOf(candidate) * m_settings.orderCost;
-    }
     return total;
 }
 
@@ -142,11 +154,4 @@
     return stretched(latency, 1 + crowding * std::min(1.0, load * load) + wait);
 }
 
-/// 0 to 1, the same at every entry.
-double LeastCostPlacement::orderOf(const Candidate &candidate) const
-{
-    constexpr double largest = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-    return static_cast<double>(base::stableHash(candidate.server.value())) / largest;
-}
-
 }
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -19,13 +19,15 @@
 RetryBudgetSettings partOf(const FleetRetryLimit &limit, std::size_t nodes)
 {
     constexpr double ratioPart = 0.65;
-    constexpr double slackPart = 0.45;
+    constexpr double slackPart = 0.3;
+    constexpr double longestDebt = 0.7;
     constexpr int memory = 2; ///< Part of the window.
     RetryBudgetSettings settings;
     settings.share = ratioPart * limit.ratio;
     settings.window = limit.window / memory;
     settings.reserve = slackPart * limit.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
     settings.reservePerSecond = settings.reserve / seconds(limit.window);
+    settings.debt = std::min(longestDebt, settings.reserve);
     return settings;
 }
 
@@ -55,9 +57,9 @@
     return account;
 }
 
-bool RetryBudget::canSpend(const Account &account)
+bool RetryBudget::canSpend(const Account &account) const
 {
-    return account.earned + account.reserve + epsilon >= 1;
+    return account.earned + account.reserve + m_settings.debt + epsilon >= 1;
 }
 
 void RetryBudget::take(Account &account)
