Hold gray servers back by the filter alone

Ruled out: the common order and the preference for servers that have just answered; without either the fault stayed. Change: where placement goes by cost, only the failure filter at the node beside a server holds it back; ejection states no longer gate placement or admission there.

--- a/src/include/papayastep/node/settings.h
+++ b/src/include/papayastep/node/settings.h
@@ -46,6 +46,13 @@
     /// The longest that an ejected server gets no work before it is tried again; absent: minutes, after several
     /// ejections.
     std::optional<base::Duration> longestHold;
+    /// Whether gray servers are held back by health::FailureFilter alone. Its holds end after a second or two; the
+    /// slower test's ejections and trials beside it left well servers without work for ten seconds at a time.
+    bool holdsByFilter() const
+    {
+        return placement == PlacementChoice::LeastCost;
+    }
+
     bool asksForFreeSlots = false; ///< Whether a request asks some servers for a free slot before it queues at one.
     bool ejection = true; ///< False: the baseline without ejection.
     bool noEarlierRuns = false; ///< The fleet's first start: no idempotency key can have been used before.
--- a/src/node/candidates.cpp
+++ b/src/node/candidates.cpp
@@ -30,6 +30,11 @@
     candidate.trial = view.availability == health::Availability::Trial;
     candidate.usable = view.availability == health::Availability::Usable || candidate.trial || view.spread;
     candidate.weight = view.weight;
+    if (context.settings.holdsByFilter()) {
+        candidate.trial = false;
+        candidate.usable = true;
+        candidate.weight = 1;
+    }
     return candidate;
 }
 
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -430,9 +430,9 @@
     case health::Admission::Unknown:
         return std::nullopt;
     case health::Admission::TrialFull:
-        return ResultCode::HopQueueFull;
+        return m_context.settings.holdsByFilter() ? std::nullopt : std::optional(ResultCode::HopQueueFull);
     case health::Admission::Ejected:
-        return ResultCode::HopBackendServerEjected;
+        return m_context.settings.holdsByFilter() ? std::nullopt : std::optional(ResultCode::HopBackendServerEjected);
     case health::Admission::Draining:
         return ResultCode::HopBackendServerGone;
     }
