--- a/testsuite/operators-platform/run.py
+++ b/testsuite/operators-platform/run.py
@@ -9,7 +9,8 @@
 
 from lab.ports import ADMIN, CALLER, HOP, PEER, PLATFORM, SERVER, PortBlock
 from lab.processes import Process, wait_until
-from lab.store import BackendServer, Store, configuration, server_entry
+
+from store import BackendServer, Store, configuration, server_entry
 
 BUILD = os.environ.get("PAPAYASTEP_BUILD", "build")
 ADDRESSES = ["127.0.0.11", "127.0.0.12"]
