--- a/src/routing/leastcostplacement_test.cpp
+++ b/src/routing/leastcostplacement_test.cpp
@@ -112,6 +112,7 @@
     const FleetRetryLimit limit{0.2, 62, 10s};
     base::ManualClock clock;
     std::vector<RetryBudget> budgets;
+    budgets.reserve(nodes);
     for (int i = 0; i < nodes; ++i) {
         budgets.emplace_back(clock, partOf(limit, nodes));
     }
