Call one piece where two were written, and drop what nothing reads

Found on reading the change once more; behaviour stays as it is.

- decodeInto stood in tokenbroker.cpp and pooledlimiter.cpp: one header.
- The filter's thresholds stood again in the placement, where they could have drifted apart: taken from FailureFilterSettings.
- PooledLimiter hashed the names of all VMs up to three times a request: the homes of a workspace are worked out once for each VM list.
- Settings zones and seeds, and ExchangeProgress::Sent, were read by nobody.
- Placement of the settings was asked for twice.

--- a/src/include/papayastep/limits/pooledlimiter.h
+++ b/src/include/papayastep/limits/pooledlimiter.h
@@ -112,7 +112,8 @@
     };
 
     const config::Workspace *limited(const base::WorkspaceId &workspace) const;
-    std::vector<base::VmId> homesOf(const base::WorkspaceId &workspace) const;
+    const std::vector<base::VmId> &homesOf(const base::WorkspaceId &workspace) const;
+    std::vector<base::VmId> weighHomes(const base::WorkspaceId &workspace) const;
     base::VmId reachableHome(const base::WorkspaceId &workspace) const;
     bool isSuspect(const base::VmId &vm) const;
     double reachablePart() const;
@@ -139,6 +140,7 @@
     const PoolSettings m_settings;
     config::ConfigurationPtr m_configuration;
     std::vector<base::VmId> m_vms; ///< Not leaving, sorted.
+    mutable std::unordered_map<base::WorkspaceId, std::vector<base::VmId>> m_homes; ///< Of `m_vms`, once asked for.
     std::uint64_t m_listVersion = 0;
     base::TimePoint m_listChanged; ///< Pools that are new since then begin nearly empty.
     std::unordered_map<base::WorkspaceId, Pool> m_pools;
--- a/src/include/papayastep/net/httpclient.h
+++ b/src/include/papayastep/net/httpclient.h
@@ -14,7 +14,7 @@
 namespace papayastep::net {
 
 /// How far an exchange came. The order matters: what is not beyond Connecting was never seen by the server.
-enum class ExchangeProgress { Connecting, Sending, Sent, Acknowledged, HeadReceived, Complete };
+enum class ExchangeProgress { Connecting, Sending, Acknowledged, HeadReceived, Complete };
 
 /// Why an exchange ended without a whole answer.
 enum class ExchangeFailure { None, ConnectionRefused, ConnectTimeout, Broken, Cancelled, Malformed };
--- a/src/include/papayastep/node/settings.h
+++ b/src/include/papayastep/node/settings.h
@@ -35,8 +35,6 @@
     std::optional<net::Endpoint> ready; ///< A listener of its own for the question whether the node is ready.
     std::string readyPath = "/readyz"; ///< Where that question is asked.
     std::vector<net::Endpoint> platform;
-    std::vector<net::Endpoint> seeds; ///< Peer endpoints of some nodes, for a start while the platform is away.
-    std::vector<base::ZoneId> zones; ///< All of the fleet; empty: those of the backend servers.
     base::ServiceId service; ///< Of the backend servers on this VM, which tells who calls; empty: not told.
     InterfaceChoice interfaces = InterfaceChoice::Own;
     RateLimitChoice rateLimits = RateLimitChoice::Strict;
--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -1,7 +1,8 @@
-#include "papayastep/limits/pooledlimiter.h"
+#include "decodeinto.h"
 
 #include "papayastep/base/hashing.h"
 #include "papayastep/base/log.h"
+#include "papayastep/limits/pooledlimiter.h"
 
 #include <algorithm>
 #include <cmath>
@@ -36,17 +37,6 @@
     return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(secondsCount));
 }
 
-template<typename Message>
-bool decodeInto(Message &message, std::string_view payload)
-{
-    try {
-        message = wire::decode<Message>(payload);
-        return true;
-    } catch (const base::Error &) {
-        return false;
-    }
-}
-
 }
 
 void PooledLimiter::Bucket::refill(double rate, double burst, base::TimePoint now)
@@ -66,6 +56,7 @@
 void PooledLimiter::applyConfiguration(config::ConfigurationPtr configuration)
 {
     m_configuration = std::move(configuration);
+    m_homes.clear();
     std::erase_if(m_pools, [&](const auto &entry) { return limited(entry.first) == nullptr; });
     std::erase_if(m_entries, [&](const auto &entry) { return limited(entry.first) == nullptr; });
 }
@@ -85,6 +76,7 @@
     std::sort(vms.begin(), vms.end());
     if (vms != m_vms) {
         m_vms = std::move(vms);
+        m_homes.clear();
         m_listChanged = m_clock.now();
     }
 }
@@ -263,8 +255,18 @@
     return configured != nullptr && configured->isLimited() ? configured : nullptr;
 }
 
-/// The first two in the order of their weights; more are never asked.
-std::vector<base::VmId> PooledLimiter::homesOf(const base::WorkspaceId &workspace) const
+/// The first two in the order of their weights; more are never asked. Worked out once for each VM list, not for each
+/// request: it hashes the name of every VM.
+const std::vector<base::VmId> &PooledLimiter::homesOf(const base::WorkspaceId &workspace) const
+{
+    const auto [place, isNew] = m_homes.try_emplace(workspace);
+    if (isNew) {
+        place->second = weighHomes(workspace);
+    }
+    return place->second;
+}
+
+std::vector<base::VmId> PooledLimiter::weighHomes(const base::WorkspaceId &workspace) const
 {
     std::vector<std::pair<std::uint64_t, const base::VmId *>> weighed;
     weighed.reserve(m_vms.size());
@@ -311,7 +313,7 @@
 
 bool PooledLimiter::isFirstHome(const base::WorkspaceId &workspace) const
 {
-    const std::vector<base::VmId> homes = homesOf(workspace);
+    const std::vector<base::VmId> &homes = homesOf(workspace);
     return !homes.empty() && homes.front() == m_self.vm;
 }
 
--- a/src/limits/tokenbroker.cpp
+++ b/src/limits/tokenbroker.cpp
@@ -1,4 +1,5 @@
 #include "brokercontext.h"
+#include "decodeinto.h"
 #include "workspacetokens.h"
 
 #include "papayastep/base/log.h"
@@ -72,21 +73,6 @@
     base::WallTime m_lastWall;
 };
 
-namespace {
-
-template<typename Message>
-bool decodeInto(Message &message, std::string_view payload)
-{
-    try {
-        message = wire::decode<Message>(payload);
-        return true;
-    } catch (const base::Error &) {
-        return false;
-    }
-}
-
-}
-
 void TokenBroker::Impl::applyConfiguration(config::ConfigurationPtr configuration)
 {
     noticePause();
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -67,6 +67,12 @@
     {
     }
 
+    /// How likely the server is in a gray spell, in percent.
+    std::uint8_t grayPercent(base::TimePoint now) const
+    {
+        return static_cast<std::uint8_t>(100 * filter.grayProbability(now));
+    }
+
     config::BackendServer server;
     limits::SlotQueue queue;
     health::FailureFilter filter;
@@ -334,8 +340,7 @@
                                         << base::field("server", work->hop.server)
                                         << base::field("runMs", milliseconds(now - work->started))
                                         << base::field("usualMs", milliseconds(lane->queue.meanRun()))
-                                        << base::field("grayPercent",
-                                                       static_cast<int>(100 * lane->filter.grayProbability(now)));
+                                        << base::field("grayPercent", int{lane->grayPercent(now)});
         if (mayMoveOn && lane->filter.grayProbability(now) > suspectAbove) {
             work->suspect();
         }
@@ -572,9 +577,8 @@
     if (wasHeld || !lane.filter.isHeld(now)) {
         return;
     }
-    const auto percent = static_cast<std::uint8_t>(100 * lane.filter.grayProbability(now));
     m_context.gray.note(server, lane.filter.grayProbability(now));
-    const health::GrayNotice notice{server.value(), percent};
+    const health::GrayNotice notice{server.value(), lane.grayPercent(now)};
     for (const auto &[entry, seen] : lane.entries) {
         if (now - seen <= entryMemory) {
             m_context.send(wire::outgoing(entry, wire::MessageKind::GrayNotice, notice));
@@ -602,8 +606,7 @@
         noteFailure(lane, work.hop.server, false);
         PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server failed." << base::field("request", work.hop.callerId)
                                         << base::field("server", work.hop.server)
-                                        << base::field("grayPercent",
-                                                       static_cast<int>(100 * lane.filter.grayProbability(now)));
+                                        << base::field("grayPercent", int{lane.grayPercent(now)});
         break;
     case health::AttemptOutcome::ConnectionRefused:
     case health::AttemptOutcome::Shed:
@@ -698,7 +701,7 @@
     }
     const auto lane = m_lanes.find(work.hop.server);
     if (lane != m_lanes.end()) {
-        reply.grayPercent = static_cast<std::uint8_t>(100 * lane->second->filter.grayProbability(now));
+        reply.grayPercent = lane->second->grayPercent(now);
     }
     reply.report = wire::encode(m_context.health.report(work.hop.server));
     return reply;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -97,6 +97,14 @@
                                  : fallback;
 }
 
+PlacementChoice placementOf(const std::string &name)
+{
+    if (name == "least-cost") {
+        return PlacementChoice::LeastCost;
+    }
+    return name == "random" ? PlacementChoice::Random : PlacementChoice::TwoChoices;
+}
+
 base::Duration secondsOf(const Json &value)
 {
     return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(value.get<double>()));
@@ -159,12 +167,6 @@
     }
     settings.readyPath = document.value("readyPath", settings.readyPath);
     settings.service = base::ServiceId(document.value("service", ""));
-    for (const Json &zone : document.value("zones", Json::array())) {
-        settings.zones.emplace_back(zone.get<std::string>());
-    }
-    for (std::size_t index = 0; index < document.value("seeds", Json::array()).size(); ++index) {
-        settings.seeds.push_back(endpointAt(document, "/seeds/" + std::to_string(index), file));
-    }
     if (document.value("interfaces", "own") == "platform") {
         settings.interfaces = InterfaceChoice::Platform;
     }
@@ -180,12 +182,7 @@
     if (document.value("rateLimits", "strict") == "pooled") {
         settings.rateLimits = RateLimitChoice::Pooled;
     }
-    if (document.value("placement", "two-choices") == "least-cost") {
-        settings.placement = PlacementChoice::LeastCost;
-    }
-    if (document.value("placement", "two-choices") == "random") {
-        settings.placement = PlacementChoice::Random;
-    }
+    settings.placement = placementOf(document.value("placement", "two-choices"));
     settings.ejection = document.value("ejection", "on") == "on";
     settings.noEarlierRuns = document.value("noEarlierRuns", false);
     settings.limits = readLimits(document);
--- a/src/routing/leastcostplacement.cpp
+++ b/src/routing/leastcostplacement.cpp
@@ -1,5 +1,7 @@
 #include "papayastep/routing/leastcostplacement.h"
 
+#include "papayastep/health/failurefilter.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -13,9 +15,9 @@
 /// A server that warms up is taken for at most twice as slow, as was measured; with its slow start's weight of a tenth
 /// it would get nothing for seconds, while its siblings are full.
 constexpr double leastWeight = 0.5;
-/// health::FailureFilterSettings::holdAbove and trialAbove: what the node beside the server goes by.
-constexpr double heldRisk = 0.5;
-constexpr double trialRisk = 0.3;
+/// What the node beside the server goes by.
+constexpr double heldRisk = health::FailureFilterSettings().holdAbove;
+constexpr double trialRisk = health::FailureFilterSettings().trialAbove;
 /// What a server of which nothing was heard for seconds is taken for. Up to it servers count alike: if those that have
 /// just answered were preferred, half of the well servers of a calm service got nothing for two seconds at a time.
 constexpr double usualRisk = 0.15;
--- a/src/wire/hop.cpp
+++ b/src/wire/hop.cpp
@@ -1,44 +1,13 @@
 #include "papayastep/wire/hop.h"
 
+#include "papayastep/wire/base64.h"
 #include "papayastep/wire/seal.h"
 
-#include <sodium.h>
-
 namespace papayastep::wire {
 
 namespace {
 
 constexpr std::size_t maxHeaderBytes = 8 * 1024;
-constexpr int variant = sodium_base64_VARIANT_URLSAFE_NO_PADDING;
-
-std::string toBase64(const std::string &bytes)
-{
-    std::string text(sodium_base64_encoded_len(bytes.size(), variant), '\0');
-    sodium_bin2base64(
-        text.data(), text.size(), reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(), variant);
-    text.pop_back();
-    return text;
-}
-
-std::string fromBase64(std::string_view text)
-{
-    std::string bytes(text.size(), '\0');
-    std::size_t size = 0;
-    const char *end = nullptr;
-    const int result = sodium_base642bin(reinterpret_cast<unsigned char *>(bytes.data()),
-                                         bytes.size(),
-                                         text.data(),
-                                         text.size(),
-                                         nullptr,
-                                         &size,
-                                         &end,
-                                         variant);
-    if (result != 0 || end != text.data() + text.size()) {
-        throw base::Error(base::ResultCode::HopMalformed, "the hop header is not base64");
-    }
-    bytes.resize(size);
-    return bytes;
-}
 
 template<typename Value>
 Value decodeHop(const std::string &bytes)
@@ -94,7 +63,7 @@
 std::string HopCodec::seal(const std::string &bytes, std::string_view context) const
 {
     const Tag tag = tagOf(m_key, {bytes, context});
-    return toBase64(bytes + std::string(reinterpret_cast<const char *>(tag.data()), tag.size()));
+    return toBase64(bytes + std::string(reinterpret_cast<const char *>(tag.data()), tag.size()), Base64::UrlSafe);
 }
 
 std::string HopCodec::open(std::string_view header, std::string_view context) const
@@ -102,7 +71,11 @@
     if (header.size() > maxHeaderBytes) {
         throw base::Error(base::ResultCode::HopMalformed, "the hop header is too long");
     }
-    std::string bytes = fromBase64(header);
+    const auto decoded = fromBase64(header, Base64::UrlSafe);
+    if (!decoded) {
+        throw base::Error(base::ResultCode::HopMalformed, "the hop header is not base64");
+    }
+    std::string bytes = *decoded;
     if (bytes.size() <= tagBytes) {
         throw base::Error(base::ResultCode::HopMalformed, "the hop header is too short");
     }
