Answer a request that was read just before a planned stop

Ruled out: the end of the drain time (requests end with their route's timeout, 2 s, well before it). A connection counts as in flight from its first byte.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -67,26 +67,30 @@
         beast::error_code error;
         m_stream.socket().set_option(tcp::no_delay(true), error);
         while (!m_closing) {
-            if (!co_await readHead()) {
+            const bool begun = co_await waitForBytes();
+            if (!begun) {
                 break;
             }
             ++m_server.m_inFlight;
-            m_busy = true;
-            co_await handleRequest();
-            m_busy = false;
+            const bool whole = co_await readHead();
+            if (whole) {
+                co_await handleRequest();
+            }
             --m_server.m_inFlight;
-            if (m_server.m_stopping) {
+            if (!whole || m_server.m_stopping) {
                 m_closing = true;
             }
         }
         closeGently();
     }
 
+    /// Ends the wait for the next request. Where its first bytes have been read already, though nobody has looked at
+    /// them yet, the wait ends with them and the request is answered: closing here instead would drop a request that
+    /// was taken in, which its caller can't send again.
     void closeIfIdle()
     {
-        if (!m_busy) {
-            m_closing = true;
-            m_stream.close();
+        if (m_waiting) {
+            m_stream.cancel();
         }
     }
 
@@ -192,6 +196,26 @@
 private:
     static constexpr std::size_t readAhead = 64 * 1024;
 
+    /// Waits for the first bytes of a request. False: the connection ends instead.
+    Awaitable<bool> waitForBytes()
+    {
+        if (m_buffer.size() > 0) {
+            co_return true;
+        }
+        beast::error_code error;
+        m_stream.expires_after(m_server.m_limits.idleTimeout);
+        m_waiting = true;
+        auto got = co_await m_stream.async_read_some(m_buffer.prepare(readAhead / 8), into(error));
+        m_waiting = false;
+        beast::error_code ignored;
+        if (error == asio::error::operation_aborted && m_stream.socket().available(ignored) > 0) {
+            // They came just before the stop; to close now would leave their sender in doubt.
+            got = co_await m_stream.async_read_some(m_buffer.prepare(readAhead / 8), into(error));
+        }
+        m_buffer.commit(got);
+        co_return !error;
+    }
+
     Awaitable<bool> readHead()
     {
         m_parser.emplace();
@@ -202,14 +226,6 @@
         m_streamFinished = true;
 
         beast::error_code error;
-        if (m_buffer.size() == 0) {
-            m_stream.expires_after(m_server.m_limits.idleTimeout);
-            const auto got = co_await m_stream.async_read_some(m_buffer.prepare(readAhead / 8), into(error));
-            m_buffer.commit(got);
-            if (error) {
-                co_return false;
-            }
-        }
         m_stream.expires_after(m_server.m_limits.headerTimeout);
         if (!co_await checkRawBytes()) {
             co_return false;
@@ -362,7 +378,7 @@
     std::unique_ptr<http::response_serializer<http::buffer_body>> m_serializer;
     std::string m_remoteAddress;
     std::shared_ptr<ConnectionSet> m_registry; ///< Shared: a connection may outlive its server at shutdown.
-    bool m_busy = false;
+    bool m_waiting = false; ///< For the first bytes of a request.
     bool m_closing = false;
     bool m_answered = false;
     bool m_bodyRead = false;
--- /dev/null
+++ b/src/net/httpserver_test.cpp
@@ -0,0 +1,99 @@
+#include "papayastep/net/httpserver.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+
+using namespace papayastep;
+
+namespace {
+
+constexpr std::uint16_t port = 38471;
+constexpr std::string_view requestText = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
+
+class AnswersAll final : public net::RequestHandler
+{
+public:
+    net::Awaitable<void> handle(net::ServerExchange &exchange) override
+    {
+        co_await exchange.readBody();
+        net::WholeAnswer answer = net::jsonAnswer(net::http::status::ok, "{}\n");
+        co_await exchange.answer(std::move(answer));
+    }
+    net::WholeAnswer refusal(base::ResultCode, const std::string &) override
+    {
+        return net::jsonAnswer(net::http::status::bad_request, "{}\n");
+    }
+};
+
+/// A server and a caller on an open connection, in one thread that goes step by step.
+struct OpenConnectionFixture
+{
+    OpenConnectionFixture()
+    {
+        caller.connect({net::asio::ip::make_address("127.0.0.1"), port});
+        context.poll();
+    }
+
+    /// What the caller reads until the end of the connection; nothing if it was reset.
+    std::optional<std::string> readToEnd()
+    {
+        std::string text;
+        char part[512];
+        for (;;) {
+            net::beast::error_code error;
+            const std::size_t bytes = caller.read_some(net::asio::buffer(part), error);
+            text.append(part, bytes);
+            if (error == net::asio::error::eof) {
+                return text;
+            }
+            if (error) {
+                return std::nullopt;
+            }
+        }
+    }
+
+    net::asio::io_context context;
+    AnswersAll handler;
+    net::HttpServer server{context, {"127.0.0.1", port}, {}, handler};
+    net::asio::io_context callerContext;
+    net::asio::ip::tcp::socket caller{callerContext};
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(httpServer)
+
+// A node stops just when a caller sends its next refund on a connection it has kept open. If the node has taken the
+// bytes in and then closes, the caller can't know whether the refund was paid. So the request is answered, or its bytes
+// are left unread and the connection is reset, which callers may take as "not run".
+BOOST_AUTO_TEST_CASE(stop_requestJustReadFromKeptConnection_isAnswered)
+{
+    constexpr int stepsOfARequest = 12;
+    for (int steps = 0; steps < stepsOfARequest; ++steps) {
+        OpenConnectionFixture open;
+        net::asio::write(open.caller, net::asio::buffer(requestText.data(), requestText.size()));
+        for (int step = 0; step < steps; ++step) {
+            open.context.poll_one();
+        }
+        open.server.stop();
+        open.context.poll();
+        const auto answer = open.readToEnd();
+        BOOST_TEST_CONTEXT("stopped after " << steps << " steps")
+        {
+            BOOST_TEST((!answer || answer->starts_with("HTTP/1.1 200")));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stop_idleConnection_isClosed)
+{
+    OpenConnectionFixture open;
+    open.server.stop();
+    open.context.poll();
+    BOOST_TEST(open.readToEnd().value_or("reset").empty());
+    BOOST_TEST(open.server.inFlight() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
