Write structured lines to standard output, bounded and never blocking; take changed settings

Cause: lines went to standard error by glog with a blocking write, unbounded; ids of callers stood on one side of a hop only; SIGHUP ended the process. Change: base::LogOutput (a sink of glog) keeps a bounded buffer and writes only what the descriptor takes; a budget keeps part of the volume for warnings and errors; dropped lines are counted and told. Lines of one request bear the caller's id on both sides, with what the decision went by and how old that was. Refusals of one code beyond ten a second are folded. papayastep trace tells a request's story from several logs. SIGHUP and a changed file are taken over where a running process can. Ruled out: glog's own output to standard output (blocks), non-blocking mode on the descriptor (shared with other processes).

--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -75,6 +75,7 @@
     commands.push_back(makeKeyWithdrawCommand());
     commands.push_back(makeStatusCommand());
     commands.push_back(makeDrainCommand());
+    commands.push_back(makeTraceCommand());
     return commands;
 }
 
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -72,5 +72,6 @@
 std::unique_ptr<Command> makeKeyWithdrawCommand();
 std::unique_ptr<Command> makeStatusCommand();
 std::unique_ptr<Command> makeDrainCommand();
+std::unique_ptr<Command> makeTraceCommand();
 
 }
--- /dev/null
+++ b/src/ctl/requeststory.cpp
@@ -0,0 +1,153 @@
+#include "requeststory.h"
+
+#include <algorithm>
+#include <istream>
+#include <regex>
+
+namespace papayastep::ctl {
+
+namespace {
+
+/// How long before its first line a belief may have begun that decided about a request: a gray spell is held for some
+/// two seconds, and a configuration is in force everywhere within two.
+constexpr int beliefSeconds = 3;
+
+const std::regex &lineShape()
+{
+    static const std::regex shape(
+        R"(^(?:(.*?)\s+)?(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{6}Z) ([IWEF]) ([a-z][a-z-]*): (.*)$)");
+    return shape;
+}
+
+/// The parts whose lines without a request say what a node believes.
+bool tellsBeliefs(const LogLine &line)
+{
+    static const std::set<std::string> parts{"config", "health", "membership", "node", "platform", "serving"};
+    return parts.contains(line.part) && !line.fields.contains("request");
+}
+
+/// Seconds of the day; a story that crosses midnight loses the beliefs before it, and nothing else.
+double secondsOfDay(const std::string &time)
+{
+    const auto number = [&time](std::size_t from, std::size_t length) { return std::stod(time.substr(from, length)); };
+    return number(11, 2) * 3600 + number(14, 2) * 60 + number(17, 9);
+}
+
+std::string valueOf(const LogLine &line, const std::string &name)
+{
+    const auto found = line.fields.find(name);
+    return found != line.fields.end() ? found->second : std::string();
+}
+
+/// Splits `Short sentence. a=1 b=two words` where the fields begin.
+void splitFields(const std::string &text, LogLine &line)
+{
+    static const std::regex field(R"((?:^|\s)([a-zA-Z]+)=)");
+    std::string name;
+    std::size_t valueFrom = 0;
+    line.sentence = text;
+    for (auto match = std::sregex_iterator(text.begin(), text.end(), field); match != std::sregex_iterator(); ++match) {
+        const auto at = static_cast<std::size_t>(match->position());
+        if (name.empty()) {
+            line.sentence = text.substr(0, at);
+        } else {
+            line.fields[name] = text.substr(valueFrom, at - valueFrom);
+        }
+        name = match->str(1);
+        valueFrom = at + static_cast<std::size_t>(match->length());
+    }
+    if (!name.empty()) {
+        line.fields[name] = text.substr(valueFrom);
+    }
+}
+
+/// A summary names many requests in one field.
+bool holds(const std::string &list, const std::string &id)
+{
+    return (',' + list + ',').find(',' + id + ',') != std::string::npos;
+}
+
+}
+
+std::optional<LogLine> parseLogLine(std::string_view text, const std::string &fallbackNode)
+{
+    const std::string whole(text);
+    std::smatch match;
+    if (!std::regex_match(whole, match, lineShape())) {
+        return std::nullopt;
+    }
+    LogLine line;
+    const std::string before = match.str(1);
+    line.node = before.empty() ? fallbackNode : before.substr(before.find_last_of(' ') + 1);
+    line.time = match.str(2);
+    line.severity = match.str(3).front();
+    line.part = match.str(4);
+    splitFields(match.str(5), line);
+    return line;
+}
+
+RequestStory::RequestStory(std::string request)
+    : m_names{std::move(request)}
+{
+}
+
+void RequestStory::read(std::istream &log, const std::string &name)
+{
+    std::string text;
+    while (std::getline(log, text)) {
+        auto line = parseLogLine(text, name);
+        if (!line) {
+            ++m_foreign;
+            continue;
+        }
+        if (names(*line) && line->fields.contains("hop")) {
+            m_names.insert(line->fields["hop"]);
+        }
+        m_lines.push_back(std::move(*line));
+    }
+}
+
+std::vector<LogLine> RequestStory::lines() const
+{
+    std::vector<LogLine> own;
+    std::set<std::string> servers;
+    std::set<std::string> nodes;
+    for (const LogLine &line : m_lines) {
+        if (names(line)) {
+            own.push_back(line);
+            servers.insert(valueOf(line, "server"));
+            nodes.insert(line.node);
+        }
+    }
+    servers.erase("");
+    if (own.empty()) {
+        return own;
+    }
+    const auto [first, last] = std::minmax_element(
+        own.begin(), own.end(), [](const LogLine &a, const LogLine &b) { return a.time < b.time; });
+    const double from = secondsOfDay(first->time) - beliefSeconds;
+    const double to = secondsOfDay(last->time);
+    std::vector<LogLine> story = own;
+    std::copy_if(m_lines.begin(), m_lines.end(), std::back_inserter(story), [&](const LogLine &line) {
+        const double at = secondsOfDay(line.time);
+        const std::string server = valueOf(line, "server");
+        const bool concerns = nodes.contains(line.node) && (server.empty() || servers.contains(server));
+        return tellsBeliefs(line) && concerns && at >= from && at <= to;
+    });
+    std::stable_sort(story.begin(), story.end(), [](const LogLine &a, const LogLine &b) { return a.time < b.time; });
+    return story;
+}
+
+std::size_t RequestStory::foreign() const
+{
+    return m_foreign;
+}
+
+bool RequestStory::names(const LogLine &line) const
+{
+    const std::string listed = valueOf(line, "requests");
+    return m_names.contains(valueOf(line, "request"))
+        || std::any_of(m_names.begin(), m_names.end(), [&](const std::string &id) { return holds(listed, id); });
+}
+
+}
--- /dev/null
+++ b/src/ctl/tracecommand.cpp
@@ -0,0 +1,106 @@
+#include "command.h"
+#include "requeststory.h"
+
+#include "papayastep/base/error.h"
+
+#include <filesystem>
+#include <fstream>
+#include <ostream>
+
+namespace papayastep::ctl {
+
+namespace {
+
+using base::ResultCode;
+using boost::program_options::value;
+using Files = std::vector<std::string>;
+
+/// A summary may name forty requests.
+constexpr std::size_t longestValue = 80;
+
+std::string shortened(const std::string &text)
+{
+    return text.size() <= longestValue ? text : text.substr(0, longestValue) + "...";
+}
+
+class TraceCommand final : public Command
+{
+public:
+    std::string name() const override
+    {
+        return "trace";
+    }
+    std::string summary() const override
+    {
+        return "Tells one request's story from the logs of several nodes, with what each node believed.";
+    }
+    std::string usage() const override
+    {
+        return "REQUEST LOG...";
+    }
+
+protected:
+    void describe(Options &options, Positions &positions) const override
+    {
+        options.add_options()("request", value<std::string>(), "the request's id, as its caller or a log names it")(
+            "log", value<Files>(), "log files of nodes; - reads standard input");
+        positions.add("request", 1).add("log", -1);
+    }
+
+    int execute(const Values &values, Streams &streams) const override
+    {
+        RequestStory story(required(values, "request"));
+        if (values.count("log") == 0) {
+            throw base::Error(ResultCode::CommandLine, "name at least one log; see --help");
+        }
+        for (const std::string &file : values["log"].as<Files>()) {
+            read(story, file, streams);
+        }
+        const auto lines = story.lines();
+        for (const LogLine &line : lines) {
+            print(line, streams.out);
+        }
+        if (story.foreign() > 0) {
+            streams.err << story.foreign() << " lines were passed over: cut, or of another program.\n";
+        }
+        if (lines.empty()) {
+            streams.err << "No line names this request.\n";
+            return exitFailed;
+        }
+        return exitOk;
+    }
+
+private:
+    static void read(RequestStory &story, const std::string &file, Streams &streams)
+    {
+        if (file == "-") {
+            story.read(streams.in, "stdin");
+            return;
+        }
+        std::ifstream log(file, std::ios::binary);
+        if (!log) {
+            throw base::Error(ResultCode::CommandLine, "cannot read " + file);
+        }
+        story.read(log, std::filesystem::path(file).stem().string());
+    }
+
+    static void print(const LogLine &line, std::ostream &out)
+    {
+        const bool believed = !line.fields.contains("request") && !line.fields.contains("requests");
+        out << line.time << ' ' << line.node << (believed ? "   (believed) " : " ") << line.part << ": "
+            << line.sentence;
+        for (const auto &[name, text] : line.fields) {
+            out << ' ' << name << '=' << shortened(text);
+        }
+        out << '\n';
+    }
+};
+
+}
+
+std::unique_ptr<Command> makeTraceCommand()
+{
+    return std::make_unique<TraceCommand>();
+}
+
+}
--- a/src/include/papayastep/node/node.h
+++ b/src/include/papayastep/node/node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "papayastep/base/logoutput.h"
 #include "papayastep/base/statechart.h"
 #include "papayastep/membership/vmroster.h"
 #include "papayastep/node/adminhandler.h"
@@ -10,6 +11,7 @@
 #include "papayastep/node/peerlink.h"
 #include "papayastep/node/prober.h"
 #include "papayastep/node/servingnode.h"
+#include "papayastep/node/settingskeeper.h"
 
 #include <boost/asio/thread_pool.hpp>
 
@@ -28,8 +30,10 @@
     /// Listens at once. Throws Error (2004, 7001).
     Node(net::asio::io_context &io,
          const base::Clock &clock,
+         SettingsKeeper settingsKeeper,
          NodeSettings settings,
          Interfaces interfaces,
+         base::LogOutput &log,
          std::uint64_t seed);
     ~Node();
 
@@ -37,13 +41,18 @@
     /// the context.
     void requestStop();
 
+    /// Takes over a settings file that has changed, as far as a running process can. Also looked for every few seconds.
+    void rereadSettings();
+
 private:
     void pump();
     void schedulePump();
     void dispatch(const wire::Envelope &envelope);
     void handleCancel(const wire::Envelope &envelope);
     void sendAll(const std::vector<wire::Outgoing> &messages);
-    void logHealthEvents();
+    void countHealthEvents();
+    void logFoldedRefusals();
+    void applyRetryLimit();
     void startBuild();
     void applyConfiguration(const membership::Accepted &accepted);
     void putInForce();
@@ -63,6 +72,8 @@
     net::WholeAnswer metricsPage();
     void collectMetrics();
 
+    base::LogOutput &m_log;
+    SettingsKeeper m_settingsKeeper;
     NodeContext m_context;
     membership::VmDirectory m_directory;
     membership::ConfigSpread m_spread;
--- a/src/include/papayastep/node/nodecontext.h
+++ b/src/include/papayastep/node/nodecontext.h
@@ -8,6 +8,7 @@
 #include "papayastep/net/httpclient.h"
 #include "papayastep/node/interfaces.h"
 #include "papayastep/node/metrics.h"
+#include "papayastep/node/refusallog.h"
 #include "papayastep/node/settings.h"
 #include "papayastep/routing/ledgerclient.h"
 #include "papayastep/routing/ledgerhome.h"
@@ -60,6 +61,7 @@
     routing::LedgerClient ledgerClient;
     std::unique_ptr<routing::PlacementPolicy> placement;
     NodeMetrics metrics;
+    RefusalLog refusals;
     InForce inForce; ///< Null pointers until the first configuration.
     config::VmList vms;
     bool stopping = false; ///< A planned stop has begun; new requests are still taken for a while.
--- a/src/include/papayastep/node/peerlink.h
+++ b/src/include/papayastep/node/peerlink.h
@@ -5,6 +5,7 @@
 #include "papayastep/wire/envelope.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 
 namespace papayastep::node {
@@ -22,6 +23,13 @@
     void send(const wire::Outgoing &message);
     void sweep();
 
+    /// What was sent of one kind of message.
+    struct Tally
+    {
+        std::uint64_t messages = 0;
+        std::uint64_t bytes = 0; ///< Sealed, without nng's and TCP's own.
+    };
+    const std::map<wire::MessageKind, Tally> &sent() const;
     const net::PeerEndpoint::Counters &counters() const;
     std::uint64_t refused() const;
     std::size_t openSockets() const;
@@ -41,6 +49,7 @@
     /// Of senders that our VM list does not name; only while it names nobody.
     std::map<base::VmId, net::Endpoint> m_learned;
     std::uint64_t m_sequence = 0;
+    std::map<wire::MessageKind, Tally> m_sent;
     std::uint64_t m_refused = 0;
 };
 
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -65,6 +65,7 @@
     ServedAnswer answerOf(const WorkPtr &work);
     ServedAnswer refusedByServer(const WorkPtr &work);
     ServedAnswer refusalOf(const Work &work, base::ResultCode code, base::Duration retryAfter);
+    void logRefusal(const Work &work, const wire::HopReply &reply) const;
     wire::HopReply replyOf(const Work &work) const;
     base::BackendServerId advise(const Work &work);
 
--- a/src/include/papayastep/node/settings.h
+++ b/src/include/papayastep/node/settings.h
@@ -79,6 +79,9 @@
 /// Environment variable with the fleet secret, where no secretFile is named.
 constexpr const char *secretVariable = "PAPAYASTEP_SECRET";
 
+/// The text of a settings file. Throws Error(SettingsUnreadable).
+std::string settingsText(const std::string &path);
+
 /// Reads, merges and checks. Throws Error (2xxx) naming the file and the JSON pointer.
 NodeSettings readSettings(const std::string &path, const SettingsOverrides &overrides);
 
--- a/src/include/papayastep/wire/hop.h
+++ b/src/include/papayastep/wire/hop.h
@@ -39,6 +39,12 @@
         return {requestHigh, requestLow};
     }
 
+    /// The name under which both nodes log the request.
+    std::string shownId() const
+    {
+        return callerId.empty() ? toString(requestId()) : callerId;
+    }
+
     auto operator<=>(const HopRequest &) const = default;
     MSGPACK_DEFINE(requestHigh,
                    requestLow,
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -1,7 +1,5 @@
 #include "papayastep/limits/slotqueue.h"
 
-#include "papayastep/base/log.h"
-
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -169,10 +167,6 @@
 Verdict SlotQueue::refusal(base::ResultCode code, const base::WorkspaceId &workspace, int priority) const
 {
     const base::Duration wait = std::max(shortestRetryAfter, expectedWait(workspace, priority));
-    PAPAYASTEP_LOG(INFO, "limits") << "Refused to queue an attempt." << base::field("workspace", workspace)
-                                   << base::field("priority", priority) << base::field("code", base::number(code))
-                                   << base::field("queued", m_queued.size())
-                                   << base::field("running", m_running.size());
     return Verdict{false, code, wait};
 }
 
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -7,6 +7,7 @@
 #include "papayastep/node/streamedanswer.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace papayastep::node {
 
@@ -22,6 +23,11 @@
 /// row find one by chance in 1 of 81 requests; more often it means that nearly all are.
 constexpr int ejectedBeforeLastResort = 4;
 
+std::int64_t milliseconds(base::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 using base::ResultCode;
 using routing::RequestEvent;
 
@@ -326,11 +332,7 @@
     auto attempt = makeAttempt(*m_context.inForce.configuration->backendServer(chosen.server));
     m_current = chosen.server;
     m_machine.handle(RequestEvent::Place);
-    PAPAYASTEP_LOG(INFO, logPrefix) << "Placed an attempt." << base::field("request", shownId())
-                                    << base::field("attempt", m_progress.tries) << base::field("workspace", m_workspace)
-                                    << base::field("route", m_route->id) << base::field("server", chosen.server)
-                                    << base::field("vm", chosen.vm)
-                                    << base::field("reason", followAdvice ? "advice" : routing::name(placement.reason));
+    logPlacement(chosen, followAdvice ? "advice" : routing::name(placement.reason));
     m_watch.begin(
         std::move(attempt), m_context.retryPolicy.timeouts(m_progress, typicalLatency(candidates)), forwardedRequest());
     return std::nullopt;
@@ -434,6 +436,8 @@
         co_await refuse(decision.refusal);
         co_return true;
     case routing::RetryAction::BreakOff:
+        PAPAYASTEP_LOG(INFO, logPrefix) << "Gave a request up." << base::field("request", shownId())
+                                        << base::field("reason", decision.reason);
         m_watch.abandon();
         co_return true;
     }
@@ -492,6 +496,7 @@
     head.result(answer.head.result_int());
     net::copyEndToEnd(answer.head, head);
     m_context.callers().annotate(head, shownId(), answer.reply.server);
+    logAnswer(answer.head.result_int(), answer.reply.server);
     if (answer.rest) {
         co_await passLargeAnswer(answer, std::move(head));
         co_return;
@@ -528,14 +533,52 @@
     reportToLedger(refusal);
     m_context.schedulePump();
     m_context.metrics.countRequest(m_progress.service, refusal.code, m_context.clock.now() - m_arrived);
-    PAPAYASTEP_LOG(INFO, logPrefix) << "Refused a request." << base::field("request", shownId())
-                                    << base::field("workspace", m_workspace)
-                                    << base::field("code", number(refusal.code))
-                                    << base::field("outcome", routing::name(refusal.outcome));
+    logRefusal(refusal);
     net::WholeAnswer answer = m_context.callers().refusal(refusal, shownId(), {});
     co_await m_exchange.answer(std::move(answer));
 }
 
+/// With what the choice went by, and how old that is.
+void EntryRequest::logPlacement(const routing::Candidate &chosen, std::string_view reason) const
+{
+    const auto left = m_progress.deadline - m_context.clock.now();
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Placed an attempt." << base::field("request", shownId())
+                                    << base::field("hop", m_id) << base::field("attempt", m_progress.tries)
+                                    << base::field("workspace", m_workspace) << base::field("route", m_route->id)
+                                    << base::field("server", chosen.server) << base::field("vm", chosen.vm)
+                                    << base::field("reason", reason) << base::field("slotsInUse", chosen.slotsInUse)
+                                    << base::field("queued", chosen.queueLength)
+                                    << base::field("grayPercent", std::lround(100 * chosen.failureRisk))
+                                    << base::field("ageMs", milliseconds(chosen.freshness))
+                                    << base::field("revision", m_inForce.configuration->revision())
+                                    << base::field("leftMs", milliseconds(left));
+}
+
+void EntryRequest::logAnswer(unsigned status, const base::BackendServerId &server) const
+{
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Answered a request." << base::field("request", shownId())
+                                    << base::field("status", status) << base::field("server", server)
+                                    << base::field("attempts", m_progress.tries)
+                                    << base::field("tookMs", milliseconds(m_context.clock.now() - m_arrived));
+}
+
+/// Refusals that are proved not to have run come by the hundred in an overload and are summed up; one whose outcome is
+/// unknown is what users ask about, and always has its line.
+void EntryRequest::logRefusal(const routing::Refusal &refusal) const
+{
+    const bool folds = refusal.outcome == routing::Outcome::NotRun;
+    if (folds && !m_context.refusals.note(refusal.code, shownId())) {
+        return;
+    }
+    PAPAYASTEP_LOG(WARNING, logPrefix) << "Refused a request." << base::field("request", shownId())
+                                       << base::field("hop", m_id) << base::field("workspace", m_workspace)
+                                       << base::field("code", number(refusal.code))
+                                       << base::field("outcome", routing::name(refusal.outcome))
+                                       << base::field("server", m_current) << base::field("attempts", m_progress.tries)
+                                       << base::field("retryAfterMs", milliseconds(refusal.retryAfter))
+                                       << base::field("tookMs", milliseconds(m_context.clock.now() - m_arrived));
+}
+
 void EntryRequest::reportToLedger(const routing::Refusal &refusal)
 {
     if (!m_claimed) {
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -55,6 +55,9 @@
     net::Awaitable<void> passStoredAnswer();
     net::Awaitable<void> passLargeAnswer(ServedAnswer &answer, net::ResponseHead head);
     net::Awaitable<void> refuse(routing::Refusal refusal);
+    void logPlacement(const routing::Candidate &chosen, std::string_view reason) const;
+    void logAnswer(unsigned status, const base::BackendServerId &server) const;
+    void logRefusal(const routing::Refusal &refusal) const;
     void reportToLedger(const routing::Refusal &refusal);
     void reportAnswerToLedger(const ServedAnswer &answer);
     /// What the caller calls the request, or else our own id.
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -4,6 +4,7 @@
 
 #include "papayastep/base/error.h"
 #include "papayastep/base/log.h"
+#include "papayastep/base/logoutput.h"
 #include "papayastep/node/node.h"
 #include "papayastep/routing/requestmachine.h"
 
@@ -13,6 +14,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <unistd.h>
 
 namespace {
 
@@ -83,18 +85,35 @@
     return papayastep::node::ownInterfaces(io, clock, settings);
 }
 
-void run(papayastep::node::NodeSettings settings)
+/// SIGTERM and SIGINT begin a planned stop, SIGHUP says that the settings file may have changed.
+void watchSignals(papayastep::net::asio::signal_set &signals, papayastep::node::Node &node)
 {
-    papayastep::net::asio::io_context io(1);
-    const papayastep::base::SystemClock clock;
-    auto interfaces = interfacesOf(io, clock, settings);
-    papayastep::node::Node node(io, clock, std::move(settings), std::move(interfaces), randomSeed());
-    papayastep::net::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](const papayastep::net::beast::error_code &error, int) {
-        if (!error) {
+    signals.async_wait([&](const papayastep::net::beast::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            node.rereadSettings();
+        } else {
             node.requestStop();
         }
+        watchSignals(signals, node);
     });
+}
+
+void run(const CommandLine &line)
+{
+    const papayastep::base::SystemClock clock;
+    papayastep::base::LogOutput log(STDOUT_FILENO, clock);
+    log.install();
+    papayastep::node::SettingsKeeper keeper(line.settingsFile, line.overrides);
+    auto settings = keeper.first();
+    papayastep::net::asio::io_context io(1);
+    papayastep::net::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+    auto interfaces = interfacesOf(io, clock, settings);
+    papayastep::node::Node node(
+        io, clock, std::move(keeper), std::move(settings), std::move(interfaces), log, randomSeed());
+    watchSignals(signals, node);
     io.run();
 }
 
@@ -102,7 +121,6 @@
 
 int main(int argc, char **argv)
 {
-    FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
     std::signal(SIGPIPE, SIG_IGN);
     try {
@@ -113,13 +131,13 @@
         if (sodium_init() < 0) {
             throw Error(ResultCode::Internal, "libsodium does not start");
         }
-        auto settings = papayastep::node::readSettings(line.settingsFile, line.overrides);
         if (line.checkOnly) {
+            papayastep::node::readSettings(line.settingsFile, line.overrides);
             std::cout << "The settings are good.\n";
             return 0;
         }
         papayastep::routing::requestChart();
-        run(std::move(settings));
+        run(line);
         return 0;
     } catch (const Error &error) {
         std::cerr << "papayastepd: " << error.what() << "\n";
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -72,10 +72,14 @@
 
 Node::Node(net::asio::io_context &io,
            const base::Clock &clock,
+           SettingsKeeper settingsKeeper,
            NodeSettings settings,
            Interfaces interfaces,
+           base::LogOutput &log,
            std::uint64_t seed)
-    : m_context(io, clock, std::move(settings), std::move(interfaces), seed)
+    : m_log(log)
+    , m_settingsKeeper(std::move(settingsKeeper))
+    , m_context(io, clock, std::move(settings), std::move(interfaces), seed)
     , m_directory(clock)
     , m_spread({m_context.settings.vm, m_context.settings.zone, m_context.incarnation},
                m_directory,
@@ -157,7 +161,7 @@
         m_entry.deliver(decision);
     }
     sendAll(m_context.health.takeMessages());
-    logHealthEvents();
+    countHealthEvents();
     if (m_spread.takeVmListChanged()) {
         applyVmList();
     }
@@ -169,6 +173,7 @@
     if (nextTick() < m_armedTick) {
         m_tickSignal.notify();
     }
+    m_log.flush();
 }
 
 void Node::schedulePump()
@@ -232,10 +237,9 @@
     }
 }
 
-void Node::logHealthEvents()
+void Node::countHealthEvents()
 {
     for (const health::HealthEvent &event : m_context.health.takeEvents()) {
-        VLOG(1) << logPrefix << ": " << event.sentence;
         m_context.metrics.countAttempt(base::ServiceId("health"), health::name(event.kind));
     }
 }
@@ -321,9 +325,7 @@
 void Node::applyVmList()
 {
     m_context.vms = m_directory.list();
-    if (m_context.settings.retryLimit) {
-        m_context.retryBudget.setSettings(routing::partOf(*m_context.settings.retryLimit, m_context.vms.vms.size()));
-    }
+    applyRetryLimit();
     m_context.tokens.applyVmList(m_context.vms,
                                  m_directoryKeeper ? m_directoryKeeper->askedAt() : m_keeper.vmListAskedAt());
     m_context.health.applyVmList(m_context.vms);
@@ -334,6 +336,43 @@
     schedulePump();
 }
 
+void Node::applyRetryLimit()
+{
+    if (m_context.settings.retryLimit) {
+        m_context.retryBudget.setSettings(routing::partOf(*m_context.settings.retryLimit, m_context.vms.vms.size()));
+    }
+}
+
+void Node::rereadSettings()
+{
+    try {
+        const auto fresh = m_settingsKeeper.changed();
+        if (!fresh) {
+            return;
+        }
+        const std::string waiting = changedForNextStart(m_context.settings, *fresh);
+        m_context.settings = takenOver(m_context.settings, *fresh);
+        applyRetryLimit();
+        if (m_published) {
+            applyCallerLimits();
+        }
+        PAPAYASTEP_LOG(INFO, logPrefix) << "Took over changed settings." << base::field("atNextStart", waiting);
+    } catch (const base::Error &error) {
+        PAPAYASTEP_LOG(ERROR, logPrefix) << "Kept the settings; the changed file is wrong."
+                                         << base::field("code", number(error.code()))
+                                         << base::field("detail", error.what());
+    }
+}
+
+void Node::logFoldedRefusals()
+{
+    for (const RefusalSummary &summary : m_context.refusals.takeSummaries()) {
+        PAPAYASTEP_LOG(WARNING, "routing")
+            << "Refused more requests." << base::field("code", number(summary.code))
+            << base::field("count", summary.count) << base::field("requests", summary.requests);
+    }
+}
+
 void Node::tick()
 {
     m_context.tokens.tick();
@@ -346,8 +385,10 @@
         applyDirectory();
     }
     const auto now = m_context.clock.now();
+    logFoldedRefusals();
     if (now >= m_nextSweep) {
         m_nextSweep = now + sweepEvery;
+        rereadSettings();
         m_context.retryBudget.tick();
         m_context.gray.expire();
         m_context.hopPool.sweep();
--- a/src/node/nodepages.cpp
+++ b/src/node/nodepages.cpp
@@ -213,6 +213,11 @@
     set("peer_bytes_received", peers.bytesReceived);
     set("peer_messages_dropped", peers.dropped);
     set("peer_messages_refused", m_peers.refused());
+    for (const auto &[kind, tally] : m_peers.sent()) {
+        set(("peer_bytes_sent_kind_" + std::to_string(static_cast<int>(kind))).c_str(), tally.bytes);
+    }
+    set("log_lines_written", m_log.counters().written);
+    set("log_lines_dropped", m_log.counters().dropped);
     set("peer_sockets", m_peers.openSockets());
 
     const limits::BrokerCounters &tokens = m_context.tokens.counters();
--- a/src/node/peerlink.cpp
+++ b/src/node/peerlink.cpp
@@ -40,7 +40,11 @@
     // An older peer may not read compressed payloads; one that was never heard is taken for such.
     const auto known = m_capabilities.find(message.to);
     const bool compress = known != m_capabilities.end() && (known->second & wire::capabilityCompressed) != 0;
-    m_endpoint.send(*endpoint, m_codec.seal(envelope, compress));
+    std::string sealed = m_codec.seal(envelope, compress);
+    Tally &tally = m_sent[message.kind];
+    ++tally.messages;
+    tally.bytes += sealed.size();
+    m_endpoint.send(*endpoint, std::move(sealed));
 }
 
 void PeerLink::sweep()
@@ -48,6 +52,11 @@
     m_endpoint.sweep();
 }
 
+const std::map<wire::MessageKind, PeerLink::Tally> &PeerLink::sent() const
+{
+    return m_sent;
+}
+
 const net::PeerEndpoint::Counters &PeerLink::counters() const
 {
     return m_endpoint.counters();
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -78,6 +78,7 @@
     health::FailureFilter filter;
     std::map<base::VmId, base::TimePoint> entries; ///< That sent attempts lately, and when.
     std::optional<limits::AttemptId> trial; ///< Shows whether the server is out of its spell.
+    bool heldBack = false; ///< Was found gray, and has not answered since.
     bool gone = false; ///< No longer configured; kept until its attempts have ended.
 };
 
@@ -231,9 +232,12 @@
     const base::RequestId request{cancel.requestHigh, cancel.requestLow};
     const int attempt = static_cast<int>(cancel.attempt);
     const auto answer = m_registry.cancel({request, attempt}, stamp, base::Duration(cancel.remaining));
-    PAPAYASTEP_LOG(INFO, logPrefix) << "Answered a cancel." << base::field("request", request)
-                                    << base::field("attempt", attempt) << base::field("answer", routing::name(answer));
     const auto found = m_work.find({request, attempt});
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Answered a cancel."
+                                    << base::field("request",
+                                                   found != m_work.end() ? found->second->hop.shownId()
+                                                                         : toString(request))
+                                    << base::field("attempt", attempt) << base::field("answer", routing::name(answer));
     if (found == m_work.end()) {
         return answer;
     }
@@ -336,7 +340,7 @@
         work->overdue = true;
         noteFailure(*lane, work->hop.server, true);
         const bool mayMoveOn = work->hop.idempotent && work->deadline - now > lane->queue.meanRun();
-        PAPAYASTEP_LOG(INFO, logPrefix) << "An attempt is overdue." << base::field("request", work->hop.callerId)
+        PAPAYASTEP_LOG(INFO, logPrefix) << "An attempt is overdue." << base::field("request", work->hop.shownId())
                                         << base::field("server", work->hop.server)
                                         << base::field("runMs", milliseconds(now - work->started))
                                         << base::field("usualMs", milliseconds(lane->queue.meanRun()))
@@ -509,8 +513,13 @@
     if (lane.filter.isOnTrial(work->started)) {
         lane.trial = work->id();
     }
-    VLOG(1) << logPrefix << ": Started an attempt." << base::field("request", work->hop.requestId())
-            << base::field("server", work->hop.server);
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Started an attempt." << base::field("request", work->hop.shownId())
+                                    << base::field("attempt", work->hop.attempt)
+                                    << base::field("entry", work->hop.entry) << base::field("server", work->hop.server)
+                                    << base::field("waitedMs", milliseconds(work->started - work->arrived))
+                                    << base::field("running", lane.queue.running())
+                                    << base::field("queued", lane.queue.queued())
+                                    << base::field("grayPercent", int{lane.grayPercent(work->started)});
 
     BackendCall call;
     call.request = work->hop.requestId();
@@ -578,6 +587,10 @@
         return;
     }
     m_context.gray.note(server, lane.filter.grayProbability(now));
+    lane.heldBack = true;
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Holds a backend server back." << base::field("server", server)
+                                    << base::field("evidence", overdue ? "overdue" : "failed")
+                                    << base::field("grayPercent", int{lane.grayPercent(now)});
     const health::GrayNotice notice{server.value(), lane.grayPercent(now)};
     for (const auto &[entry, seen] : lane.entries) {
         if (now - seen <= entryMemory) {
@@ -595,6 +608,11 @@
     switch (outcome) {
     case health::AttemptOutcome::Success:
         lane.filter.noteOutcome(false, now);
+        if (std::exchange(lane.heldBack, false)) {
+            PAPAYASTEP_LOG(INFO, logPrefix)
+                << "A backend server answers again." << base::field("request", work.hop.shownId())
+                << base::field("server", work.hop.server);
+        }
         m_context.gray.note(work.hop.server, lane.filter.grayProbability(now));
         break;
     case health::AttemptOutcome::Error:
@@ -604,7 +622,7 @@
             break; // Counted when it became overdue.
         }
         noteFailure(lane, work.hop.server, false);
-        PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server failed." << base::field("request", work.hop.callerId)
+        PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server failed." << base::field("request", work.hop.shownId())
                                         << base::field("server", work.hop.server)
                                         << base::field("grayPercent", int{lane.grayPercent(now)});
         break;
@@ -655,8 +673,8 @@
     answer.reply = replyOf(*work);
     answer.reply.outcome = static_cast<std::uint8_t>(wire::HopOutcome::Unknown);
     answer.reply.code = number(code);
-    PAPAYASTEP_LOG(INFO, logPrefix) << "Got no whole answer." << base::field("request", work->hop.requestId())
-                                    << base::field("server", work->hop.server) << base::field("code", number(code));
+    PAPAYASTEP_LOG(WARNING, logPrefix) << "Got no whole answer." << base::field("request", work->hop.shownId())
+                                       << base::field("server", work->hop.server) << base::field("code", number(code));
     return answer;
 }
 
@@ -678,12 +696,26 @@
     answer.reply.code = number(code);
     answer.reply.retryAfterMs = milliseconds(retryAfter);
     answer.reply.advice = replayed ? base::BackendServerId() : advise(work);
-    PAPAYASTEP_LOG(INFO, logPrefix) << "Refused an attempt." << base::field("request", work.hop.requestId())
-                                    << base::field("server", work.hop.server) << base::field("code", number(code))
-                                    << base::field("advice", answer.reply.advice);
+    logRefusal(work, answer.reply);
     return answer;
 }
 
+/// With what the decision went by: the server's queue and how gray it was taken for.
+void ServingNode::logRefusal(const Work &work, const wire::HopReply &reply) const
+{
+    const auto found = m_lanes.find(work.hop.server);
+    const Lane *lane = found != m_lanes.end() ? found->second.get() : nullptr;
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Refused an attempt." << base::field("request", work.hop.shownId())
+                                    << base::field("attempt", work.hop.attempt) << base::field("entry", work.hop.entry)
+                                    << base::field("server", work.hop.server) << base::field("code", reply.code)
+                                    << base::field("running", lane != nullptr ? lane->queue.running() : 0)
+                                    << base::field("queued", lane != nullptr ? lane->queue.queued() : 0)
+                                    << base::field("grayPercent", int{reply.grayPercent})
+                                    << base::field("revision", reply.revision)
+                                    << base::field("retryAfterMs", reply.retryAfterMs)
+                                    << base::field("advice", reply.advice);
+}
+
 wire::HopReply ServingNode::replyOf(const Work &work) const
 {
     wire::HopReply reply;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -245,6 +245,11 @@
 
 }
 
+std::string settingsText(const std::string &path)
+{
+    return readFile(path, ResultCode::SettingsUnreadable);
+}
+
 NodeSettings parseSettings(std::string_view json, const std::string &file, const SettingsOverrides &overrides)
 {
     return settingsOf(checkedDocument(json, file, overrides), file);
@@ -253,7 +258,7 @@
 NodeSettings readSettings(const std::string &path, const SettingsOverrides &overrides)
 {
     const std::string file = nameOf(path);
-    const Json document = checkedDocument(readFile(path, ResultCode::SettingsUnreadable), file, overrides);
+    const Json document = checkedDocument(settingsText(path), file, overrides);
     NodeSettings settings = settingsOf(document, file);
     settings.secret = readSecret(document);
     return settings;
--- /dev/null
+++ b/src/node/settingskeeper.cpp
@@ -0,0 +1,64 @@
+#include "papayastep/node/settingskeeper.h"
+
+namespace papayastep::node {
+
+SettingsKeeper::SettingsKeeper(std::string path, SettingsOverrides overrides)
+    : m_path(std::move(path))
+    , m_overrides(std::move(overrides))
+{
+}
+
+NodeSettings SettingsKeeper::first()
+{
+    m_text = settingsText(m_path);
+    return readSettings(m_path, m_overrides);
+}
+
+std::optional<NodeSettings> SettingsKeeper::changed()
+{
+    std::string text = settingsText(m_path);
+    if (text == m_text) {
+        return std::nullopt;
+    }
+    m_text = std::move(text);
+    return readSettings(m_path, m_overrides);
+}
+
+std::string changedForNextStart(const NodeSettings &running, const NodeSettings &fresh)
+{
+    std::string names;
+    const auto add = [&names](bool differs, const char *name) {
+        if (differs) {
+            names += names.empty() ? name : std::string(",") + name;
+        }
+    };
+    const bool listenDiffers = running.caller != fresh.caller || running.hop != fresh.hop || running.peer != fresh.peer
+        || running.admin != fresh.admin || running.ready != fresh.ready;
+    add(running.vm != fresh.vm, "vm");
+    add(running.zone != fresh.zone, "zone");
+    add(running.service != fresh.service, "service");
+    add(listenDiffers, "listen");
+    add(running.readyPath != fresh.readyPath, "readyPath");
+    add(running.platform != fresh.platform, "platform");
+    add(running.interfaces != fresh.interfaces, "interfaces");
+    add(running.rateLimits != fresh.rateLimits, "rateLimits");
+    add(running.placement != fresh.placement, "placement");
+    add(running.longestHold != fresh.longestHold, "longestHoldS");
+    add(running.secret != fresh.secret, "secret");
+    return names;
+}
+
+NodeSettings takenOver(const NodeSettings &running, const NodeSettings &fresh)
+{
+    NodeSettings settings = running;
+    settings.retryLimit = fresh.retryLimit;
+    settings.limits = fresh.limits;
+    settings.acknowledgeAfter = fresh.acknowledgeAfter;
+    settings.asksForFreeSlots = fresh.asksForFreeSlots;
+    settings.ejection = fresh.ejection;
+    settings.drainTimeout = fresh.drainTimeout;
+    settings.announceFirst = fresh.announceFirst;
+    return settings;
+}
+
+}
--- /dev/null
+++ b/src/node/settingskeeper_test.cpp
@@ -0,0 +1,77 @@
+#include "papayastep/base/error.h"
+#include "papayastep/node/settingskeeper.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
+using namespace papayastep;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *settingsFormat = R"({"vm": "vm-1", "zone": "a", "drainTimeoutMs": %d,
+    "listen": {"caller": "127.0.0.1:%d", "hop": "127.0.0.1:2", "peer": "127.0.0.1:3", "admin": "127.0.0.1:4"},
+    "platform": ["127.0.0.1:5"]})";
+
+/// A settings file that a test rewrites.
+struct SettingsFileFixture
+{
+    SettingsFileFixture()
+    {
+        setenv(node::secretVariable, "a secret of the tests", 1);
+        write(1000, 1);
+    }
+    ~SettingsFileFixture()
+    {
+        std::remove(path.c_str());
+    }
+
+    void write(int drainMs, int callerPort) const
+    {
+        char text[512];
+        std::snprintf(text, sizeof(text), settingsFormat, drainMs, callerPort);
+        std::ofstream(path) << text;
+    }
+
+    std::string path = "/tmp/papayastep-settings-" + std::to_string(getpid()) + ".json";
+    node::SettingsKeeper keeper{path, {}};
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(settingsKeeper, SettingsFileFixture)
+
+BOOST_AUTO_TEST_CASE(settings_sameText_areUnchanged)
+{
+    keeper.first();
+    BOOST_TEST(!keeper.changed().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(settings_newTimeAndAddress_onlyTimeIsTakenOver)
+{
+    const auto running = keeper.first();
+    write(2000, 9);
+    const auto fresh = keeper.changed();
+    BOOST_REQUIRE(fresh.has_value());
+    BOOST_TEST(node::changedForNextStart(running, *fresh) == "listen");
+    const auto settings = node::takenOver(running, *fresh);
+    BOOST_TEST((settings.drainTimeout == 2000ms));
+    BOOST_TEST(settings.caller.port == 1);
+}
+
+// Somebody edits the file of a running node and leaves a comma out. The node must say so and go on as it was; if it
+// ended, its callers and its backend server would be cut off by a slip of the keyboard.
+BOOST_AUTO_TEST_CASE(settings_brokenText_areRefusedOnce)
+{
+    keeper.first();
+    std::ofstream(path) << "{\"vm\": ";
+    BOOST_CHECK_THROW(keeper.changed(), base::Error);
+    BOOST_TEST(!keeper.changed().has_value());
+    write(3000, 1);
+    BOOST_TEST(keeper.changed().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
