Keep a workspace's flood within its rate over lossy links and in an overload

Ruled out: repeats of idempotent requests (counted once). Change: while a stand-in still hears from the home it gives a twentieth of the rate; its pool begins a quarter full; at most two returned tokens are kept, and for half a second in all; a node alone has one token at once, not two. Before: the two new tests reach 385 and 296 of 275 allowed in 5 s; after: within it.

--- a/src/include/papayastep/limits/pooledlimiter.h
+++ b/src/include/papayastep/limits/pooledlimiter.h
@@ -28,8 +28,18 @@
     base::Duration stockLifetime
         = std::chrono::milliseconds(500); ///< Of tokens that an entry has asked for in advance.
 
+    /// What a stand-in gives of the rate while it still hears from the home. Its asker then has lost a packet, or the
+    /// path between those two alone is cut; the home gives the whole rate to all others, and operators tolerate a
+    /// quarter more.
+    double standInPart = 0.05;
+    base::Duration heardFor = std::chrono::seconds(2); ///< A home that was heard of so lately lives.
+
+    /// Tokens that come back to an entry, because no server had room, are kept for its next requests; more than this
+    /// many would be spent together when room is found.
+    double mostGivenBack = 2;
+
     /// What a node may admit alone while it reaches no home: its even part of the rate, and this many tokens at once.
-    double aloneBurst = 2;
+    double aloneBurst = 1;
 };
 
 /// One pool of tokens for each workspace, held by one VM (its home, by rendezvous hash over the VM list). Each entry
@@ -112,6 +122,7 @@
     };
 
     const config::Workspace *limited(const base::WorkspaceId &workspace) const;
+    double partOfRate(const base::WorkspaceId &workspace) const;
     const std::vector<base::VmId> &homesOf(const base::WorkspaceId &workspace) const;
     std::vector<base::VmId> weighHomes(const base::WorkspaceId &workspace) const;
     base::VmId reachableHome(const base::WorkspaceId &workspace) const;
@@ -147,6 +158,7 @@
     std::unordered_map<base::WorkspaceId, Entry> m_entries;
     std::map<std::uint64_t, Wish> m_wishes; ///< By number, so by age.
     std::map<base::VmId, base::TimePoint> m_suspects; ///< Until when.
+    std::map<base::VmId, base::TimePoint> m_heard; ///< When a node last sent anything about rates.
     std::map<base::VmId, PoolAsk> m_asks; ///< To be sent.
     std::map<std::pair<base::VmId, base::Incarnation>, PoolGrant> m_grants; ///< To be sent.
     std::vector<AdmissionDecision> m_decisions;
--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -127,11 +127,16 @@
         return;
     }
     ++m_counters.givenBack;
-    if (m_clock.now() >= entry->second.stockUntil) {
-        entry->second.stock = 0;
+    Entry &kept = entry->second;
+    const bool isStale = m_clock.now() >= kept.stockUntil;
+    if (isStale || kept.stock < 1) {
+        // Only an empty stock begins a new lifetime. If each token that comes back prolonged that of all others, an
+        // overload would gather more and more of them.
+        kept.stock = 1;
+        kept.stockUntil = m_clock.now() + m_settings.stockLifetime;
+    } else if (kept.stock < m_settings.mostGivenBack) {
+        kept.stock += 1;
     }
-    entry->second.stock += 1;
-    entry->second.stockUntil = m_clock.now() + m_settings.stockLifetime;
 }
 
 void PooledLimiter::receive(const base::VmId &from,
@@ -140,6 +145,7 @@
                             std::string_view payload)
 {
     m_suspects.erase(from);
+    m_heard[from] = m_clock.now();
     PoolAsk ask;
     PoolGrant grant;
     if (kind == wire::MessageKind::PoolAsk && decodeInto(ask, payload)) {
@@ -311,6 +317,17 @@
     return 1 - suspects / static_cast<double>(m_vms.size());
 }
 
+/// A stand-in gives only what is sure not to be given by the home as well.
+double PooledLimiter::partOfRate(const base::WorkspaceId &workspace) const
+{
+    if (isFirstHome(workspace)) {
+        return 1;
+    }
+    const auto heard = m_heard.find(homesOf(workspace).front());
+    const bool homeLives = heard != m_heard.end() && m_clock.now() - heard->second < m_settings.heardFor;
+    return homeLives ? m_settings.standInPart : reachablePart();
+}
+
 bool PooledLimiter::isFirstHome(const base::WorkspaceId &workspace) const
 {
     const std::vector<base::VmId> &homes = homesOf(workspace);
@@ -330,7 +347,7 @@
 PooledLimiter::Pool &PooledLimiter::poolOf(const config::Workspace &workspace)
 {
     const base::TimePoint now = m_clock.now();
-    const double part = isFirstHome(workspace.id) ? 1 : reachablePart();
+    const double part = partOfRate(workspace.id);
     const double rate = workspace.rate * (1 + m_settings.rateExcess) * part;
     const double burst = workspace.burst + m_settings.burstExcess;
     const auto [place, isNew] = m_pools.try_emplace(workspace.id);
@@ -338,7 +355,7 @@
     if (isNew) {
         // Whoever held the pool before may have given all of it out a moment ago.
         pool.bucket.level = workspace.burst * newPoolPart;
-        pool.bucket.updated = m_listChanged;
+        pool.bucket.updated = isFirstHome(workspace.id) ? m_listChanged : now;
     }
     pool.bucket.refill(rate, burst, now);
     return pool;
--- a/src/limits/pooledlimiter_test.cpp
+++ b/src/limits/pooledlimiter_test.cpp
@@ -26,6 +26,9 @@
     std::uint64_t lastRequest = 0;
     std::vector<base::TimePoint> admitted;
     int refused = 0;
+    double lateMessages = 0; ///< Share of messages whose packet is lost and sent again after 220 ms.
+    double givenBack = 0; ///< Share of admitted requests that no server has room for.
+    std::deque<std::pair<base::TimePoint, std::pair<int, Token>>> returns;
 
     struct Message
     {
@@ -70,9 +73,16 @@
         parts.workspaces.push_back(workspace);
         return std::make_shared<const config::Configuration>(1, std::move(parts));
     }
-    void count(const Admission &admission)
+    bool happens(double probability)
     {
-        if (std::holds_alternative<Admitted>(admission)) {
+        return probability > 0 && std::bernoulli_distribution(probability)(random);
+    }
+    void count(int node, const Admission &admission)
+    {
+        const auto *token = std::get_if<Admitted>(&admission);
+        if (token != nullptr && happens(givenBack)) {
+            returns.push_back({clock.now() + 30ms, {node, token->token}});
+        } else if (token != nullptr) {
             admitted.push_back(clock.now());
         } else if (std::holds_alternative<Refused>(admission)) {
             ++refused;
@@ -83,15 +93,24 @@
         for (int i = 0; i < nodes; ++i) {
             limiters[i]->tick();
             for (const AdmissionDecision &decision : limiters[i]->takeDecisions()) {
-                count(decision.admission);
+                count(i, decision.admission);
             }
             for (wire::Outgoing &message : limiters[i]->takeMessages()) {
-                messages.push_back({clock.now() + 2ms, i, std::move(message)});
+                const base::Duration way = happens(lateMessages) ? 222ms : 2ms;
+                messages.push_back({clock.now() + way, i, std::move(message)});
             }
         }
-        while (!messages.empty() && messages.front().due <= clock.now()) {
-            const Message message = std::move(messages.front());
-            messages.pop_front();
+        while (!returns.empty() && returns.front().first <= clock.now()) {
+            limiters[returns.front().second.first]->giveBack(returns.front().second.second);
+            returns.pop_front();
+        }
+        for (std::size_t next = 0; next < messages.size();) {
+            if (messages[next].due > clock.now()) {
+                ++next;
+                continue;
+            }
+            const Message message = std::move(messages[next]);
+            messages.erase(messages.begin() + static_cast<std::ptrdiff_t>(next));
             const int to = std::stoi(message.content.to.value().substr(3));
             if (cut.contains(to) || cut.contains(message.from)) {
                 continue;
@@ -108,7 +127,7 @@
             clock.advance(1ms);
             if (arrives(random)) {
                 const int node = static_cast<int>(random() % nodes);
-                count(limiters[node]->acquire(depots, base::RequestId{1, ++lastRequest}, clock.now() + 2s));
+                count(node, limiters[node]->acquire(depots, base::RequestId{1, ++lastRequest}, clock.now() + 2s));
             }
             pump();
         }
@@ -188,6 +207,27 @@
     BOOST_TEST(mostInFiveSeconds() <= tolerated);
 }
 
+// Links lose packets, so three messages in ten come a fifth of a second late, and homes seem to be silent though they
+// live. If every stand-in then gave the whole rate beside them, one workspace's flood would crowd the others out.
+BOOST_FIXTURE_TEST_CASE(pool_overLossyLinksInAFlood_staysWithinWhatIsTolerated, PooledFleet)
+{
+    lateMessages = 0.3;
+    play(20s, rate * 8);
+    BOOST_TEST(mostInFiveSeconds() <= tolerated);
+    BOOST_TEST(mostInFiveSeconds() >= rate * 5);
+}
+
+// In an overload most admitted requests find no server, and their tokens come back. Tokens that gather at the entries
+// until room is found would all be spent at once.
+BOOST_FIXTURE_TEST_CASE(tokens_givenBackInAnOverload_doNotGather, PooledFleet)
+{
+    givenBack = 0.9;
+    play(10s, rate * 8);
+    givenBack = 0;
+    play(6s, rate * 8);
+    BOOST_TEST(mostInFiveSeconds() <= tolerated);
+}
+
 BOOST_FIXTURE_TEST_CASE(pool_afterTheRateWasLowered_givesTheLowerOne, PooledFleet)
 {
     play(5s, rate);
