--- a/src/fuzz/targets.cpp
+++ b/src/fuzz/targets.cpp
@@ -8,6 +8,7 @@
 #include "papayastep/net/rawheader.h"
 #include "papayastep/wire/hop.h"
 #include "papayastep/wire/seal.h"
+#include "papayastep/wire/slotask.h"
 
 #include <sodium.h>
 
@@ -64,6 +65,7 @@
     decodeEach<membership::RevisionNotice, membership::ConfigurationRequest, membership::TransferPart>(payload);
     decodeEach<membership::VmListUpdate, membership::VmLeaving>(payload);
     decodeEach<wire::CancelAttempt, wire::CancelResult>(payload);
+    decodeEach<wire::SlotAsk, wire::SlotOffer>(payload);
 }
 
 }
--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -37,6 +37,11 @@
     /// being given; a short one refuses in a burst what could still be served. 1: up to the deadline.
     double lateness = 1;
 
+    /// Which part of the time that is left beside a usual run may be expected to pass in the queue. With all of it, an
+    /// attempt that is overtaken by a more urgent one, or meets a long run, has waited for nothing, and every answer of
+    /// an overload comes at the last moment. Slots are as busy with a short queue as with a long one. 1: all.
+    double slackForWaiting = 1;
+
     /// Of what a more urgent tier gets, the next one gets this part while both wait. Above 0, since a kind of request
     /// that is never served helps nobody; small, since the more urgent one should not suffer first.
     double nextTierShare = 0.25;
@@ -57,7 +62,7 @@
 {
     bool accepted = false;
     base::ResultCode code = base::ResultCode::Ok; ///< Why it was refused.
-    base::Duration retryAfter{}; ///< When a refused attempt could start, as far as can be told.
+    base::Duration retryAfter{}; ///< When the attempt could start, as far as can be told; 0 where accepted by offer().
 };
 
 /// What becomes of a queued attempt.
@@ -88,6 +93,9 @@
     SlotQueue(const base::Clock &clock, int slots, SlotQueueSettings settings = {});
 
     Verdict offer(const QueueOffer &offer);
+
+    /// What offer() would say now, with the wait also where it would accept. Changes nothing.
+    Verdict quote(const QueueOffer &offer) const;
     Verdict offer(const AttemptId &attempt, const base::WorkspaceId &workspace, base::TimePoint deadline);
 
     /// Decisions due now. Starting an attempt occupies a slot until finished().
--- a/src/include/papayastep/node/entryhandler.h
+++ b/src/include/papayastep/node/entryhandler.h
@@ -23,6 +23,7 @@
     void deliver(const limits::AdmissionDecision &decision);
     void deliver(const routing::LedgerDecision &decision);
     void deliver(const wire::CancelResult &result);
+    void deliver(const wire::SlotOffer &offer);
 
     std::size_t open() const;
 
--- a/src/include/papayastep/node/nodecontext.h
+++ b/src/include/papayastep/node/nodecontext.h
@@ -15,6 +15,7 @@
 #include "papayastep/routing/placement.h"
 #include "papayastep/routing/retrypolicy.h"
 #include "papayastep/routing/routetable.h"
+#include "papayastep/routing/slotsurvey.h"
 #include "papayastep/wire/hop.h"
 
 #include <functional>
@@ -55,6 +56,7 @@
     limits::RateLimiter &tokens; ///< The same, for short.
     health::HealthMonitor health;
     health::GrayBook gray;
+    routing::SilenceBook silence;
     routing::RetryBudget retryBudget;
     routing::RetryPolicy retryPolicy;
     routing::LedgerHome ledgerHome;
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -6,6 +6,7 @@
 #include "papayastep/node/nodecontext.h"
 #include "papayastep/node/servedanswer.h"
 #include "papayastep/routing/attemptregistry.h"
+#include "papayastep/wire/slotask.h"
 
 #include <map>
 #include <memory>
@@ -25,6 +26,9 @@
     /// once, when the attempt seems to hang.
     net::Awaitable<ServedAnswer> serve(wire::HopRequest hop, net::ClientRequest request, std::function<void()> suspect);
 
+    /// What would become of a request at a backend server of this VM now. Promises nothing.
+    wire::SlotOffer offerFor(const wire::SlotAsk &ask);
+
     /// The entry asks to cancel; the attempt may not have come yet.
     routing::CancelAnswer cancel(const wire::CancelAttempt &cancel, const routing::SentStamp &stamp);
 
@@ -50,11 +54,13 @@
 
     Lane *laneOf(const base::BackendServerId &server);
     std::optional<base::ResultCode> checkKey(const wire::HopRequest &hop) const;
-    std::optional<base::ResultCode> checkServer(const wire::HopRequest &hop);
+    std::optional<base::ResultCode> checkServer(const base::BackendServerId &server,
+                                                bool idempotent,
+                                                bool lastResort = false);
     base::TimePoint overdueAt(const Work &work);
     void watchOverdue();
     limits::QueueOffer offerOf(const Work &work) const;
-    bool isHeldBack(const Lane &lane, const wire::HopRequest &hop) const;
+    bool isHeldBack(const Lane &lane, bool idempotent) const;
     std::optional<base::ResultCode> beginWork(Work &work);
     net::Awaitable<void> waitForSlot(WorkPtr work);
     net::Awaitable<void> runOnBackend(WorkPtr work, net::ClientRequest request);
--- a/src/include/papayastep/routing/leastcostplacement.h
+++ b/src/include/papayastep/routing/leastcostplacement.h
@@ -48,10 +48,11 @@
                     const PlacementRequest &request,
                     std::mt19937_64 &random) const override;
 
-    /// `noise` stretches the expected time; 1: not at all.
-    double cost(const Candidate &candidate, const PlacementRequest &request, double noise = 1) const;
+    double cost(const Candidate &candidate, const PlacementRequest &request) const override;
 
 private:
+    /// `noise` stretches the expected time; 1: not at all.
+    double cost(const Candidate &candidate, const PlacementRequest &request, double noise) const;
     base::Duration waitAndRun(const Candidate &candidate) const;
     double lateness(base::Duration expected, const PlacementRequest &request) const;
 
--- a/src/include/papayastep/routing/placement.h
+++ b/src/include/papayastep/routing/placement.h
@@ -30,6 +30,8 @@
     bool pathUsable = true; ///< From here to its VM.
     double failureRisk = 0; ///< How likely it is in a spell of gray failure.
     base::Duration freshness{0}; ///< Age of the load figures.
+    /// Wait and run together, as the node beside it says now; goes before the figures above.
+    std::optional<base::Duration> quoted;
 
     auto operator<=>(const Candidate &) const = default;
 };
@@ -91,6 +93,9 @@
 
     virtual std::string_view name() const = 0;
 
+    /// What a candidate is expected to cost the request; only differences mean anything.
+    virtual double cost(const Candidate &candidate, const PlacementRequest &request) const = 0;
+
     /// Whether a sibling that a refusal names goes before the policy's own choice.
     virtual bool followsAdvice() const
     {
@@ -107,6 +112,7 @@
 {
 public:
     std::string_view name() const override;
+    double cost(const Candidate &candidate, const PlacementRequest &request) const override;
     Placement place(std::span<const Candidate> candidates,
                     const PlacementRequest &request,
                     std::mt19937_64 &random) const override;
@@ -134,6 +140,7 @@
     explicit TwoChoicePlacement(TwoChoiceSettings settings = {});
 
     std::string_view name() const override;
+    double cost(const Candidate &candidate, const PlacementRequest &request) const override;
     Placement place(std::span<const Candidate> candidates,
                     const PlacementRequest &request,
                     std::mt19937_64 &random) const override;
--- /dev/null
+++ b/src/include/papayastep/routing/slotsurvey.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "papayastep/base/resultcode.h"
+#include "papayastep/routing/placement.h"
+
+#include <map>
+
+namespace papayastep::routing {
+
+/// What the node beside a backend server says that it would do with a request now.
+struct SlotQuote
+{
+    base::ResultCode code = base::ResultCode::Ok; ///< With which it would refuse; Ok: it would take it.
+    base::Duration wait{0}; ///< Until it could start, or, if refused, until it could be taken.
+    base::Duration run{0}; ///< How long runs take there.
+    double failureRisk = 0; ///< How likely its server is in a gray spell.
+
+    auto operator<=>(const SlotQuote &) const = default;
+};
+
+struct SlotSurveySettings
+{
+    /// Asked first: the two that seem best. At moderate load one of them has a free slot nearly always.
+    std::size_t firstWave = 2;
+    /// Asked in each later wave. Of four servers that are each busy nine times in ten, one is free in a third of the
+    /// cases; asking all at once would cost a large service's nodes more than the slot is worth.
+    std::size_t laterWave = 4;
+    /// Waves after which a short queue is as good as a free slot that may be found by more questions.
+    int wavesForFreeSlot = 2;
+    std::size_t mostAsked = 14;
+    /// For the answers of a wave. Ten times the way to another availability zone and back (2.8 ms); a node that has not
+    /// answered by then is cut off, paused or overloaded, and no place for a request that can't be repeated.
+    base::Duration patience = std::chrono::milliseconds(28);
+    /// After the first usable answer, for those from nearer or better servers. One way to another zone and back.
+    base::Duration grace = std::chrono::milliseconds(4);
+    /// Cost that another server of the wave must be able to save for its answer to be waited for. Half of a hop to
+    /// another zone.
+    double worthWaiting = 0.025;
+};
+
+/// What to do next in a survey.
+struct SurveyStep
+{
+    enum class Kind {
+        Ask, ///< The servers in `ask`.
+        Wait, ///< For answers, until `until`.
+        Take, ///< Send the request to `candidate`.
+        Refuse, ///< No server would answer it in time.
+    };
+    Kind kind = Kind::Wait;
+    std::vector<std::size_t> ask;
+    base::TimePoint until;
+    std::size_t candidate = 0;
+    bool lastResort = false; ///< With Take: all that answered hold their servers back as gray.
+    base::ResultCode code = base::ResultCode::Ok; ///< With Refuse: why the soonest of them would refuse.
+    base::Duration retryAfter{0}; ///< With Refuse: when the soonest could take it.
+
+    auto operator<=>(const SurveyStep &) const = default;
+};
+
+/// Finds the server for one request by asking the nodes beside some of them, in waves, what they would do with it.
+///
+/// An entry knows a server's queue only from its own last answer there, which in a fleet of many entries is seconds
+/// old. Placed by that, a request in an overload wandered from one full server to the next: 4.1 attempts a request, 48
+/// MB between zones in 47 s and half of its time gone before it was refused (heaviest measured load of Caribrite's
+/// counter, 22 nodes). The node beside a server knows its slots exactly. It also shows that the way there works before
+/// a request that can't be repeated is handed to it.
+///
+/// If nobody has a free slot, the request goes to the server with the least expected cost of waiting, and if it could
+/// not be answered in time anywhere, it is refused at once.
+class SlotSurvey
+{
+public:
+    SlotSurvey(const PlacementPolicy &policy,
+               std::vector<Candidate> candidates,
+               PlacementRequest request,
+               const SlotSurveySettings &settings = {});
+
+    /// An answer; ignored from a server that was not asked or has answered.
+    void note(const base::BackendServerId &server, const SlotQuote &quote);
+
+    SurveyStep next(base::TimePoint now, std::mt19937_64 &random);
+
+    /// With what was quoted in place of what was believed.
+    const Candidate &candidate(std::size_t index) const;
+    /// Servers that have not answered within the patience of a wave.
+    std::vector<std::size_t> silent(base::TimePoint now) const;
+    std::size_t asked() const;
+
+private:
+    std::vector<std::size_t> nextWave(base::TimePoint now, std::mt19937_64 &random);
+    std::optional<std::size_t> best(base::Duration longestWait) const;
+    std::optional<std::size_t> atOnce() const;
+    double costOf(std::size_t index) const;
+    SurveyStep take(std::size_t index, bool lastResort = false) const;
+    SurveyStep giveUp() const;
+
+    const PlacementPolicy &m_policy;
+    std::vector<Candidate> m_candidates;
+    PlacementRequest m_request;
+    SlotSurveySettings m_settings;
+    std::vector<std::optional<SlotQuote>> m_quotes;
+    std::map<std::size_t, base::TimePoint> m_open; ///< Asked, no answer yet, and since when.
+    std::size_t m_asked = 0;
+    int m_waves = 0;
+    bool m_waiting = false; ///< For the answers of a wave.
+    base::TimePoint m_waveBegan;
+    base::TimePoint m_waveEnds;
+    bool m_graceBegan = false;
+};
+
+/// Remembers nodes that did not answer, so that others are asked first for a while.
+class SilenceBook
+{
+public:
+    explicit SilenceBook(const base::Clock &clock);
+
+    void noteSilent(const base::VmId &vm);
+    void noteHeard(const base::VmId &vm);
+    bool isSilent(const base::VmId &vm) const;
+
+private:
+    const base::Clock &m_clock;
+    std::map<base::VmId, base::TimePoint> m_since;
+};
+
+}
--- a/src/include/papayastep/wire/hop.h
+++ b/src/include/papayastep/wire/hop.h
@@ -31,7 +31,6 @@
     std::string callerId; ///< The caller's own name for the request, for the logs of both sides; may be empty.
     std::uint8_t priority = 0; ///< 0 is the most urgent.
     std::int64_t wantedIn = 0; ///< Nanoseconds after which an answer is worth less, as `remaining`; 0: not stated.
-    bool mayQueue = true; ///< False: refuse it unless a slot is free now; the entry knows others to ask.
     bool lastResort = false; ///< All servers were found ejected, so this one is to try whatever it thinks of itself.
 
     base::RequestId requestId() const
@@ -64,7 +63,6 @@
                    callerId,
                    priority,
                    wantedIn,
-                   mayQueue,
                    lastResort)
 };
 
--- a/src/include/papayastep/wire/message.h
+++ b/src/include/papayastep/wire/message.h
@@ -39,6 +39,8 @@
     // 40-49: attempts
     CancelAttempt = 40,
     CancelResult = 41,
+    SlotAsk = 42,
+    SlotOffer = 43,
     // 50-59: idempotency ledger
     LedgerClaim = 50,
     LedgerClaimResult = 51,
--- /dev/null
+++ b/src/include/papayastep/wire/slotask.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "papayastep/base/identifiers.h"
+#include "papayastep/wire/message.h"
+
+namespace papayastep::wire {
+
+/// Kind SlotAsk, entry to serving node: what would become of this request at your backend server now? Some 100 bytes,
+/// where a request that is sent only to be refused costs its whole body and both headers.
+struct SlotAsk
+{
+    std::uint64_t requestHigh = 0;
+    std::uint64_t requestLow = 0;
+    base::BackendServerId server;
+    base::WorkspaceId workspace;
+    std::uint8_t priority = 0; ///< As in HopRequest.
+    bool idempotent = false;
+    std::int64_t remaining = 0; ///< As in HopRequest.
+    std::int64_t wantedIn = 0; ///< As in HopRequest.
+
+    auto operator<=>(const SlotAsk &) const = default;
+    MSGPACK_DEFINE(requestHigh, requestLow, server, workspace, priority, idempotent, remaining, wantedIn)
+};
+
+/// Kind SlotOffer, the answer to a SlotAsk. It promises nothing: the slot may be taken when the request comes.
+struct SlotOffer
+{
+    std::uint64_t requestHigh = 0;
+    std::uint64_t requestLow = 0;
+    base::BackendServerId server;
+    std::int32_t code = 0; ///< ResultCode with which the request would be refused; 0: it would be taken.
+    std::uint32_t waitMicros = 0; ///< Until it could start; where it would be refused: until it could be taken.
+    std::uint32_t runMicros = 0; ///< How long runs take there.
+    std::uint8_t grayPercent = 0; ///< As in HopReply.
+
+    auto operator<=>(const SlotOffer &) const = default;
+    MSGPACK_DEFINE(requestHigh, requestLow, server, code, waitMicros, runMicros, grayPercent)
+};
+
+}
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -48,6 +48,20 @@
     return Verdict{true, base::ResultCode::Ok, {}};
 }
 
+Verdict SlotQueue::quote(const QueueOffer &offer) const
+{
+    const base::Duration wait = expectedWait(offer.workspace, offer.priority);
+    if (!comesInTime(offer)) {
+        return Verdict{false, base::ResultCode::HopQueueTimeout, std::max(shortestRetryAfter, wait)};
+    }
+    const bool full = m_queued.size() >= m_settings.maxQueued
+        || queuedOf(offer.workspace, offer.priority) >= m_settings.maxQueuedPerWorkspace;
+    if (full) {
+        return Verdict{false, base::ResultCode::HopQueueFull, std::max(shortestRetryAfter, wait)};
+    }
+    return Verdict{true, base::ResultCode::Ok, wait};
+}
+
 std::vector<QueueDecision> SlotQueue::poll()
 {
     std::vector<QueueDecision> decisions = std::exchange(m_evicted, {});
@@ -188,6 +202,12 @@
     if (start >= latestStart(offer)) {
         return false;
     }
+    const bool canBeWanted = offer.wanted && *offer.wanted > now + m_meanRun;
+    const base::Duration slack
+        = (canBeWanted ? std::min(*offer.wanted, offer.deadline) : offer.deadline) - now - m_meanRun;
+    if (m_settings.slackForWaiting < 1 && wait > part(slack, m_settings.slackForWaiting)) {
+        return false;
+    }
     if (!offer.wanted || *offer.wanted >= offer.deadline) {
         return true;
     }
--- a/src/node/candidates.cpp
+++ b/src/node/candidates.cpp
@@ -21,7 +21,8 @@
     candidate.freshness = view.age.value_or(base::Duration::zero());
     candidate.drained = server.drain || context.isLeaving(server.vm)
         || view.availability == health::Availability::Draining || view.availability == health::Availability::Gone;
-    const bool reachable = server.vm == context.settings.vm || context.vms.find(server.vm) != nullptr;
+    const bool known = server.vm == context.settings.vm || context.vms.find(server.vm) != nullptr;
+    const bool reachable = known && !context.silence.isSilent(server.vm);
     candidate.pathUsable = reachable;
     if (!context.settings.ejection) {
         return candidate;
--- a/src/node/entryhandler.cpp
+++ b/src/node/entryhandler.cpp
@@ -56,6 +56,14 @@
     }
 }
 
+void EntryHandler::deliver(const wire::SlotOffer &offer)
+{
+    const auto found = m_open.find({offer.requestHigh, offer.requestLow});
+    if (found != m_open.end()) {
+        found->second->slotOffered(offer);
+    }
+}
+
 std::size_t EntryHandler::open() const
 {
     return m_open.size();
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -2,7 +2,6 @@
 
 #include "papayastep/base/error.h"
 #include "papayastep/base/log.h"
-#include "papayastep/node/candidates.h"
 #include "papayastep/node/refusals.h"
 #include "papayastep/node/streamedanswer.h"
 
@@ -15,14 +14,6 @@
 
 constexpr std::string_view logPrefix = "routing";
 
-/// Servers asked for a free slot before the request may queue. A third one found a slot in few cases more, at loads up
-/// to nine tenths, and costs a hop for every request when all are full.
-constexpr int triesForFreeSlot = 2;
-
-/// Servers found ejected after which the next one is to try. With a third of the servers in a spell, four draws in a
-/// row find one by chance in 1 of 81 requests; more often it means that nearly all are.
-constexpr int ejectedBeforeLastResort = 4;
-
 std::int64_t milliseconds(base::Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -53,6 +44,7 @@
     , m_id(m_context.newRequestId())
     , m_arrived(m_context.clock.now())
     , m_changed(m_context.io)
+    , m_choice(m_context, handler.m_serving, m_id, m_changed)
     , m_watch(m_context, m_changed)
     , m_inForce(m_context.inForce)
 {
@@ -109,6 +101,11 @@
     m_changed.notify();
 }
 
+void EntryRequest::slotOffered(const wire::SlotOffer &offer)
+{
+    m_choice.slotOffered(offer);
+}
+
 void EntryRequest::cancelAnswered(int attempt, routing::CancelAnswer answer)
 {
     if (m_watch.attempt() != nullptr && static_cast<int>(m_watch.attempt()->hop().attempt) == attempt) {
@@ -268,18 +265,18 @@
 
 net::Awaitable<void> EntryRequest::runAttempts()
 {
-    Step refused = place();
+    Step refused = co_await place();
     if (refused) {
         co_await refuse(*refused);
         co_return;
     }
-    for (;;) {
+    while (m_watch.attempt() != nullptr) {
         const routing::AttemptResult result = co_await m_watch.next(m_progress.deadline, m_callerGone);
         if (result.event == routing::AttemptEvent::AcknowledgedThenSilent && m_context.stopping) {
             // A planned stop must not break off what a server is at work on, and a repeat may find no place.
             continue;
         }
-        noteServer(result);
+        m_choice.noteResult(m_current, result, m_watch.advice());
         const routing::RetryDecision decision = m_context.retryPolicy.decide(m_progress, result);
         m_context.metrics.countAttempt(m_progress.service, routing::name(result.event));
         if (decision.action != routing::RetryAction::AnswerCaller) {
@@ -296,49 +293,49 @@
     }
 }
 
-EntryRequest::Step EntryRequest::place()
+net::Awaitable<EntryRequest::Step> EntryRequest::place()
 {
     // Between two attempts the configuration may have moved on; the placement follows it, the route stays.
-    const auto candidates = candidatesOf(m_context, m_progress.service);
-    routing::PlacementRequest request{m_context.settings.zone, m_progress.idempotent, m_tried};
-    if (!mayQueue()) {
-        request.tried.insert(request.tried.end(), m_full.begin(), m_full.end());
-    }
-    const auto now = m_context.clock.now();
-    request.remaining = m_progress.deadline - now;
-    if (m_route->targetLatency > base::Duration::zero()) {
-        request.wantedIn = m_arrived + m_route->targetLatency - now;
-    }
-    auto placement = m_context.placement->place(candidates, request, m_context.random);
-    const base::BackendServerId &advice = m_watch.advice();
-    const auto advised = std::find_if(candidates.begin(), candidates.end(), [&](const routing::Candidate &candidate) {
-        return !advice.empty() && candidate.server == advice && !candidate.drained && candidate.pathUsable;
-    });
-    const bool untried = std::find(m_tried.begin(), m_tried.end(), advice) == m_tried.end();
-    const bool followAdvice = advised != candidates.end() && untried && m_context.placement->followsAdvice();
-    if (followAdvice) {
-        placement.candidate = static_cast<std::size_t>(advised - candidates.begin());
+    const ServerNeed need = serverNeed();
+    const auto choice = co_await m_choice.choose(need, m_callerGone);
+    if (m_callerGone) {
+        // Nothing is sent any more, and nobody is there to be told.
+        co_return std::nullopt;
     }
-    if (!placement.candidate && m_ejectedSeen > 0) {
-        // Every server that is left was found ejected; one that may fail is better than none.
-        request.tried.clear();
-        placement = m_context.placement->place(candidates, request, m_context.random);
+    if (const auto *none = std::get_if<NoServer>(&choice)) {
+        co_return m_context.retryPolicy.refuseInstead(m_progress, none->code, none->retryAfter);
     }
-    if (!placement.candidate) {
-        return m_context.retryPolicy.refuseInstead(m_progress, ResultCode::NoBackendServer, {});
+    const ChosenServer &chosen = std::get<ChosenServer>(choice);
+    const config::BackendServer *server = m_context.inForce.configuration->backendServer(chosen.candidate.server);
+    if (server == nullptr) {
+        // It left while its node was asked.
+        co_return m_context.retryPolicy.refuseInstead(m_progress, ResultCode::HopBackendServerGone, {});
     }
-    const routing::Candidate &chosen = candidates[*placement.candidate];
     m_context.retryPolicy.beginAttempt(m_progress);
-    auto attempt = makeAttempt(*m_context.inForce.configuration->backendServer(chosen.server));
-    m_current = chosen.server;
+    auto attempt = makeAttempt(*server, chosen);
+    m_current = server->id;
     m_machine.handle(RequestEvent::Place);
-    logPlacement(chosen, followAdvice ? "advice" : routing::name(placement.reason));
+    logPlacement(chosen);
     m_watch.begin(
-        std::move(attempt), m_context.retryPolicy.timeouts(m_progress, typicalLatency(candidates)), forwardedRequest());
-    return std::nullopt;
+        std::move(attempt), m_context.retryPolicy.timeouts(m_progress, chosen.typicalLatency), forwardedRequest());
+    co_return std::nullopt;
+}
+
+ServerNeed EntryRequest::serverNeed() const
+{
+    ServerNeed need;
+    need.service = m_progress.service;
+    need.workspace = m_workspace;
+    need.priority = m_priority;
+    need.idempotent = m_progress.idempotent;
+    need.deadline = m_progress.deadline;
+    if (m_route->targetLatency > base::Duration::zero()) {
+        need.wanted = m_arrived + m_route->targetLatency;
+    }
+    return need;
 }
 
-AttemptPtr EntryRequest::makeAttempt(const config::BackendServer &server)
+AttemptPtr EntryRequest::makeAttempt(const config::BackendServer &server, const ChosenServer &chosen)
 {
     const auto now = m_context.clock.now();
     wire::HopRequest hop;
@@ -355,15 +352,14 @@
     hop.remaining = (m_progress.deadline - now).count();
     hop.sent = now.time_since_epoch().count();
     hop.idempotent = m_progress.idempotent;
-    hop.redirected = server.id == m_watch.advice();
+    hop.redirected = chosen.byAdvice;
     hop.callerService = m_context.settings.service;
     hop.callerId = m_caller.id;
     hop.priority = static_cast<std::uint8_t>(m_priority);
     if (m_route->targetLatency > base::Duration::zero()) {
         hop.wantedIn = std::max<std::int64_t>(1, (m_arrived + m_route->targetLatency - now).count());
     }
-    hop.mayQueue = mayQueue();
-    hop.lastResort = m_ejectedSeen >= ejectedBeforeLastResort || wasTried(server.id);
+    hop.lastResort = chosen.lastResort;
     const config::VmEntry *vm = m_context.vms.find(server.vm);
     if (server.vm == m_context.settings.vm || vm == nullptr) {
         return std::make_shared<LocalAttempt>(m_context, std::move(hop), m_handler.m_serving);
@@ -372,18 +368,6 @@
         m_context, std::move(hop), server.vm, net::Endpoint{vm->address, vm->hopPort});
 }
 
-/// What an entry knows of other queues is a second old, so it queues at one server while another has a free slot.
-/// Asking for a free slot first costs a round trip in a zone and finds nearly every one.
-bool EntryRequest::mayQueue() const
-{
-    return m_progress.tries > triesForFreeSlot || !m_context.settings.asksForFreeSlots;
-}
-
-bool EntryRequest::wasTried(const base::BackendServerId &server) const
-{
-    return std::find(m_tried.begin(), m_tried.end(), server) != m_tried.end();
-}
-
 net::ClientRequest EntryRequest::forwardedRequest() const
 {
     const net::RequestHead &head = m_exchange.head();
@@ -399,18 +383,6 @@
     return request;
 }
 
-/// Remembers what the server of the last attempt is good for.
-void EntryRequest::noteServer(const routing::AttemptResult &result)
-{
-    const bool wasFull = result.event == routing::AttemptEvent::RefusedNotRun && result.code == ResultCode::HopQueueFull
-        && !m_watch.attempt()->hop().mayQueue;
-    auto &servers = wasFull ? m_full : m_tried;
-    if (std::find(servers.begin(), servers.end(), m_current) == servers.end()) {
-        servers.push_back(m_current);
-    }
-    m_ejectedSeen += result.code == ResultCode::HopBackendServerEjected ? 1 : 0;
-}
-
 net::Awaitable<bool> EntryRequest::act(const routing::RetryDecision &decision)
 {
     switch (decision.action) {
@@ -461,7 +433,7 @@
             co_return true;
         }
     }
-    Step refused = place();
+    Step refused = co_await place();
     if (refused) {
         co_await refuse(*refused);
         co_return true;
@@ -539,17 +511,20 @@
 }
 
 /// With what the choice went by, and how old that is.
-void EntryRequest::logPlacement(const routing::Candidate &chosen, std::string_view reason) const
+void EntryRequest::logPlacement(const ChosenServer &chosen) const
 {
+    const routing::Candidate &server = chosen.candidate;
     const auto left = m_progress.deadline - m_context.clock.now();
     PAPAYASTEP_LOG(INFO, logPrefix) << "Placed an attempt." << base::field("request", shownId())
                                     << base::field("hop", m_id) << base::field("attempt", m_progress.tries)
                                     << base::field("workspace", m_workspace) << base::field("route", m_route->id)
-                                    << base::field("server", chosen.server) << base::field("vm", chosen.vm)
-                                    << base::field("reason", reason) << base::field("slotsInUse", chosen.slotsInUse)
-                                    << base::field("queued", chosen.queueLength)
-                                    << base::field("grayPercent", std::lround(100 * chosen.failureRisk))
-                                    << base::field("ageMs", milliseconds(chosen.freshness))
+                                    << base::field("server", server.server) << base::field("vm", server.vm)
+                                    << base::field("reason", chosen.reason) << base::field("asked", chosen.asked)
+                                    << base::field("quotedMs", milliseconds(server.quoted.value_or(base::Duration(0))))
+                                    << base::field("slotsInUse", server.slotsInUse)
+                                    << base::field("queued", server.queueLength)
+                                    << base::field("grayPercent", std::lround(100 * server.failureRisk))
+                                    << base::field("ageMs", milliseconds(server.freshness))
                                     << base::field("revision", m_inForce.configuration->revision())
                                     << base::field("leftMs", milliseconds(left));
 }
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "attemptwatch.h"
+#include "serverchoice.h"
 
 #include "papayastep/node/callerprotocol.h"
 #include "papayastep/node/entryhandler.h"
@@ -28,6 +29,7 @@
     void admissionDecided(const limits::Admission &admission);
     void ledgerDecided(const routing::ClaimAnswer &answer);
     void cancelAnswered(int attempt, routing::CancelAnswer answer);
+    void slotOffered(const wire::SlotOffer &offer);
 
 private:
     /// A step's refusal; nothing means to go on.
@@ -42,11 +44,9 @@
     net::Awaitable<Step> claimKey();
     net::Awaitable<void> runAttempts();
 
-    Step place();
-    AttemptPtr makeAttempt(const config::BackendServer &server);
-    bool wasTried(const base::BackendServerId &server) const;
-    bool mayQueue() const;
-    void noteServer(const routing::AttemptResult &result);
+    net::Awaitable<Step> place();
+    ServerNeed serverNeed() const;
+    AttemptPtr makeAttempt(const config::BackendServer &server, const ChosenServer &chosen);
     net::ClientRequest forwardedRequest() const;
     net::Awaitable<bool> act(const routing::RetryDecision &decision);
     net::Awaitable<bool> retry(const routing::RetryDecision &decision);
@@ -55,7 +55,7 @@
     net::Awaitable<void> passStoredAnswer();
     net::Awaitable<void> passLargeAnswer(ServedAnswer &answer, net::ResponseHead head);
     net::Awaitable<void> refuse(routing::Refusal refusal);
-    void logPlacement(const routing::Candidate &chosen, std::string_view reason) const;
+    void logPlacement(const ChosenServer &chosen) const;
     void logAnswer(unsigned status, const base::BackendServerId &server) const;
     void logRefusal(const routing::Refusal &refusal) const;
     void reportToLedger(const routing::Refusal &refusal);
@@ -69,6 +69,7 @@
     base::RequestId m_id;
     base::TimePoint m_arrived;
     net::Signal m_changed;
+    ServerChoice m_choice;
     AttemptWatch m_watch;
     routing::RequestMachine m_machine;
     routing::RequestProgress m_progress;
@@ -87,9 +88,6 @@
     bool m_claimed = false; ///< The ledger was told that this request runs and waits for its end.
 
     base::BackendServerId m_current; ///< Of the last attempt.
-    std::vector<base::BackendServerId> m_tried; ///< Not to be asked again.
-    std::vector<base::BackendServerId> m_full; ///< Had no free slot.
-    int m_ejectedSeen = 0; ///< Attempts refused because their server was ejected.
     bool m_callerGone = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< For callbacks that may come after the end.
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -201,6 +201,12 @@
     } else if (isBetween(envelope.kind, 30, 39)) {
         m_spread.receive(envelope.sender, envelope.kind, envelope.payload);
         m_keeper.wake();
+    } else if (envelope.kind == wire::MessageKind::SlotAsk) {
+        const wire::SlotOffer offer = m_serving.offerFor(wire::decode<wire::SlotAsk>(envelope.payload));
+        m_peers.send(wire::outgoing(envelope.sender, wire::MessageKind::SlotOffer, offer));
+    } else if (envelope.kind == wire::MessageKind::SlotOffer) {
+        m_context.silence.noteHeard(envelope.sender);
+        m_entry.deliver(wire::decode<wire::SlotOffer>(envelope.payload));
     } else if (isBetween(envelope.kind, 40, 49)) {
         handleCancel(envelope);
     } else if (envelope.kind == wire::MessageKind::LedgerClaimResult
--- a/src/node/nodecontext.cpp
+++ b/src/node/nodecontext.cpp
@@ -81,6 +81,7 @@
     , tokens(*rateLimiter)
     , health({settings.vm, incarnation}, clock, random(), healthSettings(settings))
     , gray(clock)
+    , silence(clock)
     , retryBudget(clock)
     , retryPolicy(clock, retryBudget, retrySettings())
     , ledgerHome(clock, settings.vm, incarnation, ledgerSettings(settings))
--- /dev/null
+++ b/src/node/serverchoice.cpp
@@ -0,0 +1,174 @@
+#include "serverchoice.h"
+
+#include "papayastep/node/candidates.h"
+
+#include <algorithm>
+
+namespace papayastep::node {
+
+namespace {
+
+/// Servers found ejected after which the next one is to try. With a third of the servers in a spell, four draws in a
+/// row find one by chance in 1 of 81 requests; more often it means that nearly all are.
+constexpr int ejectedBeforeLastResort = 4;
+
+using base::ResultCode;
+using routing::SurveyStep;
+
+routing::SlotQuote quoteOf(const wire::SlotOffer &offer)
+{
+    routing::SlotQuote quote;
+    quote.code = static_cast<ResultCode>(offer.code);
+    quote.wait = std::chrono::microseconds(offer.waitMicros);
+    quote.run = std::chrono::microseconds(offer.runMicros);
+    quote.failureRisk = std::min<int>(offer.grayPercent, 100) / 100.0;
+    return quote;
+}
+
+}
+
+ServerChoice::ServerChoice(NodeContext &context,
+                           ServingNode &serving,
+                           const base::RequestId &request,
+                           net::Signal &changed)
+    : m_context(context)
+    , m_serving(serving)
+    , m_request(request)
+    , m_changed(changed)
+{
+}
+
+net::Awaitable<ServerChoice::Result> ServerChoice::choose(const ServerNeed &need, const bool &callerGone)
+{
+    if (m_context.settings.asksForFreeSlots) {
+        co_return co_await chooseBySurvey(need, callerGone);
+    }
+    co_return chooseByBelief(need);
+}
+
+void ServerChoice::slotOffered(const wire::SlotOffer &offer)
+{
+    m_context.gray.note(offer.server, quoteOf(offer).failureRisk);
+    if (m_survey) {
+        m_survey->note(offer.server, quoteOf(offer));
+        m_changed.notify();
+    }
+}
+
+void ServerChoice::noteResult(const base::BackendServerId &server,
+                              const routing::AttemptResult &result,
+                              const base::BackendServerId &advice)
+{
+    if (!wasTried(server)) {
+        m_tried.push_back(server);
+    }
+    m_advice = advice;
+    m_ejectedSeen += result.code == ResultCode::HopBackendServerEjected ? 1 : 0;
+}
+
+routing::PlacementRequest ServerChoice::placementRequest(const ServerNeed &need) const
+{
+    const auto now = m_context.clock.now();
+    routing::PlacementRequest request{m_context.settings.zone, need.idempotent, m_tried};
+    request.remaining = need.deadline - now;
+    if (need.wanted) {
+        request.wantedIn = *need.wanted - now;
+    }
+    return request;
+}
+
+ServerChoice::Result ServerChoice::chooseByBelief(const ServerNeed &need)
+{
+    const auto candidates = candidatesOf(m_context, need.service);
+    routing::PlacementRequest request = placementRequest(need);
+    auto placement = m_context.placement->place(candidates, request, m_context.random);
+    const auto advised = std::find_if(candidates.begin(), candidates.end(), [&](const routing::Candidate &candidate) {
+        return !m_advice.empty() && candidate.server == m_advice && !candidate.drained && candidate.pathUsable;
+    });
+    const bool followAdvice
+        = advised != candidates.end() && !wasTried(m_advice) && m_context.placement->followsAdvice();
+    if (followAdvice) {
+        placement.candidate = static_cast<std::size_t>(advised - candidates.begin());
+    }
+    if (!placement.candidate && m_ejectedSeen > 0) {
+        // Every server that is left was found ejected; one that may fail is better than none.
+        request.tried.clear();
+        placement = m_context.placement->place(candidates, request, m_context.random);
+    }
+    if (!placement.candidate) {
+        return NoServer();
+    }
+    ChosenServer chosen;
+    chosen.candidate = candidates[*placement.candidate];
+    chosen.reason = followAdvice ? "advice" : routing::name(placement.reason);
+    chosen.lastResort = m_ejectedSeen >= ejectedBeforeLastResort || wasTried(chosen.candidate.server);
+    chosen.byAdvice = chosen.candidate.server == m_advice;
+    chosen.typicalLatency = typicalLatency(candidates);
+    return chosen;
+}
+
+net::Awaitable<ServerChoice::Result> ServerChoice::chooseBySurvey(const ServerNeed &need, const bool &callerGone)
+{
+    auto candidates = candidatesOf(m_context, need.service);
+    const base::Duration typical = typicalLatency(candidates);
+    m_survey
+        = std::make_unique<routing::SlotSurvey>(*m_context.placement, std::move(candidates), placementRequest(need));
+    SurveyStep step = m_survey->next(m_context.clock.now(), m_context.random);
+    while (!callerGone && (step.kind == SurveyStep::Kind::Ask || step.kind == SurveyStep::Kind::Wait)) {
+        for (const std::size_t index : step.ask) {
+            ask(need, m_survey->candidate(index));
+        }
+        if (step.kind == SurveyStep::Kind::Wait) {
+            co_await m_changed.waitUntil(step.until);
+        }
+        step = m_survey->next(m_context.clock.now(), m_context.random);
+    }
+    noteSilent();
+    const auto survey = std::move(m_survey);
+    if (step.kind != SurveyStep::Kind::Take) {
+        const NoServer none{step.code, step.retryAfter};
+        co_return none;
+    }
+    ChosenServer chosen;
+    chosen.candidate = survey->candidate(step.candidate);
+    chosen.reason = step.lastResort ? "all-gray" : "survey";
+    chosen.lastResort = step.lastResort;
+    chosen.asked = survey->asked();
+    chosen.typicalLatency = typical;
+    co_return chosen;
+}
+
+void ServerChoice::ask(const ServerNeed &need, const routing::Candidate &candidate)
+{
+    const auto now = m_context.clock.now();
+    wire::SlotAsk question;
+    question.requestHigh = m_request.high;
+    question.requestLow = m_request.low;
+    question.server = candidate.server;
+    question.workspace = need.workspace;
+    question.priority = static_cast<std::uint8_t>(need.priority);
+    question.idempotent = need.idempotent;
+    question.remaining = (need.deadline - now).count();
+    if (need.wanted) {
+        question.wantedIn = std::max<std::int64_t>(1, (*need.wanted - now).count());
+    }
+    if (candidate.vm == m_context.settings.vm) {
+        slotOffered(m_serving.offerFor(question));
+        return;
+    }
+    m_context.send(wire::outgoing(candidate.vm, wire::MessageKind::SlotAsk, question));
+}
+
+void ServerChoice::noteSilent() const
+{
+    for (const std::size_t index : m_survey->silent(m_context.clock.now())) {
+        m_context.silence.noteSilent(m_survey->candidate(index).vm);
+    }
+}
+
+bool ServerChoice::wasTried(const base::BackendServerId &server) const
+{
+    return std::find(m_tried.begin(), m_tried.end(), server) != m_tried.end();
+}
+
+}
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -18,6 +18,7 @@
     limits::SlotQueueSettings settings;
     settings.roomForRun = 0.7;
     settings.lateness = 0.3;
+    settings.slackForWaiting = 0.25;
     return settings;
 }
 
@@ -180,7 +181,7 @@
     work->suspect = std::move(suspect);
     auto refused = checkKey(work->hop);
     if (!refused) {
-        refused = checkServer(work->hop);
+        refused = checkServer(work->hop.server, work->hop.idempotent, work->hop.lastResort);
     }
     if (!refused) {
         refused = beginWork(*work);
@@ -190,10 +191,6 @@
     }
     Lane &lane = *laneOf(work->hop.server);
     noteEntry(lane, work->hop.entry);
-    if (!work->hop.mayQueue && !lane.queue.hasFreeSlot()) {
-        m_registry.drop({work->hop.requestId(), static_cast<int>(work->hop.attempt)});
-        co_return refusalOf(*work, ResultCode::HopQueueFull, lane.queue.expectedWait(work->hop.workspace));
-    }
     const limits::Verdict verdict = lane.queue.offer(offerOf(*work));
     if (!verdict.accepted) {
         m_registry.drop({work->hop.requestId(), static_cast<int>(work->hop.attempt)});
@@ -211,7 +208,7 @@
     // Much may have changed while it waited.
     refused = checkKey(work->hop);
     if (!refused) {
-        refused = checkServer(work->hop);
+        refused = checkServer(work->hop.server, work->hop.idempotent, work->hop.lastResort);
     }
     if (!refused && !m_registry.start({work->hop.requestId(), static_cast<int>(work->hop.attempt)})) {
         refused = ResultCode::HopCancelled;
@@ -227,6 +224,34 @@
     co_return answerOf(work);
 }
 
+wire::SlotOffer ServingNode::offerFor(const wire::SlotAsk &ask)
+{
+    wire::SlotOffer offer;
+    offer.requestHigh = ask.requestHigh;
+    offer.requestLow = ask.requestLow;
+    offer.server = ask.server;
+    const auto refused = checkServer(ask.server, ask.idempotent);
+    Lane *lane = laneOf(ask.server);
+    if (lane == nullptr || (refused && *refused != ResultCode::HopBackendServerEjected)) {
+        offer.code = number(refused.value_or(ResultCode::HopBackendServerGone));
+        return offer;
+    }
+    const auto now = m_context.clock.now();
+    limits::QueueOffer wanted;
+    wanted.workspace = ask.workspace;
+    wanted.priority = ask.priority;
+    wanted.deadline = now + base::Duration(ask.remaining);
+    if (ask.wantedIn > 0) {
+        wanted.wanted = now + base::Duration(ask.wantedIn);
+    }
+    const limits::Verdict verdict = lane->queue.quote(wanted);
+    offer.code = number(refused.value_or(verdict.code));
+    offer.waitMicros = static_cast<std::uint32_t>(microseconds(verdict.retryAfter));
+    offer.runMicros = static_cast<std::uint32_t>(microseconds(lane->queue.meanRun()));
+    offer.grayPercent = lane->grayPercent(now);
+    return offer;
+}
+
 routing::CancelAnswer ServingNode::cancel(const wire::CancelAttempt &cancel, const routing::SentStamp &stamp)
 {
     const base::RequestId request{cancel.requestHigh, cancel.requestLow};
@@ -419,22 +444,24 @@
     return std::nullopt;
 }
 
-std::optional<ResultCode> ServingNode::checkServer(const wire::HopRequest &hop)
+std::optional<ResultCode> ServingNode::checkServer(const base::BackendServerId &server,
+                                                   bool idempotent,
+                                                   bool lastResort)
 {
-    Lane *lane = laneOf(hop.server);
+    Lane *lane = laneOf(server);
     if (lane == nullptr || lane->gone || lane->server.drain) {
         return ResultCode::HopBackendServerGone;
     }
     if (m_context.draining) {
         return ResultCode::NodeDraining;
     }
-    if (!m_context.settings.ejection || hop.lastResort) {
+    if (!m_context.settings.ejection || lastResort) {
         return std::nullopt;
     }
-    if (isHeldBack(*lane, hop)) {
+    if (isHeldBack(*lane, idempotent)) {
         return ResultCode::HopBackendServerEjected;
     }
-    switch (m_context.health.admission(hop.server)) {
+    switch (m_context.health.admission(server)) {
     case health::Admission::Admit:
     case health::Admission::Unknown:
         return std::nullopt;
@@ -450,13 +477,13 @@
 
 /// A refusal here proves that the request did not run, so that the entry can send it elsewhere at once. On trial the
 /// one request that shows how the server is should be one that may fail.
-bool ServingNode::isHeldBack(const Lane &lane, const wire::HopRequest &hop) const
+bool ServingNode::isHeldBack(const Lane &lane, bool idempotent) const
 {
     const auto now = m_context.clock.now();
     if (lane.filter.isHeld(now)) {
         return true;
     }
-    return lane.filter.isOnTrial(now) && (lane.trial || !hop.idempotent);
+    return lane.filter.isOnTrial(now) && (lane.trial || !idempotent);
 }
 
 std::optional<ResultCode> ServingNode::beginWork(Work &work)
--- a/src/routing/leastcostplacement.cpp
+++ b/src/routing/leastcostplacement.cpp
@@ -126,6 +126,11 @@
     return placement;
 }
 
+double LeastCostPlacement::cost(const Candidate &candidate, const PlacementRequest &request) const
+{
+    return cost(candidate, request, 1);
+}
+
 double LeastCostPlacement::cost(const Candidate &candidate, const PlacementRequest &request, double noise) const
 {
     const base::Duration expected = stretched(waitAndRun(candidate), noise);
@@ -152,6 +157,9 @@
 
 base::Duration LeastCostPlacement::waitAndRun(const Candidate &candidate) const
 {
+    if (candidate.quoted) {
+        return *candidate.quoted;
+    }
     const bool known = candidate.latency > base::Duration::zero();
     const base::Duration latency = known ? candidate.latency : m_settings.defaultLatency;
     const double slots = std::max(candidate.slots, 1);
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -146,6 +146,11 @@
     return "random";
 }
 
+double RandomPlacement::cost(const Candidate &, const PlacementRequest &) const
+{
+    return 0;
+}
+
 Placement RandomPlacement::place(std::span<const Candidate> candidates,
                                  const PlacementRequest &request,
                                  std::mt19937_64 &random) const
@@ -185,6 +190,11 @@
     return latency * (1 + load + queueing) + candidate.failureRisk * failure;
 }
 
+double TwoChoicePlacement::cost(const Candidate &candidate, const PlacementRequest &request) const
+{
+    return score(candidate, request.idempotent);
+}
+
 Placement TwoChoicePlacement::place(std::span<const Candidate> candidates,
                                     const PlacementRequest &request,
                                     std::mt19937_64 &random) const
--- /dev/null
+++ b/src/routing/slotsurvey.cpp
@@ -0,0 +1,220 @@
+#include "papayastep/routing/slotsurvey.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace papayastep::routing {
+
+namespace {
+
+using base::ResultCode;
+
+/// A node that answered nothing is asked last for so long. Cuts and pauses last seconds; a node that was only busy for
+/// a moment must not stay without work.
+constexpr base::Duration silenceMemory = std::chrono::seconds(1);
+
+}
+
+SlotSurvey::SlotSurvey(const PlacementPolicy &policy,
+                       std::vector<Candidate> candidates,
+                       PlacementRequest request,
+                       const SlotSurveySettings &settings)
+    : m_policy(policy)
+    , m_candidates(std::move(candidates))
+    , m_request(std::move(request))
+    , m_settings(settings)
+    , m_quotes(m_candidates.size())
+{
+}
+
+void SlotSurvey::note(const base::BackendServerId &server, const SlotQuote &quote)
+{
+    const auto found = std::find_if(
+        m_open.begin(), m_open.end(), [&](const auto &entry) { return m_candidates[entry.first].server == server; });
+    if (found == m_open.end()) {
+        return;
+    }
+    const std::size_t index = found->first;
+    m_open.erase(found);
+    m_quotes[index] = quote;
+    m_candidates[index].quoted = quote.wait + quote.run;
+    m_candidates[index].failureRisk = quote.failureRisk;
+}
+
+SurveyStep SlotSurvey::next(base::TimePoint now, std::mt19937_64 &random)
+{
+    if (m_waiting) {
+        if (const auto index = atOnce()) {
+            return take(*index);
+        }
+        if (!m_graceBegan && best(base::Duration::zero())) {
+            m_graceBegan = true;
+            m_waveEnds = std::min(m_waveEnds, now + m_settings.grace);
+        }
+        const bool complete = std::none_of(
+            m_open.begin(), m_open.end(), [&](const auto &entry) { return entry.second == m_waveBegan; });
+        if (!complete && now < m_waveEnds) {
+            SurveyStep wait;
+            wait.until = m_waveEnds;
+            return wait;
+        }
+        m_waiting = false;
+    }
+    if (const auto free = best(base::Duration::zero())) {
+        return take(*free);
+    }
+    const auto queued = best(base::Duration::max());
+    if (queued && m_waves >= m_settings.wavesForFreeSlot) {
+        return take(*queued);
+    }
+    SurveyStep step;
+    step.kind = SurveyStep::Kind::Ask;
+    step.ask = nextWave(now, random);
+    if (!step.ask.empty()) {
+        m_waiting = true;
+        m_graceBegan = false;
+        m_waveBegan = now;
+        m_waveEnds = now + m_settings.patience;
+        step.until = m_waveEnds;
+        return step;
+    }
+    return queued ? take(*queued) : giveUp();
+}
+
+const Candidate &SlotSurvey::candidate(std::size_t index) const
+{
+    return m_candidates[index];
+}
+
+std::vector<std::size_t> SlotSurvey::silent(base::TimePoint now) const
+{
+    std::vector<std::size_t> found;
+    for (const auto &[index, since] : m_open) {
+        if (now - since >= m_settings.patience) {
+            found.push_back(index);
+        }
+    }
+    return found;
+}
+
+std::size_t SlotSurvey::asked() const
+{
+    return m_asked;
+}
+
+/// The servers that the policy would choose one after the other.
+std::vector<std::size_t> SlotSurvey::nextWave(base::TimePoint now, std::mt19937_64 &random)
+{
+    const std::size_t size = m_waves == 0 ? m_settings.firstWave : m_settings.laterWave;
+    std::vector<std::size_t> wave;
+    while (wave.size() < size && m_asked < m_settings.mostAsked) {
+        const Placement placement = m_policy.place(m_candidates, m_request, random);
+        if (!placement.candidate) {
+            break;
+        }
+        wave.push_back(*placement.candidate);
+        m_open.emplace(*placement.candidate, now);
+        m_request.tried.push_back(m_candidates[*placement.candidate].server);
+        ++m_asked;
+    }
+    ++m_waves;
+    return wave;
+}
+
+/// The cheapest of the servers that would take the request after at most `longestWait`.
+std::optional<std::size_t> SlotSurvey::best(base::Duration longestWait) const
+{
+    std::optional<std::size_t> found;
+    double leastCost = std::numeric_limits<double>::max();
+    for (std::size_t index = 0; index < m_quotes.size(); ++index) {
+        const auto &quote = m_quotes[index];
+        if (!quote || quote->code != ResultCode::Ok || quote->wait > longestWait) {
+            continue;
+        }
+        const double cost = costOf(index);
+        if (cost < leastCost) {
+            found = index;
+            leastCost = cost;
+        }
+    }
+    return found;
+}
+
+/// A free server that no answer still open can beat by much.
+std::optional<std::size_t> SlotSurvey::atOnce() const
+{
+    const auto free = best(base::Duration::zero());
+    if (!free) {
+        return std::nullopt;
+    }
+    const double cost = costOf(*free);
+    const bool canBeBeaten = std::any_of(m_open.begin(), m_open.end(), [&](const auto &entry) {
+        return entry.second == m_waveBegan && costOf(entry.first) + m_settings.worthWaiting < cost;
+    });
+    return canBeBeaten ? std::nullopt : free;
+}
+
+double SlotSurvey::costOf(std::size_t index) const
+{
+    return m_policy.cost(m_candidates[index], m_request);
+}
+
+SurveyStep SlotSurvey::take(std::size_t index, bool lastResort) const
+{
+    SurveyStep step;
+    step.kind = SurveyStep::Kind::Take;
+    step.candidate = index;
+    step.lastResort = lastResort;
+    return step;
+}
+
+/// Nobody would take it. Where servers are only held back as gray, one that may fail is better than none; a full one
+/// would only make the request late.
+SurveyStep SlotSurvey::giveUp() const
+{
+    std::optional<std::size_t> leastGray;
+    SurveyStep refusal;
+    refusal.kind = SurveyStep::Kind::Refuse;
+    refusal.code = m_asked > 0 ? ResultCode::HopUnacknowledged : ResultCode::NoBackendServer;
+    base::Duration soonest = base::Duration::max();
+    for (std::size_t index = 0; index < m_quotes.size(); ++index) {
+        const auto &quote = m_quotes[index];
+        if (!quote) {
+            continue;
+        }
+        const bool isGray = quote->code == ResultCode::HopBackendServerEjected;
+        if (isGray && (!leastGray || quote->failureRisk < m_quotes[*leastGray]->failureRisk)) {
+            leastGray = index;
+        }
+        if (!isGray && quote->wait < soonest) {
+            soonest = quote->wait;
+            refusal.code = quote->code;
+            refusal.retryAfter = quote->wait;
+        }
+    }
+    const bool onlyGray = leastGray && soonest == base::Duration::max();
+    return onlyGray ? take(*leastGray, true) : refusal;
+}
+
+SilenceBook::SilenceBook(const base::Clock &clock)
+    : m_clock(clock)
+{
+}
+
+void SilenceBook::noteSilent(const base::VmId &vm)
+{
+    m_since[vm] = m_clock.now();
+}
+
+void SilenceBook::noteHeard(const base::VmId &vm)
+{
+    m_since.erase(vm);
+}
+
+bool SilenceBook::isSilent(const base::VmId &vm) const
+{
+    const auto found = m_since.find(vm);
+    return found != m_since.end() && m_clock.now() - found->second < silenceMemory;
+}
+
+}
--- /dev/null
+++ b/src/routing/slotsurvey_test.cpp
@@ -0,0 +1,180 @@
+#include "papayastep/routing/leastcostplacement.h"
+#include "papayastep/routing/slotsurvey.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace papayastep;
+using namespace papayastep::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Kind = SurveyStep::Kind;
+
+/// Six servers, of which the first two stand in the zone of the entry.
+struct SurveyFixture
+{
+    SurveyFixture()
+    {
+        for (int i = 0; i < 6; ++i) {
+            Candidate candidate;
+            candidate.server = base::BackendServerId("s" + std::to_string(i));
+            candidate.vm = base::VmId("vm-" + std::to_string(i));
+            candidate.zone = base::ZoneId(i < 2 ? "near" : "far");
+            candidate.slots = 5;
+            candidate.latency = 300ms;
+            candidates.push_back(candidate);
+        }
+        request.zone = base::ZoneId("near");
+        request.wantedIn = 1200ms;
+        request.remaining = 2s;
+    }
+
+    SlotSurvey survey(std::size_t servers = 6) const
+    {
+        return SlotSurvey(
+            policy, {candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(servers)}, request);
+    }
+    SurveyStep next(SlotSurvey &survey)
+    {
+        return survey.next(clock.now(), random);
+    }
+    void answer(SlotSurvey &survey, std::size_t index, base::Duration wait, double risk = 0.13)
+    {
+        survey.note(candidates[index].server, {base::ResultCode::Ok, wait, 300ms, risk});
+    }
+    void refuse(SlotSurvey &survey, std::size_t index, base::ResultCode code, base::Duration wait, double risk = 0.13)
+    {
+        survey.note(candidates[index].server, {code, wait, 300ms, risk});
+    }
+
+    base::ManualClock clock;
+    std::mt19937_64 random{7};
+    LeastCostPlacement policy{base::VmId("entry")};
+    std::vector<Candidate> candidates;
+    PlacementRequest request;
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(slotSurvey, SurveyFixture)
+
+BOOST_AUTO_TEST_CASE(survey_freeServerInOwnZone_isTakenAtOnce)
+{
+    SlotSurvey asked = survey();
+    const SurveyStep first = next(asked);
+    BOOST_REQUIRE((first.kind == Kind::Ask));
+    BOOST_TEST((first.ask == std::vector<std::size_t>{0, 1} || first.ask == std::vector<std::size_t>{1, 0}));
+    answer(asked, 1, 0ms);
+    const SurveyStep step = next(asked);
+    BOOST_TEST((step.kind == Kind::Take));
+    BOOST_TEST(step.candidate == 1U);
+}
+
+// All servers of the zone are full. Without another question the request would queue behind them though servers of the
+// other zone stand idle, and its caller would wait for nothing.
+BOOST_AUTO_TEST_CASE(survey_ownZoneFull_findsFreeSlotElsewhere)
+{
+    SlotSurvey asked = survey();
+    next(asked);
+    answer(asked, 0, 400ms);
+    answer(asked, 1, 500ms);
+    const SurveyStep second = next(asked);
+    BOOST_REQUIRE((second.kind == Kind::Ask));
+    BOOST_TEST(second.ask.size() == 4U);
+    answer(asked, 4, 0ms);
+    BOOST_TEST((next(asked).kind == Kind::Take));
+    BOOST_TEST(next(asked).candidate == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(survey_nobodyFree_takesShortestQueue)
+{
+    SlotSurvey asked = survey();
+    next(asked);
+    answer(asked, 0, 400ms);
+    answer(asked, 1, 700ms);
+    next(asked);
+    answer(asked, 2, 600ms);
+    answer(asked, 3, 100ms);
+    answer(asked, 4, 700ms);
+    answer(asked, 5, 500ms);
+    const SurveyStep step = next(asked);
+    BOOST_TEST((step.kind == Kind::Take));
+    BOOST_TEST(step.candidate == 3U);
+}
+
+// An overload: no server could answer in time. The caller is told at once, and when the soonest server has room,
+// instead of being sent from one full server to the next until half of its time is gone.
+BOOST_AUTO_TEST_CASE(survey_allTooLate_refusesAtOnceWithTheSoonestWait)
+{
+    SlotSurvey asked = survey();
+    next(asked);
+    refuse(asked, 0, base::ResultCode::HopQueueTimeout, 900ms);
+    refuse(asked, 1, base::ResultCode::HopQueueTimeout, 800ms);
+    next(asked);
+    for (std::size_t index = 2; index < 6; ++index) {
+        refuse(asked, index, base::ResultCode::HopQueueTimeout, 850ms);
+    }
+    const SurveyStep step = next(asked);
+    BOOST_TEST((step.kind == Kind::Refuse));
+    BOOST_TEST((step.code == base::ResultCode::HopQueueTimeout));
+    BOOST_TEST((step.retryAfter == 800ms));
+}
+
+// A node is cut off one way: it gets everything and none of its answers come back. A refund handed to it would run, and
+// its caller would never hear of it. A node that does not answer the question gets no request.
+BOOST_AUTO_TEST_CASE(survey_silentNode_getsNoRequest)
+{
+    SlotSurvey asked = survey(3);
+    next(asked);
+    refuse(asked, 0, base::ResultCode::HopBackendServerGone, 0ms);
+    BOOST_TEST((next(asked).kind == Kind::Wait));
+    clock.advance(30ms);
+    const SurveyStep second = next(asked);
+    BOOST_REQUIRE((second.kind == Kind::Ask));
+    BOOST_TEST((second.ask == std::vector<std::size_t>{2}));
+    BOOST_TEST((asked.silent(clock.now()) == std::vector<std::size_t>{1}));
+    answer(asked, 2, 0ms);
+    BOOST_TEST(next(asked).candidate == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(survey_nobodyAnswers_refusesAsNotSent)
+{
+    SlotSurvey asked = survey(2);
+    next(asked);
+    clock.advance(30ms);
+    const SurveyStep step = next(asked);
+    BOOST_TEST((step.kind == Kind::Refuse));
+    BOOST_TEST((step.code == base::ResultCode::HopUnacknowledged));
+}
+
+BOOST_AUTO_TEST_CASE(survey_allGray_takesTheLeastGrayAsLastResort)
+{
+    SlotSurvey asked = survey(2);
+    next(asked);
+    refuse(asked, 0, base::ResultCode::HopBackendServerEjected, 0ms, 0.9);
+    refuse(asked, 1, base::ResultCode::HopBackendServerEjected, 0ms, 0.6);
+    const SurveyStep step = next(asked);
+    BOOST_TEST((step.kind == Kind::Take));
+    BOOST_TEST(step.candidate == 1U);
+    BOOST_TEST(step.lastResort);
+}
+
+BOOST_AUTO_TEST_CASE(survey_noCandidate_refuses)
+{
+    SlotSurvey asked = survey(0);
+    const SurveyStep step = next(asked);
+    BOOST_TEST((step.kind == Kind::Refuse));
+    BOOST_TEST((step.code == base::ResultCode::NoBackendServer));
+}
+
+BOOST_AUTO_TEST_CASE(silence_afterASecond_isForgotten)
+{
+    SilenceBook book(clock);
+    book.noteSilent(base::VmId("vm-1"));
+    BOOST_TEST(book.isSilent(base::VmId("vm-1")));
+    clock.advance(1s);
+    BOOST_TEST(!book.isSilent(base::VmId("vm-1")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
