Leave an attempt that hangs only for a server that has room; add a soak; keep no ledger without keys

Change: the place is found and the repeat paid first; otherwise the request stays where it is and is answered.

--- /dev/null
+++ b/scripts/lab/cases/soak.py
@@ -0,0 +1,219 @@
+"""A randomized soak: series of faults, signals and changes that overlap, checked against what must always hold."""
+import json
+import random
+import signal
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass
+
+from .. import faults
+from ..configuration import generated
+from ..fleet import Fleet
+from ..history import History, Violation, Withdrawal, check
+from ..processes import wait_until
+
+NODES = 6
+DEADLINE = "2s"
+CALL_TIMEOUT = 10  # Seconds: five times the deadline, with room for a paused entry.
+KEY_BOUND_SECONDS = 5.0
+RECOVERY_SECONDS = 20.0  # A restarted node holds its shares again after some ten.
+NOT_LISTENING = "Connection refused"  # As Boost words it.
+SETTLE_SECONDS = 1.5  # At the end of the load, without new faults.
+
+# Faults from outside the processes; links have a loopback proxy before them.
+OUTSIDE = sorted(set(faults.HISTORY) - {"node-paused", "node-killed", "node-stopped"})
+# What is done to a process, as (seconds since the first, what) of a series.
+SERIES = {
+    "rolling-stop": [(0, "term"), (1.0, "start")],
+    "stop-cut-short": [(0, "term"), (0.15, "kill"), (0.5, "start")],
+    "stop-while-paused": [(0, "pause"), (0.3, "term"), (0.8, "resume"), (1.6, "start")],
+    "reload-while-stopping": [(0, "hup"), (0.05, "term"), (0.1, "hup"), (1.2, "start")],
+    "crash-loop": [(0, "kill"), (0.1, "start"), (0.4, "kill"), (0.5, "start"), (0.9, "kill"), (1.2, "start")],
+    "pauses": [(0, "pause"), (0.5, "resume"), (0.7, "pause"), (1.3, "resume")],
+    "reloads": [(0, "hup"), (0.1, "hup"), (0.3, "hup")],
+}
+PLANNED = ["rolling-stop", "reloads"]
+
+
+@dataclass(frozen=True, order=True)
+class Event:
+    """One step of a run. `what` is a step of SERIES, "begin"/"end" of an outside fault, or "publish"."""
+    at: float
+    what: str
+    index: int = 0
+    fault: str = ""
+
+
+def schedule(seed, seconds):
+    """The events of a run, in order of time. Every third seed has planned work alone, which must cost no request."""
+    generator = random.Random(seed)
+    planned = is_planned(seed)
+    events = []
+    for _ in range(generator.randint(3, 6)):
+        name = generator.choice(PLANNED if planned else sorted(SERIES))
+        first, index = generator.uniform(0.3, seconds), generator.randrange(NODES)
+        if planned and any(event.index == index or abs(event.at - first) < 1.5 for event in events):
+            continue  # Stops beside each other leave a service without a server.
+        nodes = [index] if planned else sorted({index, generator.randrange(NODES)})
+        events += [Event(first + after + 0.4 * place, what, node)
+                   for place, node in enumerate(nodes) for after, what in SERIES[name]]
+    for _ in range(0 if planned else generator.randint(4, 8)):
+        begin, length = generator.uniform(0.2, seconds), generator.uniform(0.2, 2.0)
+        index, fault = generator.randrange(NODES), generator.choice(OUTSIDE)
+        events += [Event(begin, "begin", index, fault), Event(begin + length, "end", index, fault)]
+    for _ in range(generator.randint(1, 5)):
+        events.append(Event(generator.uniform(0.2, seconds), "publish"))
+    return sorted(events)
+
+
+def is_planned(seed):
+    return seed % 3 == 0
+
+
+def run(seed, seconds=6, settings=None):
+    """Plays one seed. Returns (violations, history, events)."""
+    events = schedule(seed, seconds)
+    with Fleet(lambda block: generated(block, vms=NODES, deadline=DEADLINE), proxied=True,
+               backends=["--service-time-ms", 8], settings=settings or _settings(seed), seed=seed) as fleet:
+        load = fleet.load(_streams(fleet), seconds + SETTLE_SECONDS + 2, timeout=CALL_TIMEOUT)
+        revisions = []
+        _play(fleet, events, revisions)
+        time.sleep(SETTLE_SECONDS)
+        withdrawal = Withdrawal("shops", time.time(), KEY_BOUND_SECONDS)
+        fleet.publish(fleet.configuration.without_keys_of("shops"))
+        attempts = load.wait()
+        violations = _recovery(fleet)
+        records = fleet.server_records()
+        actions = [{**action, "server": server} for server, record in records.items() for action in record["actions"]]
+        keys_seen = sum(record["keys_seen"] for record in records.values())
+        history = History(attempts, actions, keys_seen, revisions, [withdrawal])
+        violations += check(history)
+        if is_planned(seed):
+            violations += list(_cut_requests(history))
+        return violations, history, events
+
+
+def soak(options, report):
+    """Seeds of overlapping faults, signals and changes; prints what broke, and the events that led to it."""
+    first, runs = options.seed, options.seeds or 50
+    totals = Counter()
+    for seed in range(first, first + runs):
+        violations, history, events = run(seed, options.seconds or 6)
+        report.note(f"seed {seed}: {len(history.attempts)} attempts, {len(history.actions)} actions, "
+                    f"{len(events)} events, {len(violations)} violations")
+        for violation in violations[:10]:
+            print(f"  {violation.rule}: {violation.detail}", file=sys.stderr)
+        totals["attempts"] += len(history.attempts)
+        totals["actions"] += len(history.actions)
+        totals["violations"] += len(violations)
+        totals["seeds that failed"] += bool(violations)
+    report("runs", runs, "count")
+    for metric in ("attempts", "actions", "violations", "seeds that failed"):
+        report(metric, totals[metric], "count")
+
+
+def _settings(seed):
+    """Half of the seeds place by asking, as on the operators' platform."""
+    return {"placement": "least-cost", "asksForFreeSlots": True} if seed % 2 else {}
+
+
+def _streams(fleet):
+    return [fleet.stream("shops", 40),
+            fleet.stream("vans", 30),
+            fleet.stream("shops", 30, "POST", "/refunds"),
+            fleet.stream("vans", 20, "POST", "/refunds"),
+            fleet.stream("vans", 5, path="/scans/300000"),
+            fleet.stream("shops", 30, "POST", "/refunds", idempotencyKey=True, repeatUnknown=True),
+            fleet.stream("vans", 20, "POST", "/refunds", idempotencyKey=True, repeatAfter=0.3, repeatRatio=0.5)]
+
+
+def _play(fleet, events, revisions):
+    begun = time.monotonic()
+    undo = {}
+    for event in events:
+        time.sleep(max(0.0, begun + event.at - time.monotonic()))
+        if event.what == "begin":
+            undo.setdefault((event.fault, event.index), faults.HISTORY[event.fault](fleet, event.index))
+        elif event.what == "end":
+            undo.pop((event.fault, event.index), lambda: None)()
+        elif event.what == "publish":
+            fleet.publish(fleet.configuration.copy())
+        else:
+            _signal(fleet, list(fleet.nodes)[event.index], event.what)
+        _note_revisions(fleet, revisions)
+    for end in undo.values():
+        end()
+    for node in fleet.nodes.values():
+        if node.is_running():
+            node.resume()  # Series that cross may leave one paused.
+
+
+def _signal(fleet, name, what):
+    """A step of a series. One that no longer fits, after another series ended the process, is left out."""
+    node = fleet.nodes[name]
+    if what == "start":
+        if node.is_running() and node.was_asked_to_end():
+            node.stop()
+        if not node.is_running():
+            fleet.restart(name, wait=False)
+        return
+    if not node.is_running():
+        return
+    if what == "term":
+        node.terminate()
+    elif what == "kill":
+        node.kill()
+    elif what == "pause":
+        node.pause()
+    elif what == "resume":
+        node.resume()
+    elif what == "hup":
+        _change_settings(fleet, name)
+        node.send(signal.SIGHUP)
+
+
+def _change_settings(fleet, name):
+    path = fleet.path(f"{name}.json")
+    with open(path, encoding="utf-8") as file:
+        settings = json.load(file)
+    settings["drainTimeoutMs"] = settings.get("drainTimeoutMs", 8000) + 1000
+    with open(path, "w", encoding="utf-8") as file:
+        json.dump(settings, file)
+
+
+def _recovery(fleet):
+    """Every node that should run is back and ready once the faults are over."""
+    for name, node in fleet.nodes.items():
+        if not node.is_running():
+            fleet.restart(name, wait=False)
+    missing = []
+    for name in fleet.nodes:
+        try:
+            wait_until(lambda name=name: fleet.is_ready(name), RECOVERY_SECONDS, f"{name} to be ready")
+        except TimeoutError as error:
+            missing.append(Violation("recovery", str(error)))
+    return missing
+
+
+def _cut_requests(history):
+    """Planned work alone: each caller gets an answer, and only refusals that did not run. A process that is not there
+    refuses the connection, by which its caller knows that nothing ran."""
+    for attempt in history.attempts:
+        if attempt["error"] == NOT_LISTENING:
+            continue
+        refused_after_withdrawal = attempt["status"] in (401, 403)
+        if attempt["status"] == 0 or attempt["outcome"] == "unknown" and not refused_after_withdrawal:
+            yield Violation("planned_work_cuts_nothing",
+                            f"{attempt['action']} through {attempt['target']}: status {attempt['status']}, "
+                            f"outcome {attempt['outcome']}, {attempt['error']}")
+
+
+def _note_revisions(fleet, revisions):
+    for name, node in fleet.nodes.items():
+        if not node.is_running():
+            continue
+        try:
+            revisions.append((time.time(), (name, node.pid), fleet.status(name, timeout=0.05)["revision"]))
+        except (OSError, ValueError):
+            continue
--- a/scripts/lab/fleet.py
+++ b/scripts/lab/fleet.py
@@ -1,4 +1,5 @@
 """A fleet of real nodes among stand-ins, in a temporary folder, ended as a whole."""
+import datetime
 import json
 import os
 import re
@@ -13,8 +14,7 @@
 from .processes import Process, wait_until
 
 BUILD = os.environ.get("PAPAYASTEP_BUILD", os.path.join(configuration.ROOT, "build"))
-_HEALTH_LINE = re.compile(r"^[IW](\d{8} \d\d:\d\d:\d\d)(\.\d+) .* health: .* event=(\S+) vm=(\S*) server=(\S*)$",
-                          re.MULTILINE)
+_HEALTH_LINE = re.compile(r"^(\S+)Z [IW] health: .* event=(\S+) vm=(\S*) server=(\S*)$", re.MULTILINE)
 STARTED = 20  # Seconds within which a process must listen.
 
 
@@ -143,8 +143,8 @@
         found = []
         for name, node in self.nodes.items():
             for match in _HEALTH_LINE.finditer(node.log()):
-                when = time.mktime(time.strptime(match[1], "%Y%m%d %H:%M:%S")) + float(match[2])
-                found.append(HealthEvent(when, name, match[3], match[4], match[5]))
+                when = datetime.datetime.fromisoformat(match[1] + "+00:00").timestamp()
+                found.append(HealthEvent(when, name, match[2], match[3], match[4]))
         return sorted(found)
 
     # Platform
--- a/scripts/lab/processes.py
+++ b/scripts/lab/processes.py
@@ -53,6 +53,12 @@
     def resume(self):
         self._child.send_signal(signal.SIGCONT)
 
+    def send(self, number):
+        self._child.send_signal(number)
+
+    def was_asked_to_end(self):
+        return self._asked_to_end
+
     def terminate(self):
         self._asked_to_end = True
         self._child.send_signal(signal.SIGTERM)
--- a/src/include/papayastep/node/callerprotocol.h
+++ b/src/include/papayastep/node/callerprotocol.h
@@ -36,6 +36,10 @@
                                      const std::string &requestId,
                                      const std::string &detail) const = 0;
 
+    /// Whether callers can name their repeats. Where they can't, no node keeps a ledger: its homes would hand records
+    /// that nobody makes to each other at every change of the VM list, a message from each node to each.
+    virtual bool hasIdempotencyKeys() const = 0;
+
     /// Adds to a backend server's answer what the system says about it.
     virtual void annotate(net::ResponseHead &head,
                           const std::string &requestId,
@@ -51,6 +55,7 @@
     net::WholeAnswer refusal(const routing::Refusal &refusal,
                              const std::string &requestId,
                              const std::string &detail) const override;
+    bool hasIdempotencyKeys() const override;
     void annotate(net::ResponseHead &head,
                   const std::string &requestId,
                   const base::BackendServerId &server) const override;
--- a/src/node/callerprotocol.cpp
+++ b/src/node/callerprotocol.cpp
@@ -58,6 +58,11 @@
     return refusalAnswer(refusal, requestId, detail);
 }
 
+bool OwnCallerProtocol::hasIdempotencyKeys() const
+{
+    return true;
+}
+
 void OwnCallerProtocol::annotate(net::ResponseHead &head,
                                  const std::string &requestId,
                                  const base::BackendServerId &server) const
--- a/src/node/directorykeeper.cpp
+++ b/src/node/directorykeeper.cpp
@@ -12,12 +12,13 @@
 constexpr std::string_view logPrefix = "platform";
 
 /// Longer watches cost fewer calls, but one whose answer was lost is noticed only at its end. A leaving server must be
-/// out of use, and a configuration in force, some five seconds after the platform lost its last answer.
-constexpr std::chrono::milliseconds watchWait = std::chrono::milliseconds(2500);
+/// out of use, and a configuration in force, some five seconds after the platform lost its last answer; a second is
+/// left for the answer's timeout and the next watch.
+constexpr std::chrono::milliseconds watchWait = std::chrono::milliseconds(3500);
 
 /// Between two watches. Changes come in bursts (a release, a fleet that starts), and each answer is a call that is
 /// paid for. Far below the two seconds in which a leaving server must be out of use.
-constexpr base::Duration gather = std::chrono::milliseconds(150);
+constexpr base::Duration gather = std::chrono::milliseconds(300);
 
 constexpr base::Duration firstBackoff = std::chrono::milliseconds(100);
 constexpr base::Duration longestBackoff
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -227,6 +227,17 @@
     co_return std::nullopt;
 }
 
+/// A token pays for one attempt that may reach a backend server; one proved never to have run keeps its token.
+net::Awaitable<EntryRequest::Step> EntryRequest::payRepeat()
+{
+    const bool spent = m_token && m_context.tokens.chargesRepeats()
+        && (m_progress.mayHaveRun || m_context.clock.now() >= m_token->usableUntil);
+    if (!spent) {
+        co_return std::nullopt;
+    }
+    co_return co_await takeToken();
+}
+
 net::Awaitable<EntryRequest::Step> EntryRequest::claimKey()
 {
     routing::ClaimRequest claim;
@@ -295,7 +306,6 @@
 
 net::Awaitable<EntryRequest::Step> EntryRequest::place()
 {
-    // Between two attempts the configuration may have moved on; the placement follows it, the route stays.
     const ServerNeed need = serverNeed();
     const auto choice = co_await m_choice.choose(need, m_callerGone);
     if (m_callerGone) {
@@ -305,20 +315,39 @@
     if (const auto *none = std::get_if<NoServer>(&choice)) {
         co_return m_context.retryPolicy.refuseInstead(m_progress, none->code, none->retryAfter);
     }
-    const ChosenServer &chosen = std::get<ChosenServer>(choice);
-    const config::BackendServer *server = m_context.inForce.configuration->backendServer(chosen.candidate.server);
-    if (server == nullptr) {
-        // It left while its node was asked.
-        co_return m_context.retryPolicy.refuseInstead(m_progress, ResultCode::HopBackendServerGone, {});
+    begin(std::get<ChosenServer>(choice));
+    co_return std::nullopt;
+}
+
+/// Leaves an attempt that hangs for another server, if one has room. It may still end well, so with no place to go the
+/// request stays where it is: in an overload every third lookup that was cut off for a repeat found none.
+net::Awaitable<void> EntryRequest::moveOn()
+{
+    const ServerNeed need = serverNeed();
+    const auto choice = co_await m_choice.choose(need, m_callerGone);
+    const auto *chosen = std::get_if<ChosenServer>(&choice);
+    if (chosen == nullptr) {
+        co_return;
+    }
+    const Step unpaid = co_await payRepeat();
+    if (unpaid || m_callerGone || m_watch.attempt()->finished()) {
+        co_return;
     }
+    m_machine.handle(RequestEvent::Retry);
+    m_watch.attempt()->requestCancel(true);
+    m_watch.abandon();
+    begin(*chosen);
+}
+
+void EntryRequest::begin(const ChosenServer &chosen)
+{
     m_context.retryPolicy.beginAttempt(m_progress);
-    auto attempt = makeAttempt(*server, chosen);
-    m_current = server->id;
+    auto attempt = makeAttempt(chosen);
+    m_current = chosen.candidate.server;
     m_machine.handle(RequestEvent::Place);
     logPlacement(chosen);
     m_watch.begin(
         std::move(attempt), m_context.retryPolicy.timeouts(m_progress, chosen.typicalLatency), forwardedRequest());
-    co_return std::nullopt;
 }
 
 ServerNeed EntryRequest::serverNeed() const
@@ -335,8 +364,9 @@
     return need;
 }
 
-AttemptPtr EntryRequest::makeAttempt(const config::BackendServer &server, const ChosenServer &chosen)
+AttemptPtr EntryRequest::makeAttempt(const ChosenServer &chosen)
 {
+    const routing::Candidate &server = chosen.candidate;
     const auto now = m_context.clock.now();
     wire::HopRequest hop;
     hop.requestHigh = m_id.high;
@@ -346,7 +376,7 @@
     hop.entryIncarnation = m_context.incarnation;
     hop.workspace = m_workspace;
     hop.keyFingerprint = m_fingerprint;
-    hop.server = server.id;
+    hop.server = server.server;
     hop.route = m_route->id;
     hop.revision = m_inForce.configuration->revision();
     hop.remaining = (m_progress.deadline - now).count();
@@ -418,22 +448,18 @@
 
 net::Awaitable<bool> EntryRequest::retry(const routing::RetryDecision &decision)
 {
-    m_machine.handle(RequestEvent::Retry);
     if (decision.cancelPrevious) {
-        m_watch.attempt()->requestCancel(true);
+        co_await moveOn();
+        co_return false;
     }
+    m_machine.handle(RequestEvent::Retry);
     m_watch.abandon();
-    // A token pays for one attempt that may reach a backend server; one proved never to have run keeps its token.
-    const bool spent = m_token && m_context.tokens.chargesRepeats()
-        && (m_progress.mayHaveRun || m_context.clock.now() >= m_token->usableUntil);
-    if (spent) {
-        Step refused = co_await takeToken();
-        if (refused) {
-            co_await refuse(m_context.retryPolicy.refuseInstead(m_progress, refused->code, refused->retryAfter));
-            co_return true;
-        }
+    Step refused = co_await payRepeat();
+    if (refused) {
+        co_await refuse(m_context.retryPolicy.refuseInstead(m_progress, refused->code, refused->retryAfter));
+        co_return true;
     }
-    Step refused = co_await place();
+    refused = co_await place();
     if (refused) {
         co_await refuse(*refused);
         co_return true;
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -41,12 +41,15 @@
     void takeRoute(const routing::RouteMatch &match);
     net::Awaitable<Step> readBody();
     net::Awaitable<Step> takeToken();
+    net::Awaitable<Step> payRepeat();
     net::Awaitable<Step> claimKey();
     net::Awaitable<void> runAttempts();
 
     net::Awaitable<Step> place();
     ServerNeed serverNeed() const;
-    AttemptPtr makeAttempt(const config::BackendServer &server, const ChosenServer &chosen);
+    net::Awaitable<void> moveOn();
+    void begin(const ChosenServer &chosen);
+    AttemptPtr makeAttempt(const ChosenServer &chosen);
     net::ClientRequest forwardedRequest() const;
     net::Awaitable<bool> act(const routing::RetryDecision &decision);
     net::Awaitable<bool> retry(const routing::RetryDecision &decision);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -296,8 +296,10 @@
     m_context.inForce.configuration = configuration;
     m_context.tokens.applyConfiguration(configuration);
     m_context.health.applyConfiguration(configuration);
-    m_context.ledgerClient.applyConfiguration(configuration);
-    m_context.ledgerHome.applyConfiguration(configuration);
+    if (m_context.callers().hasIdempotencyKeys()) {
+        m_context.ledgerClient.applyConfiguration(configuration);
+        m_context.ledgerHome.applyConfiguration(configuration);
+    }
     m_serving.applyConfiguration();
     if (!m_directoryKeeper || m_servers.isKnown()) {
         m_life.handle(NodeEvent::Configured);
@@ -335,7 +337,9 @@
     m_context.tokens.applyVmList(m_context.vms,
                                  m_directoryKeeper ? m_directoryKeeper->askedAt() : m_keeper.vmListAskedAt());
     m_context.health.applyVmList(m_context.vms);
-    m_context.ledgerHome.applyVmList(m_context.vms);
+    if (m_context.callers().hasIdempotencyKeys()) {
+        m_context.ledgerHome.applyVmList(m_context.vms);
+    }
     PAPAYASTEP_LOG(INFO, "membership") << "Took a VM list." << base::field("version", m_context.vms.version)
                                        << base::field("vms", m_context.vms.vms.size());
     m_keeper.wake();
