--- a/src/include/papayastep/membership/directoryrelay.h
+++ b/src/include/papayastep/membership/directoryrelay.h
@@ -44,9 +44,11 @@
 
 struct DirectoryRelaySettings
 {
-    /// Nodes that read for all: two, so that one may be cut off, and one more for each hundred.
-    std::size_t leastReaders = 2;
-    std::size_t nodesPerReader = 100;
+    /// Nodes of a group that read for it: two, so that one may be cut off.
+    std::size_t readers = 2;
+    /// About how many nodes make a group. A reader of a hundred sends 330 beats of some 100 bytes a second; one of
+    /// 2,300 would send as many as its core can seal.
+    std::size_t groupSize = 100;
     /// A reader says so often how old its news is.
     base::Duration beat = std::chrono::milliseconds(300);
     /// News older than this cover nobody; the node then asks the platform itself. A server that leaves must be out of
@@ -54,7 +56,7 @@
     base::Duration coverage = std::chrono::milliseconds(1100);
 };
 
-/// Lets a few nodes watch the directory of backend servers, which tell the others.
+/// Lets a few nodes of each group of about a hundred watch the directory of backend servers, which tell the others.
 ///
 /// If every node watches for itself, each change wakes the whole fleet: 81 calls a second from 101 nodes on a calm day
 /// (measured), and at thousands of nodes more than the platform answers. With a relay alone, a reader that is cut off
@@ -96,7 +98,7 @@
     const base::VmId m_self;
     const base::Clock &m_clock;
     const DirectoryRelaySettings m_settings;
-    std::vector<base::VmId> m_present;
+    std::vector<base::VmId> m_group; ///< The present VMs of the own group.
     bool m_reader = true;
     base::TimePoint m_coveredUntil;
     std::optional<base::TimePoint> m_answeredAt; ///< As a reader.
--- a/src/membership/directoryrelay.cpp
+++ b/src/membership/directoryrelay.cpp
@@ -3,6 +3,7 @@
 #include "papayastep/base/hashing.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace papayastep::membership {
@@ -60,13 +61,16 @@
 
 void DirectoryRelay::applyVms(const std::vector<base::VmId> &present)
 {
-    m_present = present;
-    const std::size_t readers = m_settings.leastReaders + present.size() / m_settings.nodesPerReader;
-    const std::uint64_t own = base::rendezvousWeight(readerRole, m_self.value());
-    const auto before = std::count_if(present.begin(), present.end(), [&](const base::VmId &vm) {
-        return base::rendezvousWeight(readerRole, vm.value()) > own;
+    const std::size_t groups = std::max<std::size_t>(1, present.size() / m_settings.groupSize);
+    const auto weightOf = [](const base::VmId &vm) { return base::rendezvousWeight(readerRole, vm.value()); };
+    const std::uint64_t own = weightOf(m_self);
+    m_group.clear();
+    std::copy_if(present.begin(), present.end(), std::back_inserter(m_group), [&](const base::VmId &vm) {
+        return weightOf(vm) % groups == own % groups;
     });
-    m_reader = static_cast<std::size_t>(before) < readers;
+    const auto before
+        = std::count_if(m_group.begin(), m_group.end(), [&](const base::VmId &vm) { return weightOf(vm) > own; });
+    m_reader = static_cast<std::size_t>(before) < m_settings.readers;
 }
 
 bool DirectoryRelay::isReader() const
@@ -148,7 +152,7 @@
 {
     m_nextBeat = m_clock.now() + m_settings.beat;
     const std::string payload = wire::encode(news);
-    for (const base::VmId &vm : m_present) {
+    for (const base::VmId &vm : m_group) {
         if (vm != m_self) {
             m_messages.push_back(wire::Outgoing{vm, wire::MessageKind::DirectoryNews, payload});
         }
--- a/src/membership/directoryrelay_test.cpp
+++ b/src/membership/directoryrelay_test.cpp
@@ -102,6 +102,22 @@
     BOOST_TEST(readers().size() == 2U);
 }
 
+// In a fleet of the planned size, two readers could not tell all others; each group has its own.
+BOOST_AUTO_TEST_CASE(readers_ofALargeFleet_areTwoForEachGroup)
+{
+    std::vector<base::VmId> present;
+    for (int i = 0; i < 1000; ++i) {
+        present.emplace_back("vm-" + std::to_string(i));
+    }
+    int count = 0;
+    for (const base::VmId &vm : present) {
+        DirectoryRelay relay(vm, clock);
+        relay.applyVms(present);
+        count += relay.isReader() ? 1 : 0;
+    }
+    BOOST_TEST(count == 20);
+}
+
 BOOST_AUTO_TEST_CASE(news_ofAReader_reachAllOthers)
 {
     answer(readers().front(), change(11));
