--- a/src/include/papayastep/membership/directoryrelay.h
+++ b/src/include/papayastep/membership/directoryrelay.h
@@ -34,12 +34,11 @@
     std::uint64_t to = 0;
     std::uint32_t answeredAgoMs = 0; ///< Age of the platform's last answer to the reader.
     base::Revision publishedRevision = 0; ///< As in ServerNews.
-    bool afterOutage = false; ///< The platform has just come back, so entries may be missing only for a while.
     std::vector<ServerRecord> changed;
     std::vector<base::BackendServerId> removed;
 
     auto operator<=>(const DirectoryNews &) const = default;
-    MSGPACK_DEFINE(from, to, answeredAgoMs, publishedRevision, afterOutage, changed, removed)
+    MSGPACK_DEFINE(from, to, answeredAgoMs, publishedRevision, changed, removed)
 };
 
 struct DirectoryRelaySettings
@@ -67,7 +66,8 @@
 /// That an entry is gone is never taken from a reader. A node that is cut off from the platform keeps its last entries,
 /// among them its own server and those of others that are cut off with it, whose entries lapse for that alone; told by
 /// a reader, it would drop servers that serve it well (with a third of 22 nodes cut off: 0.75 instead of 0.81 served).
-/// So the node asks the platform itself, and learns by that whether it is cut off.
+/// So the node asks the platform itself, and learns by that whether it is cut off. Nor is a reader's outage passed on:
+/// the platform may turn that node alone away, and others would keep servers that left for the grace after an outage.
 class DirectoryRelay
 {
 public:
@@ -81,8 +81,8 @@
     /// Until when a reader's news may be relied on; in the past: not at all. A reader relies on itself.
     base::TimePoint coveredUntil() const;
 
-    /// The platform answered this node. Also passes on `afterOutage`.
-    void noteAnswer(const ServerNews &news, bool afterOutage);
+    /// The platform answered this node.
+    void noteAnswer(const ServerNews &news);
 
     /// What a reader says. Returns the changes to apply to a directory that holds `version`; nothing where the platform
     /// must be asked instead: some were missed, or entries are gone.
@@ -105,7 +105,6 @@
     std::uint64_t m_version = 0;
     std::uint64_t m_lastChange = 0; ///< Nothing that a node could have missed came after this version.
     base::Revision m_published = 0;
-    bool m_afterOutage = false;
     base::TimePoint m_nextBeat;
     std::vector<wire::Outgoing> m_messages;
 };
--- a/src/include/papayastep/membership/serverdirectory.h
+++ b/src/include/papayastep/membership/serverdirectory.h
@@ -48,9 +48,6 @@
     bool tick();
     std::optional<base::TimePoint> nextTick() const;
 
-    /// Whether the platform came back so lately that missing entries prove nothing.
-    bool isAfterOutage() const;
-
     /// Whether the complete list was ever read.
     bool isKnown() const;
     std::uint64_t version() const;
@@ -70,6 +67,7 @@
     };
     using Entries = std::map<base::BackendServerId, Entry>;
 
+    bool isAfterOutage() const;
     bool put(const config::BackendServer &server);
     bool remove(Entries::iterator entry);
 
--- a/src/membership/directoryrelay.cpp
+++ b/src/membership/directoryrelay.cpp
@@ -83,13 +83,12 @@
     return m_coveredUntil;
 }
 
-void DirectoryRelay::noteAnswer(const ServerNews &news, bool afterOutage)
+void DirectoryRelay::noteAnswer(const ServerNews &news)
 {
     const base::TimePoint now = m_clock.now();
     m_answeredAt = now;
     m_version = std::max(m_version, news.version);
     m_published = std::max(m_published, news.publishedRevision);
-    m_afterOutage = afterOutage;
     const bool changes = news.whole || !news.changed.empty() || !news.removed.empty();
     const std::uint64_t from = m_lastChange;
     m_lastChange = changes ? std::max(m_lastChange, news.version) : m_lastChange;
@@ -97,7 +96,7 @@
     if (!m_reader || !changes || news.whole) {
         return;
     }
-    DirectoryNews message{from, news.version, 0, m_published, afterOutage, {}, news.removed};
+    DirectoryNews message{from, news.version, 0, m_published, {}, news.removed};
     for (const config::BackendServer &server : news.changed) {
         message.changed.push_back(recordOf(server, now));
     }
@@ -137,8 +136,7 @@
     const base::TimePoint now = m_clock.now();
     if (m_reader && m_answeredAt && now >= m_nextBeat) {
         // Whoever holds a version from before the last change has missed something and must ask.
-        sendToAll(DirectoryNews{
-            m_lastChange, m_version, milliseconds(now - *m_answeredAt), m_published, m_afterOutage, {}, {}});
+        sendToAll(DirectoryNews{m_lastChange, m_version, milliseconds(now - *m_answeredAt), m_published, {}, {}});
     }
     return std::exchange(m_messages, {});
 }
--- a/src/membership/directoryrelay_test.cpp
+++ b/src/membership/directoryrelay_test.cpp
@@ -28,7 +28,7 @@
         list.version = 10;
         list.whole = true;
         for (const auto &[vm, relay] : relays) {
-            relay->noteAnswer(list, false);
+            relay->noteAnswer(list);
         }
     }
 
@@ -45,7 +45,7 @@
     /// The platform answers a reader, and its messages reach all but `cut`.
     void answer(const base::VmId &reader, const ServerNews &news, const base::VmId &cut = {})
     {
-        relays.at(reader)->noteAnswer(news, false);
+        relays.at(reader)->noteAnswer(news);
         versions[reader] = news.version;
         deliver(reader, cut);
     }
@@ -187,7 +187,7 @@
 {
     ServerNews nothing;
     nothing.version = 15;
-    relays.at(readers().front())->noteAnswer(nothing, false);
+    relays.at(readers().front())->noteAnswer(nothing);
     answer(readers().front(), change(16));
     BOOST_TEST(versions[follower()] == 16U);
     BOOST_TEST(isCovered(follower()));
--- a/src/node/directorykeeper.cpp
+++ b/src/node/directorykeeper.cpp
@@ -105,7 +105,7 @@
     m_historyGone = false;
     m_askedAt = askedAt;
     const bool changed = m_directory.apply(news);
-    m_relay.noteAnswer(news, m_directory.isAfterOutage());
+    m_relay.noteAnswer(news);
     m_answered(news.publishedRevision, changed || list);
     sendNews();
 }
@@ -124,9 +124,6 @@
     if (!news) {
         return;
     }
-    if (message.afterOutage && !m_directory.isAfterOutage()) {
-        m_directory.noteUnreachable();
-    }
     m_askedAt = m_context.clock.now() - std::chrono::milliseconds(message.answeredAgoMs);
     if (news->publishedRevision > m_heardRevision) {
         m_heardRevision = news->publishedRevision;
