--- a/src/ctl/requeststory_test.cpp
+++ b/src/ctl/requeststory_test.cpp
@@ -57,6 +57,7 @@
     read(servingLog, "vm-2");
     const auto lines = story.lines();
     std::vector<std::string> sentences;
+    sentences.reserve(lines.size());
     for (const LogLine &line : lines) {
         sentences.push_back(line.node + ' ' + line.sentence);
     }
--- a/src/membership/directoryrelay_test.cpp
+++ b/src/membership/directoryrelay_test.cpp
@@ -16,6 +16,7 @@
     RelayFleet()
     {
         std::vector<base::VmId> present;
+        present.reserve(8);
         for (int i = 0; i < 8; ++i) {
             present.emplace_back("vm-" + std::to_string(i));
         }
@@ -106,6 +107,7 @@
 BOOST_AUTO_TEST_CASE(readers_ofALargeFleet_areTwoForEachGroup)
 {
     std::vector<base::VmId> present;
+    present.reserve(1000);
     for (int i = 0; i < 1000; ++i) {
         present.emplace_back("vm-" + std::to_string(i));
     }
--- a/src/node/peerlink.cpp
+++ b/src/node/peerlink.cpp
@@ -40,11 +40,11 @@
     // An older peer may not read compressed payloads; one that was never heard is taken for such.
     const auto known = m_capabilities.find(message.to);
     const bool compress = known != m_capabilities.end() && (known->second & wire::capabilityCompressed) != 0;
-    std::string sealed = m_codec.seal(envelope, compress);
+    const std::string sealed = m_codec.seal(envelope, compress);
     Tally &tally = m_sent[message.kind];
     ++tally.messages;
     tally.bytes += sealed.size();
-    m_endpoint.send(*endpoint, std::move(sealed));
+    m_endpoint.send(*endpoint, sealed);
 }
 
 void PeerLink::sweep()
