--- a/src/include/papayastep/limits/pooledlimiter.h
+++ b/src/include/papayastep/limits/pooledlimiter.h
@@ -15,8 +15,8 @@
     /// so a caller who keeps exactly to its rate would now and then be refused. Operators say what they tolerate over
     /// some seconds (a quarter more and 20 requests, at the sites measured); a part of it is left for two nodes that
     /// take themselves for home of one pool.
-    double rateExcess = 0.08;
-    double burstExcess = 4; ///< Tokens.
+    double rateExcess = 0.12;
+    double burstExcess = 6; ///< Tokens.
 
     /// A home that has not answered after it is passed over. Twenty round trips within a region; a node on a fifth of
     /// a core needs some milliseconds of its own.
