--- /dev/null
+++ b/testsuite/signals-to-a-node/run.py
@@ -0,0 +1,112 @@
+#!/usr/bin/env python3
+"""Signals that operators' tools send: while a node starts, and while requests are at work in it."""
+import json
+import signal
+import threading
+import unittest
+
+from lab import http
+from lab.configuration import generated
+from lab.fleet import Fleet
+from lab.processes import Process, wait_until
+
+SERVICE_MS = 1000
+
+
+def signalled_at_start(fleet, name, number):
+    """Starts a stopped node anew such that it gets the signal just as it opens its settings file.
+
+    strace sends the signal from inside that call, so the moment is the same on a fast and on a slow machine. With -D
+    the node stays our own child, and its process id and exit status are the node's.
+    """
+    settings = fleet.path(f"{name}.json")
+    tracing = ["strace", "-D", "-qq", "-o", fleet.path(f"{name}.strace"), "-P", settings, "-e", "trace=openat", "-e",
+               f"inject=openat:signal={signal.Signals(number).name}:when=1"]
+    old = fleet.nodes[name]
+    fleet.nodes[name] = Process(name, tracing + old.arguments, old.log_path)
+    return fleet.nodes[name]
+
+
+class SignalAtStartTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet(lambda block: generated(block, vms=1))
+        self.addCleanup(self.fleet.close)
+        self.name = next(iter(self.fleet.nodes))
+        self.assertTrue(self.fleet.nodes[self.name].stop())
+
+    # Settings are changed everywhere while a VM restarts its node. A process that is told to reload before it has
+    # registered for the signal is ended by it, and its VM refuses connections until somebody starts it once more.
+    def test_reload_whileSettingsAreRead_isTaken(self):
+        node = signalled_at_start(self.fleet, self.name, signal.SIGHUP)
+        self.fleet.wait_serving(self.name)
+        self.assertTrue(node.is_running())
+        self.assertIn("Asked to reload.", node.log())
+
+    # An operator takes a start back at once. The process must end as after any planned stop, not as one that crashed,
+    # or whoever watches over it raises an alarm and starts it again.
+    def test_stop_whileSettingsAreRead_endsAsPlanned(self):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT):
+            with self.subTest(signal=signal.Signals(number).name):
+                node = signalled_at_start(self.fleet, self.name, number)
+                self.assertEqual(node.wait(20), 0)
+
+
+class SignalUnderLoadTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet(backends=["--service-time-ms", SERVICE_MS, "--sigma", 0])
+        self.addCleanup(self.fleet.close)
+        self.names = list(self.fleet.nodes)
+        self.answers = []
+
+    def refund(self, number):
+        port = self.fleet.caller_port(self.names[number % len(self.names)])
+        try:
+            answer = http.call_with_key(port, self.fleet.configuration.keys["shops"], "POST", "/refunds",
+                                        json.dumps({"action": f"refund-{number}"}))
+            self.answers.append(answer.status)
+        except (OSError, http.http.client.HTTPException) as error:
+            self.answers.append(repr(error))
+
+    def started(self):
+        return sum(record["started"] for record in self.fleet.server_records().values())
+
+    def expect_all_answered(self, numbers, reaction):
+        """Sends the signals to every node while each has refunds at work as their entry and beside their server."""
+        before = self.started()
+        count = 3 * len(self.names)
+        refunds = [threading.Thread(target=self.refund, args=(number,)) for number in range(count)]
+        for refund in refunds:
+            refund.start()
+        wait_until(lambda: self.started() == before + count, 10, "every refund to be in flight")
+        for number in numbers:
+            for node in self.fleet.nodes.values():
+                node.send(number)
+        for refund in refunds:
+            refund.join()
+        self.assertEqual(self.answers, count * [200])
+        self.assertEqual(len(self.fleet.actions()), count)
+        for node in self.fleet.nodes.values():
+            wait_until(lambda node=node: node.log().count(reaction) >= len(numbers), 10, reaction)
+            self.assertTrue(node.is_running())
+
+    # Operators change the settings on all VMs and send SIGHUP to every node while refunds run. A node that is ended by
+    # the signal closes its callers' connections without an answer, and of refunds that ran to a good end nobody hears.
+    def test_reload_withRefundsInFlight_answersThemAll(self):
+        for name in self.names:
+            path = self.fleet.path(f"{name}.json")
+            with open(path, encoding="utf-8") as file:
+                settings = json.load(file)
+            with open(path, "w", encoding="utf-8") as file:
+                json.dump({**settings, "drainTimeoutMs": 9000}, file)
+        self.expect_all_answered([signal.SIGHUP], "Asked to reload.")
+        for node in self.fleet.nodes.values():
+            self.assertIn("Took over changed settings.", node.log())
+
+    # Tools of operators send other signals for other programs: to open log files anew, to dump a state. By default each
+    # of them ends a process at once, with its callers' requests.
+    def test_signalsWithoutMeaning_withRefundsInFlight_answerThemAll(self):
+        self.expect_all_answered([signal.SIGUSR1, signal.SIGUSR2, signal.SIGALRM], "Ignored a signal.")
+
+
+if __name__ == "__main__":
+    unittest.main()
