Hold signals back from the first instruction until the event loop takes them

Seen by callers: connections refused for the time of one more start; a stop in that moment counted as a crash. Cause: SIGHUP, SIGTERM and SIGINT had their default action until run() registered for them, after the libraries' own initialisation, the command line, the settings and the state chart. Ruled out: registering first in main(): most of a start is the libraries' initialisation, before main(). Change: node::ProcessSignals; the signals are blocked from .preinit_array on and delivered once it is constructed, as the first thing of run(). It also lifts a mask inherited from a supervisor. A line tells of each reload, also where nothing has changed: from the logs one couldn't see whether the signal had reached the process.

--- a/src/include/papayastep/node/node.h
+++ b/src/include/papayastep/node/node.h
@@ -41,8 +41,9 @@
     /// the context.
     void requestStop();
 
-    /// Takes over a settings file that has changed, as far as a running process can. Also looked for every few seconds.
-    void rereadSettings();
+    /// Takes over the settings file if it has changed, as far as a running process can, and logs that it was asked to.
+    /// A changed file is also found without being asked, within seconds.
+    void requestReload();
 
 private:
     void pump();
@@ -51,6 +52,7 @@
     void handleCancel(const wire::Envelope &envelope);
     void sendAll(const std::vector<wire::Outgoing> &messages);
     void countHealthEvents();
+    void rereadSettings();
     void logFoldedRefusals();
     void applyRetryLimit();
     void startBuild();
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -6,9 +6,9 @@
 #include "papayastep/base/log.h"
 #include "papayastep/base/logoutput.h"
 #include "papayastep/node/node.h"
+#include "papayastep/node/processsignals.h"
 #include "papayastep/routing/requestmachine.h"
 
-#include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 #include <sodium.h>
 
@@ -18,6 +18,10 @@
 
 namespace {
 
+// The libraries' own initialisation takes most of a start, and it runs before main(). Only here it can be preceded.
+[[gnu::section(".preinit_array"), gnu::used]] void (*const holdBackBeforeInitialisation)()
+    = papayastep::node::holdBackSignals;
+
 namespace options = boost::program_options;
 using papayastep::base::Error;
 using papayastep::base::ResultCode;
@@ -85,35 +89,32 @@
     return papayastep::node::ownInterfaces(io, clock, settings);
 }
 
-/// SIGTERM and SIGINT begin a planned stop, SIGHUP says that the settings file may have changed.
-void watchSignals(papayastep::net::asio::signal_set &signals, papayastep::node::Node &node)
+void react(papayastep::node::Node &node, papayastep::node::SignalRequest request)
 {
-    signals.async_wait([&](const papayastep::net::beast::error_code &error, int signal) {
-        if (error) {
-            return;
-        }
-        if (signal == SIGHUP) {
-            node.rereadSettings();
-        } else {
-            node.requestStop();
-        }
-        watchSignals(signals, node);
-    });
+    using papayastep::node::SignalRequest;
+    switch (request) {
+    case SignalRequest::Stop:
+        node.requestStop();
+        break;
+    case SignalRequest::Reload:
+        node.requestReload();
+        break;
+    }
 }
 
 void run(const CommandLine &line)
 {
+    papayastep::net::asio::io_context io(1);
+    papayastep::node::ProcessSignals signals(io);
     const papayastep::base::SystemClock clock;
     papayastep::base::LogOutput log(STDOUT_FILENO, clock);
     log.install();
     papayastep::node::SettingsKeeper keeper(line.settingsFile, line.overrides);
     auto settings = keeper.first();
-    papayastep::net::asio::io_context io(1);
-    papayastep::net::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
     auto interfaces = interfacesOf(io, clock, settings);
     papayastep::node::Node node(
         io, clock, std::move(keeper), std::move(settings), std::move(interfaces), log, randomSeed());
-    watchSignals(signals, node);
+    signals.watch([&node](papayastep::node::SignalRequest request) { react(node, request); });
     io.run();
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -360,6 +360,15 @@
     }
 }
 
+// The line stands for every request, also where nothing has changed: whoever sees a process end at the time of a reload
+// must be able to tell whether the signal reached it.
+void Node::requestReload()
+{
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Asked to reload." << base::field("open", m_entry.open())
+                                    << base::field("serving", m_serving.inFlight());
+    rereadSettings();
+}
+
 void Node::rereadSettings()
 {
     try {
--- /dev/null
+++ b/src/node/processsignals.cpp
@@ -0,0 +1,66 @@
+#include "papayastep/node/processsignals.h"
+
+#include <csignal>
+#include <utility>
+
+namespace papayastep::node {
+
+namespace {
+
+constexpr int stopSignals[] = {SIGTERM, SIGINT};
+
+sigset_t allSignals()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGHUP);
+    for (const int signal : stopSignals) {
+        sigaddset(&set, signal);
+    }
+    return set;
+}
+
+SignalRequest requestOf(int signal)
+{
+    return signal == SIGHUP ? SignalRequest::Reload : SignalRequest::Stop;
+}
+
+}
+
+void holdBackSignals()
+{
+    const sigset_t set = allSignals();
+    sigprocmask(SIG_BLOCK, &set, nullptr);
+}
+
+ProcessSignals::ProcessSignals(net::asio::io_context &io)
+    : m_signals(io, SIGHUP)
+{
+    for (const int signal : stopSignals) {
+        m_signals.add(signal);
+    }
+    // Also undoes a mask that was inherited: a supervisor that holds these signals back for itself and hands its mask
+    // on would leave a node that no signal reaches.
+    const sigset_t set = allSignals();
+    sigprocmask(SIG_UNBLOCK, &set, nullptr);
+}
+
+void ProcessSignals::watch(Handler handler)
+{
+    m_handler = std::move(handler);
+    waitForNext();
+}
+
+void ProcessSignals::waitForNext()
+{
+    m_signals.async_wait([this](const net::beast::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        // The next wait comes first: a handler that throws must not leave the node deaf to the next signal.
+        waitForNext();
+        m_handler(requestOf(signal));
+    });
+}
+
+}
--- a/testsuite/signals-to-a-node/run.py
+++ b/testsuite/signals-to-a-node/run.py
@@ -36,6 +36,7 @@
 
     # Settings are changed everywhere while a VM restarts its node. A process that is told to reload before it has
     # registered for the signal is ended by it, and its VM refuses connections until somebody starts it once more.
+    # The evidence: the exit status names the signal, and the trace of system calls shows no registration before it.
     def test_reload_whileSettingsAreRead_isTaken(self):
         node = signalled_at_start(self.fleet, self.name, signal.SIGHUP)
         self.fleet.wait_serving(self.name)
@@ -89,8 +90,10 @@
             wait_until(lambda node=node: node.log().count(reaction) >= len(numbers), 10, reaction)
             self.assertTrue(node.is_running())
 
-    # Operators change the settings on all VMs and send SIGHUP to every node while refunds run. A node that is ended by
-    # the signal closes its callers' connections without an answer, and of refunds that ran to a good end nobody hears.
+    # Operators change the settings on all VMs and send SIGHUP to every node while refunds run. A process that has not
+    # registered for the signal is ended by its default action: callers see their connections end without an answer in
+    # the same millisecond, the refunds run to a good end, and nobody hears of it. The evidence: the process ends with
+    # 128 plus the signal's number, whatever the load, and its log says nothing.
     def test_reload_withRefundsInFlight_answersThemAll(self):
         for name in self.names:
             path = self.fleet.path(f"{name}.json")
