Let SIGQUIT stop a node as planned, and ignore signals without a meaning

Seen by callers: every open connection of a node ends without an answer when it gets SIGQUIT, SIGUSR1, SIGUSR2 or SIGALRM. Nothing said what a node does then. Ruled out: SIG_IGN alone: it leaves no line, and whoever sent the signal never learns that it did nothing. Change: SIGQUIT is one more planned stop; the others are taken by the event loop and logged.

--- a/src/include/papayastep/node/processsignals.h
+++ b/src/include/papayastep/node/processsignals.h
@@ -10,8 +10,9 @@
 
 /// What a signal asks of a node.
 enum class SignalRequest {
-    Stop, ///< SIGTERM, SIGINT: a planned stop.
+    Stop, ///< SIGTERM, SIGINT, SIGQUIT: a planned stop.
     Reload, ///< SIGHUP: the settings file may have changed.
+    Nothing, ///< SIGUSR1, SIGUSR2, SIGALRM: sent by mistake, as these mean nothing to a node.
 };
 
 /// Holds back the signals of ProcessSignals until it is constructed. To be called before anything else in the process,
@@ -27,7 +28,7 @@
 class ProcessSignals
 {
 public:
-    using Handler = std::function<void(SignalRequest request)>;
+    using Handler = std::function<void(SignalRequest request, int signal)>;
 
     /// Registers for the signals and lets through what was held back.
     explicit ProcessSignals(net::asio::io_context &io);
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -89,7 +89,7 @@
     return papayastep::node::ownInterfaces(io, clock, settings);
 }
 
-void react(papayastep::node::Node &node, papayastep::node::SignalRequest request)
+void react(papayastep::node::Node &node, papayastep::node::SignalRequest request, int signal)
 {
     using papayastep::node::SignalRequest;
     switch (request) {
@@ -99,6 +99,9 @@
     case SignalRequest::Reload:
         node.requestReload();
         break;
+    case SignalRequest::Nothing:
+        PAPAYASTEP_LOG(WARNING, "node") << "Ignored a signal." << papayastep::base::field("signal", signal);
+        break;
     }
 }
 
@@ -114,7 +117,7 @@
     auto interfaces = interfacesOf(io, clock, settings);
     papayastep::node::Node node(
         io, clock, std::move(keeper), std::move(settings), std::move(interfaces), log, randomSeed());
-    signals.watch([&node](papayastep::node::SignalRequest request) { react(node, request); });
+    signals.watch([&node](papayastep::node::SignalRequest request, int signal) { react(node, request, signal); });
     io.run();
 }
 
--- a/src/node/processsignals.cpp
+++ b/src/node/processsignals.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr int stopSignals[] = {SIGTERM, SIGINT};
+constexpr int stopSignals[] = {SIGTERM, SIGINT, SIGQUIT};
+constexpr int idleSignals[] = {SIGUSR1, SIGUSR2, SIGALRM};
 
 sigset_t allSignals()
 {
@@ -17,12 +18,23 @@
     for (const int signal : stopSignals) {
         sigaddset(&set, signal);
     }
+    for (const int signal : idleSignals) {
+        sigaddset(&set, signal);
+    }
     return set;
 }
 
 SignalRequest requestOf(int signal)
 {
-    return signal == SIGHUP ? SignalRequest::Reload : SignalRequest::Stop;
+    if (signal == SIGHUP) {
+        return SignalRequest::Reload;
+    }
+    for (const int stop : stopSignals) {
+        if (signal == stop) {
+            return SignalRequest::Stop;
+        }
+    }
+    return SignalRequest::Nothing;
 }
 
 }
@@ -39,6 +51,9 @@
     for (const int signal : stopSignals) {
         m_signals.add(signal);
     }
+    for (const int signal : idleSignals) {
+        m_signals.add(signal);
+    }
     // Also undoes a mask that was inherited: a supervisor that holds these signals back for itself and hands its mask
     // on would leave a node that no signal reaches.
     const sigset_t set = allSignals();
@@ -59,7 +74,7 @@
         }
         // The next wait comes first: a handler that throws must not leave the node deaf to the next signal.
         waitForNext();
-        m_handler(requestOf(signal));
+        m_handler(requestOf(signal), signal);
     });
 }
 
