--- a/src/include/papayastep/membership/configspread.h
+++ b/src/include/papayastep/membership/configspread.h
@@ -3,6 +3,7 @@
 #include "papayastep/base/clock.h"
 #include "papayastep/base/error.h"
 #include "papayastep/config/configstore.h"
+#include "papayastep/membership/buildqueue.h"
 #include "papayastep/membership/messages.h"
 #include "papayastep/membership/peerrepair.h"
 #include "papayastep/membership/platformschedule.h"
@@ -66,23 +67,6 @@
     std::vector<config::FileReference> files;
 };
 
-/// A revision that is whole and newer, on its way to being parsed and checked.
-struct Build
-{
-    config::ConfigStore store;
-    std::string source; ///< "platform", or the VM that it came from.
-    std::optional<base::TimePoint> confirmed; ///< When the platform offered it to this node, if it did.
-};
-
-struct BuildResult
-{
-    config::ConfigurationPtr configuration; ///< Null if it is not valid.
-    std::string error;
-};
-
-/// Parses and checks. Takes a second at the planned size, touches nothing else and may run in any thread.
-BuildResult runBuild(const Build &build);
-
 /// A revision that came into force.
 struct Accepted
 {
@@ -214,10 +198,7 @@
     std::optional<Accepted> m_accepted;
     bool m_vmListChanged = false;
     SpreadStatus m_status; ///< The counters; the rest is filled in by status().
-    std::set<base::Revision> m_rejected; ///< Above the one in force. A smaller one may still be valid.
-    base::Revision m_newestBuild = 0; ///< Waiting or running; 0: none.
-    std::optional<Build> m_pendingBuild; ///< The newest that waits for takeBuild().
-    bool m_isBuilding = false;
+    BuildQueue m_builds;
 
     PlatformSchedule m_configurationSchedule;
     PlatformSchedule m_vmListSchedule;
--- /dev/null
+++ b/src/membership/buildqueue.cpp
@@ -0,0 +1,88 @@
+#include "papayastep/membership/buildqueue.h"
+
+#include "papayastep/base/error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayastep::membership {
+
+namespace {
+
+constexpr std::size_t rememberedRejected = 64;
+
+}
+
+BuildResult runBuild(const Build &build)
+{
+    try {
+        return {config::buildConfiguration(build.store.revision(), build.store.files()), {}};
+    } catch (const base::Error &error) {
+        return {nullptr, error.what()};
+    }
+}
+
+void BuildQueue::put(Build build)
+{
+    m_newest = build.store.revision();
+    m_waiting = std::move(build);
+}
+
+std::optional<Build> BuildQueue::take()
+{
+    if (m_isRunning || !m_waiting) {
+        return std::nullopt;
+    }
+    m_isRunning = true;
+    return std::exchange(m_waiting, std::nullopt);
+}
+
+void BuildQueue::finish(base::Revision revision, const BuildResult &result)
+{
+    m_isRunning = false;
+    if (m_newest == revision) {
+        m_newest = 0;
+    }
+    ++m_finishedCount;
+    if (result.configuration) {
+        return;
+    }
+    ++m_rejectedCount;
+    m_rejection = result.error;
+    m_rejected.insert(revision);
+    if (m_rejected.size() > rememberedRejected) {
+        m_rejected.erase(m_rejected.begin());
+    }
+}
+
+void BuildQueue::noteInForce(base::Revision revision)
+{
+    m_rejected.erase(m_rejected.begin(), m_rejected.upper_bound(revision));
+}
+
+bool BuildQueue::isSettled(base::Revision revision) const
+{
+    return revision <= m_newest || m_rejected.contains(revision);
+}
+
+base::Revision BuildQueue::newestSeen() const
+{
+    return m_rejected.empty() ? m_newest : std::max(m_newest, *m_rejected.rbegin());
+}
+
+std::uint64_t BuildQueue::finished() const
+{
+    return m_finishedCount;
+}
+
+std::uint64_t BuildQueue::rejected() const
+{
+    return m_rejectedCount;
+}
+
+const std::string &BuildQueue::rejection() const
+{
+    return m_rejection;
+}
+
+}
--- /dev/null
+++ b/src/membership/buildqueue_test.cpp
@@ -0,0 +1,79 @@
+#include "papayastep/membership/buildqueue.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace papayastep;
+
+namespace {
+
+/// Revisions of which only the number matters.
+struct BuildQueueFixture
+{
+    void put(base::Revision revision)
+    {
+        queue.put({config::ConfigStore(revision, {}), "platform", std::nullopt});
+    }
+
+    base::Revision taken()
+    {
+        const auto build = queue.take();
+        return build ? build->store.revision() : 0;
+    }
+
+    void reject(base::Revision revision)
+    {
+        put(revision);
+        queue.take();
+        queue.finish(revision, {nullptr, "no routes"});
+    }
+
+    membership::BuildQueue queue;
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(buildQueue, BuildQueueFixture)
+
+BOOST_AUTO_TEST_CASE(build_whileOneRuns_waitsAndOnlyTheNewestIsTaken)
+{
+    put(3);
+    BOOST_TEST(taken() == 3u);
+    put(4);
+    put(6);
+    BOOST_TEST(taken() == 0u);
+    queue.finish(3, {nullptr, "no routes"});
+    BOOST_TEST(taken() == 6u);
+}
+
+BOOST_AUTO_TEST_CASE(revision_underWayOrRejected_isSettled)
+{
+    put(5);
+    BOOST_TEST(queue.isSettled(4));
+    BOOST_TEST(queue.isSettled(5));
+    BOOST_TEST(!queue.isSettled(6));
+    queue.take();
+    queue.finish(5, {nullptr, "no routes"});
+    BOOST_TEST(queue.isSettled(5));
+    BOOST_TEST(queue.newestSeen() == 5u);
+    BOOST_TEST(queue.rejection() == "no routes");
+}
+
+// An operator publishes an invalid revision and mends it by an earlier one that had not reached this node yet. If the
+// rejected one hid it, the node would stay behind until the next revision.
+BOOST_AUTO_TEST_CASE(revision_smallerThanARejectedOne_isStillWorthABuild)
+{
+    reject(9);
+    BOOST_TEST(!queue.isSettled(8));
+}
+
+BOOST_AUTO_TEST_CASE(rejections_olderThanTheRevisionInForce_areForgotten)
+{
+    reject(5);
+    reject(9);
+    queue.noteInForce(7);
+    BOOST_TEST(!queue.isSettled(5));
+    BOOST_TEST(queue.isSettled(9));
+    BOOST_TEST(queue.rejected() == 2u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/membership/configspread.cpp
+++ b/src/membership/configspread.cpp
@@ -16,7 +16,6 @@
 constexpr base::Duration notifyOnceEvery = std::chrono::milliseconds(500);
 constexpr std::uint64_t leavingTrees = 2;
 constexpr std::size_t rememberedLeaving = 4096;
-constexpr std::size_t rememberedRejected = 64;
 
 std::uint64_t milliseconds(base::Duration duration)
 {
@@ -44,11 +43,7 @@
 
 PlatformCall ConfigSpread::configurationCall() const
 {
-    base::Revision seen = std::max(m_store.revision(), m_newestBuild);
-    if (!m_rejected.empty()) {
-        seen = std::max(seen, *m_rejected.rbegin());
-    }
-    return m_configurationSchedule.call(isReader(), seen);
+    return m_configurationSchedule.call(isReader(), std::max(m_store.revision(), m_builds.newestSeen()));
 }
 
 PlatformCall ConfigSpread::vmListCall() const
@@ -166,18 +161,9 @@
 
 // Acceptance.
 
-BuildResult runBuild(const Build &build)
-{
-    try {
-        return {config::buildConfiguration(build.store.revision(), build.store.files()), {}};
-    } catch (const base::Error &error) {
-        return {nullptr, error.what()};
-    }
-}
-
 bool ConfigSpread::isSettled(base::Revision revision) const
 {
-    return revision <= std::max(m_store.revision(), m_newestBuild) || m_rejected.contains(revision);
+    return revision <= m_store.revision() || m_builds.isSettled(revision);
 }
 
 void ConfigSpread::adopt(Build build)
@@ -185,40 +171,27 @@
     if (isSettled(build.store.revision())) {
         return;
     }
-    m_newestBuild = build.store.revision();
-    m_configurationRepair.noteHave(m_newestBuild);
+    m_configurationRepair.noteHave(build.store.revision());
+    m_builds.put(std::move(build));
     if (m_settings.buildElsewhere) {
-        m_pendingBuild = std::move(build);
         return;
     }
-    const BuildResult result = runBuild(build);
-    finishBuild(std::move(build), result);
+    if (auto next = m_builds.take()) {
+        const BuildResult result = runBuild(*next);
+        finishBuild(std::move(*next), result);
+    }
 }
 
 std::optional<Build> ConfigSpread::takeBuild()
 {
-    if (m_isBuilding || !m_pendingBuild) {
-        return std::nullopt;
-    }
-    m_isBuilding = true;
-    return std::exchange(m_pendingBuild, std::nullopt);
+    return m_builds.take();
 }
 
 void ConfigSpread::finishBuild(Build build, const BuildResult &result)
 {
     const base::Revision revision = build.store.revision();
-    m_isBuilding = false;
-    if (m_newestBuild == revision) {
-        m_newestBuild = 0;
-    }
-    ++m_status.built;
+    m_builds.finish(revision, result);
     if (!result.configuration) {
-        ++m_status.rejected;
-        m_status.rejection = result.error;
-        m_rejected.insert(revision);
-        if (m_rejected.size() > rememberedRejected) {
-            m_rejected.erase(m_rejected.begin());
-        }
         PAPAYASTEP_LOG(ERROR, logPrefix) << "Rejected a revision." << base::field("revision", revision)
                                          << base::field("source", build.source) << base::field("error", result.error);
         return;
@@ -228,7 +201,7 @@
     }
     m_previous = std::move(m_store);
     m_store = std::move(build.store);
-    m_rejected.erase(m_rejected.begin(), m_rejected.upper_bound(revision));
+    m_builds.noteInForce(revision);
     m_accepted = Accepted{result.configuration, build.source};
     if (build.confirmed) {
         m_confirmed = build.confirmed;
@@ -653,6 +626,9 @@
 SpreadStatus ConfigSpread::status() const
 {
     SpreadStatus status = m_status;
+    status.built = m_builds.finished();
+    status.rejected = m_builds.rejected();
+    status.rejection = m_builds.rejection();
     status.revision = m_store.revision();
     status.reader = isReader();
     status.vmListVersion = m_directory.list().version;
