Refuse settings and secrets that are no regular files

Cause: the settings file and the secret were opened with std::ifstream in the node's only thread. To open a named pipe waits for a writer, so a path that became one hung a start for good and, at a reload, the node with all its callers; a folder was read as an empty text. Test first: settings_pipeNobodyWritesTo_isRefusedAtOnce, secret_pipeNobodyWritesTo_isRefusedAtOnce and settings_folder_isRefused failed on the old code (both pipes still waiting after 10 s) and pass now; the rest of node_test passes. Conclusion: a reload can no longer wait for another process.

--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -9,9 +9,12 @@
 #include <valijson/validation_results.hpp>
 #include <valijson/validator.hpp>
 
+#include <cerrno>
 #include <cstdlib>
-#include <fstream>
-#include <sstream>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <system_error>
+#include <unistd.h>
 
 namespace papayastep::embedded {
 extern const std::string_view settingsSchema;
@@ -203,15 +206,60 @@
     return document;
 }
 
+/// A file descriptor that is closed at the end of its scope.
+class OpenFile
+{
+public:
+    explicit OpenFile(const std::string &path)
+        : m_descriptor(::open(path.c_str(), O_RDONLY | O_CLOEXEC | O_NONBLOCK))
+    {
+    }
+    ~OpenFile()
+    {
+        if (m_descriptor >= 0) {
+            ::close(m_descriptor);
+        }
+    }
+    OpenFile(const OpenFile &) = delete;
+    OpenFile &operator=(const OpenFile &) = delete;
+
+    bool isRegular() const
+    {
+        struct stat status = {};
+        return m_descriptor >= 0 && ::fstat(m_descriptor, &status) == 0 && S_ISREG(status.st_mode);
+    }
+
+    /// Appends the next bytes. Returns how many, 0 at the end, -1 with errno set.
+    ssize_t readInto(std::string &text) const
+    {
+        char part[4096];
+        const ssize_t got = ::read(m_descriptor, part, sizeof(part));
+        text.append(part, static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+        return got;
+    }
+
+private:
+    const int m_descriptor;
+};
+
+// Files are read in the thread that serves requests. To open a pipe waits until somebody writes to it, so a path that
+// became one would hang the node with all its callers while its process looks alive. Opening without waiting and
+// asking what was opened keeps that from happening, also where the path changes in between.
 std::string readFile(const std::string &path, ResultCode code)
 {
-    std::ifstream stream(path, std::ios::binary);
-    if (!stream) {
-        throw base::Error(code, path);
+    const OpenFile file(path);
+    if (!file.isRegular()) {
+        throw base::Error(code, path + " is no regular file that can be opened");
+    }
+    std::string text;
+    ssize_t got = 0;
+    do {
+        got = file.readInto(text);
+    } while (got > 0 || (got < 0 && errno == EINTR));
+    if (got < 0) {
+        throw base::Error(code, path + ": " + std::system_category().message(errno));
     }
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return text.str();
+    return text;
 }
 
 std::string trimmed(std::string text)
--- a/src/node/settings_test.cpp
+++ b/src/node/settings_test.cpp
@@ -4,8 +4,11 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <future>
+#include <sys/stat.h>
 #include <unistd.h>
 
 using namespace papayastep;
@@ -122,3 +125,59 @@
         return error.code() == base::ResultCode::SettingsUnreadable;
     });
 }
+
+namespace {
+
+/// Settings whose file or secret is a named pipe that nobody writes to.
+struct NamedPipeFixture : SettingsFixture
+{
+    NamedPipeFixture()
+    {
+        BOOST_REQUIRE(::mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR) == 0);
+    }
+
+    /// The code with which `path` is refused; nothing if it is taken, or still being read after a generous time.
+    std::optional<base::ResultCode> refusalOf(const std::string &path) const
+    {
+        auto reading = std::async(std::launch::async, [this, path]() -> std::optional<base::ResultCode> {
+            try {
+                readSettings(path, overrides);
+            } catch (const base::Error &error) {
+                return error.code();
+            }
+            return std::nullopt;
+        });
+        const bool inTime = reading.wait_for(std::chrono::seconds(10)) == std::future_status::ready;
+        // Ends a reader that waits for a writer, so that the test ends too.
+        const int writer = ::open(pipe.c_str(), O_WRONLY | O_NONBLOCK);
+        if (writer >= 0) {
+            ::close(writer);
+        }
+        const auto code = reading.get();
+        return inTime ? code : std::nullopt;
+    }
+
+    const std::string pipe = (folder / "pipe").string();
+};
+
+}
+
+// A tool that hands out settings or secrets puts a named pipe where the file was and goes away. The node reads files in
+// its only thread: at a reload it stops answering all its callers while its process looks alive, and nothing is logged.
+BOOST_FIXTURE_TEST_CASE(settings_pipeNobodyWritesTo_isRefusedAtOnce, NamedPipeFixture)
+{
+    BOOST_TEST((refusalOf(pipe) == base::ResultCode::SettingsUnreadable));
+}
+
+BOOST_FIXTURE_TEST_CASE(secret_pipeNobodyWritesTo_isRefusedAtOnce, NamedPipeFixture)
+{
+    overrides.secretFile = pipe;
+    BOOST_TEST((refusalOf(write("node.json", good.dump())) == base::ResultCode::SettingsSecretMissing));
+}
+
+BOOST_FIXTURE_TEST_CASE(settings_folder_isRefused, SettingsFixture)
+{
+    BOOST_CHECK_EXCEPTION(readSettings(folder.string(), {}), base::Error, [](const base::Error &error) {
+        return error.code() == base::ResultCode::SettingsUnreadable;
+    });
+}
