Answer a request with an Idempotency-Key when its home has the end

Cause: the entry sent the report of a run (LedgerComplete) and answered its caller in the same moment. A repeat sent at once through another node could reach the key's home before the report and was told 409, IdempotencyRunning. Traced in EntryRequest::passAnswer: the report leaves by the next pump, the answer at once; where the repeat enters at the home no message of it is needed, so it overtakes whenever the report is later than the caller's next call.

Change: the entry waits until the report is acknowledged, for 1 s at most and not beyond the request's deadline; also before a refusal of a run that was granted and before the head of an answer that is too large to keep. What the home acknowledges was too much in two further places with the same effect: - A home that stops as planned acknowledged a late report at once, while its next home, which may act already, had the key as running. It acknowledges now when the next home has it. Late reports are sent on once, not with each repetition. - A home acknowledged before it had heard all earlier homes of the key, which may answer by the record before. Weighed and not taken: the home asks the entry or holds a repeat back (docs/design/idempotency.md).

Ruled out: a crash of the home loses the record as before (IdempotencyHomeFresh, not "running"); an ordinary change of homes was right already (frozen homes acknowledge nothing). Left: a route that moves to another service during a run.

--- a/scripts/lab/cases/path.py
+++ b/scripts/lab/cases/path.py
@@ -4,6 +4,7 @@
 from ..report import percentile
 
 RATE = 200
+KEYED_RATE = 50
 PLENTY = {"shops": (1000000, 1000000)}
 
 
@@ -27,6 +28,25 @@
         report("answered_ratio", len(through_ms) / len(attempts), "ratio")
 
 
+def key_overhead(options, report):
+    """Added latency of an Idempotency-Key: refunds with and without one, paired, 50 requests a second each."""
+    seconds = options.seconds or 20
+    with Fleet(lambda block: generated(block, vms=6, slots=50, workspaces=PLENTY),
+               backends=["--service-time-ms", 2, "--sigma", 0]) as fleet:
+        plain = fleet.stream("shops", KEYED_RATE, "POST", "/refunds")
+        fleet.load([plain], 3).wait()
+        attempts = fleet.load([plain, {**plain, "idempotencyKey": True}], seconds).wait()
+        latencies = {keyed: [attempt["latency_ms"] for attempt in attempts
+                             if attempt["status"] == 200 and attempt["idempotency_key"] == keyed]
+                     for keyed in (False, True)}
+        for keyed, found in latencies.items():
+            report.note(f"{'with' if keyed else 'without'} key: {len(found)} answered, "
+                        f"p50 {percentile(found, 0.5):.3f} ms, p99 {percentile(found, 0.99):.3f} ms")
+        report("p50_added_ms", percentile(latencies[True], 0.5) - percentile(latencies[False], 0.5), "ms")
+        report("p99_added_ms", percentile(latencies[True], 0.99) - percentile(latencies[False], 0.99), "ms")
+        report("answered_ratio", sum(map(len, latencies.values())) / len(attempts), "ratio")
+
+
 def throughput(options, report):
     """Small requests a second through one node, closed loop, and its processor time for each."""
     seconds = options.seconds or 10
--- a/src/include/papayastep/node/entryhandler.h
+++ b/src/include/papayastep/node/entryhandler.h
@@ -22,6 +22,8 @@
     // Late decisions for open requests. Those for requests that have ended are dropped.
     void deliver(const limits::AdmissionDecision &decision);
     void deliver(const routing::LedgerDecision &decision);
+    /// The ledger's home has the end of this request.
+    void deliver(const base::RequestId &recorded);
     void deliver(const wire::CancelResult &result);
     void deliver(const wire::SlotOffer &offer);
 
--- a/src/include/papayastep/routing/idempotencyledger.h
+++ b/src/include/papayastep/routing/idempotencyledger.h
@@ -25,6 +25,9 @@
     base::Duration askNextAfter = std::chrono::milliseconds(250); ///< At the entry: then the next home is asked too.
     base::Duration fetchPatience = std::chrono::seconds(1); ///< Claims wait this long for a fetch, then are refused.
     base::Duration completeTimeout = std::chrono::seconds(30); ///< At the entry: then a report is given up.
+    /// At the entry: an answer waits this long for its report's acknowledgement. Longer than askNextAfter, so that the
+    /// next home of one that has stopped is heard too.
+    base::Duration recordPatience = std::chrono::seconds(1);
     std::size_t partBytes = 48u << 10; ///< Of one message with records.
     /// A first installation: no process has served keys before. Without it a new fleet refuses random keys for one
     /// retention, since it can't tell its first start from a restart of all nodes. It has no effect where a sibling
--- a/src/include/papayastep/routing/ledgerclient.h
+++ b/src/include/papayastep/routing/ledgerclient.h
@@ -41,13 +41,21 @@
     /// The decision comes by takeDecisions(), often at once.
     void claim(const ClaimRequest &request);
 
-    /// How a request that was told to run ended: once for each Run. Its report is resent until the home has it.
+    /// How a request that was told to run ended: once for each Run. Its report is resent until the home has it. The
+    /// caller should hear of the end only when isReporting() is false: before that, a repeat through another node may
+    /// be told that the first run has not ended.
     void completeWithAnswer(const base::RequestId &request, StoredAnswer answer);
     /// It may have run.
     void completeUnknown(const base::RequestId &request);
     /// It is proved that it did not run and never will: the key is free again.
     void completeNotRun(const base::RequestId &request);
 
+    /// Whether the home has not acknowledged the report of `request` yet. Each end of that is told by takeRecorded().
+    bool isReporting(const base::RequestId &request) const;
+    std::vector<base::RequestId> takeRecorded();
+    /// How long an answer may wait for that.
+    base::Duration recordPatience() const;
+
     /// The caller went away while the claim was open: no decision is wanted any more.
     void abandon(const base::RequestId &request);
 
@@ -94,6 +102,7 @@
     std::unordered_map<base::ServiceId, std::vector<base::VmId>> m_vms;
     EntryMap m_entries;
     std::vector<LedgerDecision> m_decisions;
+    std::vector<base::RequestId> m_recorded;
     std::vector<wire::Outgoing> m_messages;
 };
 
--- a/src/include/papayastep/routing/ledgerhome.h
+++ b/src/include/papayastep/routing/ledgerhome.h
@@ -40,6 +40,9 @@
 
     /// For the entry in the same process. Nothing: not decided yet, ask again.
     std::optional<ClaimAnswer> claim(const LedgerClaim &claim);
+
+    /// Whether the report is noted and no other node can answer a claim that is made from now on by an older record.
+    /// False: send it again.
     bool complete(const LedgerComplete &report);
 
     const IdempotencyLedger &ledger() const;
@@ -165,6 +168,8 @@
     std::int64_t agoOf(const std::optional<base::TimePoint> &at) const;
     std::optional<base::TimePoint> timeOf(std::int64_t ago) const;
 
+    bool isOpen(const Predecessor &predecessor, const ServiceState &state, const KeyHash &key) const;
+    bool handOn(const ServiceState &state, const KeyHash &key);
     void handOverService(const base::ServiceId &service, const ServiceState &state);
     void queuePart(const base::VmId &to, LedgerHandOver part);
     void endHandOver(const base::ServiceId &service, const base::VmId &to);
@@ -192,6 +197,7 @@
     std::map<ServiceVm, IncomingHandOver> m_handedToUs;
     std::vector<OutgoingPart> m_parts; ///< Not acknowledged yet.
     std::map<ServiceVm, OutgoingHandOver> m_given;
+    std::set<std::pair<base::RequestId, std::uint8_t>> m_handedOn; ///< Late reports and their RecordState, as sent.
     std::vector<wire::Outgoing> m_messages;
     base::TimePoint m_lastTick;
 };
--- a/src/node/entryhandler.cpp
+++ b/src/node/entryhandler.cpp
@@ -46,6 +46,14 @@
     }
 }
 
+void EntryHandler::deliver(const base::RequestId &recorded)
+{
+    const auto found = m_open.find(recorded);
+    if (found != m_open.end()) {
+        found->second->ledgerRecorded();
+    }
+}
+
 void EntryHandler::deliver(const wire::CancelResult &result)
 {
     const auto found = m_open.find({result.requestHigh, result.requestLow});
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -101,6 +101,11 @@
     m_changed.notify();
 }
 
+void EntryRequest::ledgerRecorded()
+{
+    m_changed.notify();
+}
+
 void EntryRequest::slotOffered(const wire::SlotOffer &offer)
 {
     m_choice.slotOffered(offer);
@@ -488,8 +493,12 @@
 net::Awaitable<void> EntryRequest::passAnswer()
 {
     m_machine.handle(RequestEvent::Answer);
-    m_context.metrics.countRequest(m_progress.service, ResultCode::Ok, m_context.clock.now() - m_arrived);
     ServedAnswer answer = std::move(m_watch.release()->answer());
+    if (m_claimed) {
+        reportAnswerToLedger(answer);
+        co_await awaitRecord();
+    }
+    m_context.metrics.countRequest(m_progress.service, ResultCode::Ok, m_context.clock.now() - m_arrived);
     net::ResponseHead head;
     head.result(answer.head.result_int());
     net::copyEndToEnd(answer.head, head);
@@ -499,18 +508,12 @@
         co_await passLargeAnswer(answer, std::move(head));
         co_return;
     }
-    reportAnswerToLedger(answer);
     net::WholeAnswer whole(std::move(head), std::move(answer.body));
     co_await m_exchange.answer(std::move(whole));
 }
 
 net::Awaitable<void> EntryRequest::passLargeAnswer(ServedAnswer &answer, net::ResponseHead head)
 {
-    // The ledger keeps no large answers, but it must know that the request ran.
-    if (m_claimed) {
-        m_context.ledgerClient.completeUnknown(m_id);
-        m_claimed = false;
-    }
     // A named result: GCC 12 destroys an argument by value twice when the co_await stands in a condition.
     const bool whole = co_await passStream(m_exchange, answer, std::move(head));
     if (!whole) {
@@ -528,8 +531,12 @@
         m_context.tokens.giveBack(*m_token);
     }
     m_token.reset();
+    const bool isReported = m_claimed;
     reportToLedger(refusal);
     m_context.schedulePump();
+    if (isReported) {
+        co_await awaitRecord();
+    }
     m_context.metrics.countRequest(m_progress.service, refusal.code, m_context.clock.now() - m_arrived);
     logRefusal(refusal);
     net::WholeAnswer answer = m_context.callers().refusal(refusal, shownId(), {});
@@ -595,10 +602,13 @@
 
 void EntryRequest::reportAnswerToLedger(const ServedAnswer &answer)
 {
-    if (!m_claimed) {
+    m_claimed = false;
+    m_context.schedulePump();
+    if (answer.rest) {
+        // The ledger keeps no large answers, but it must know that the request ran.
+        m_context.ledgerClient.completeUnknown(m_id);
         return;
     }
-    m_claimed = false;
     routing::StoredAnswer stored;
     stored.status = static_cast<int>(answer.head.result_int());
     net::http::fields kept;
@@ -610,7 +620,23 @@
     }
     stored.body = answer.body;
     m_context.ledgerClient.completeWithAnswer(m_id, std::move(stored));
-    m_context.schedulePump();
+}
+
+/// A caller that has its answer may repeat at once through another node. Should the repeat overtake our report, it
+/// would be told that the first run has not ended; so the answer waits until the home has the report. A home that is
+/// away must not hold the answer back for long: the report is resent meanwhile.
+net::Awaitable<void> EntryRequest::awaitRecord()
+{
+    const auto limit = std::min(m_progress.deadline, m_context.clock.now() + m_context.ledgerClient.recordPatience());
+    while (m_context.ledgerClient.isReporting(m_id)) {
+        if (m_context.clock.now() >= limit) {
+            PAPAYASTEP_LOG(INFO, "ledger")
+                << "Answers before the home of the idempotency key has the end." << base::field("request", shownId())
+                << base::field("workspace", m_workspace);
+            co_return;
+        }
+        co_await m_changed.waitUntil(limit);
+    }
 }
 
 std::string EntryRequest::shownId() const
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -28,6 +28,7 @@
 
     void admissionDecided(const limits::Admission &admission);
     void ledgerDecided(const routing::ClaimAnswer &answer);
+    void ledgerRecorded();
     void cancelAnswered(int attempt, routing::CancelAnswer answer);
     void slotOffered(const wire::SlotOffer &offer);
 
@@ -63,6 +64,7 @@
     void logRefusal(const routing::Refusal &refusal) const;
     void reportToLedger(const routing::Refusal &refusal);
     void reportAnswerToLedger(const ServedAnswer &answer);
+    net::Awaitable<void> awaitRecord();
     /// What the caller calls the request, or else our own id.
     std::string shownId() const;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -160,6 +160,9 @@
     for (const routing::LedgerDecision &decision : m_context.ledgerClient.takeDecisions()) {
         m_entry.deliver(decision);
     }
+    for (const base::RequestId &recorded : m_context.ledgerClient.takeRecorded()) {
+        m_entry.deliver(recorded);
+    }
     sendAll(m_context.health.takeMessages());
     countHealthEvents();
     if (m_spread.takeVmListChanged()) {
--- a/src/routing/ledger_test.cpp
+++ b/src/routing/ledger_test.cpp
@@ -72,6 +72,7 @@
     std::vector<Message> messages;
     config::ConfigurationPtr latest;
     std::map<base::RequestId, ClaimAnswer> verdicts;
+    std::set<base::RequestId> recorded;
     std::uint64_t lastRequest = 0;
     base::Incarnation lastIncarnation = 0;
 
@@ -133,6 +134,10 @@
                 BOOST_TEST(!verdicts.contains(decision.request));
                 verdicts[decision.request] = decision.answer;
             }
+            for (const auto &request : nodes[i].client->takeRecorded()) {
+                BOOST_TEST(!nodes[i].client->isReporting(request));
+                recorded.insert(request);
+            }
         }
     }
     void deliver(const Message &message)
@@ -231,6 +236,18 @@
             }
         }
     }
+    /// A key whose home is `index` among all nodes, and `other` where only `rest` are left.
+    std::string keyMoving(int index, const std::vector<int> &rest, int other) const
+    {
+        std::vector<base::VmId> left;
+        std::transform(rest.begin(), rest.end(), std::back_inserter(left), vm);
+        for (int salt = 0;; ++salt) {
+            std::string key = keyAt(index, salt);
+            if (homeOf(keyHash(workspace, key), left) == vm(other)) {
+                return key;
+            }
+        }
+    }
     std::string timedKeyAt(int index, base::WallTime time) const
     {
         for (int i = 0;; ++i) {
@@ -256,6 +273,91 @@
     }
 }
 
+// A caller has its answer and repeats at once through the node that is home of the key. The repeat overtakes the report
+// that the first run ended and would be told to wait; so the entry must know that the home does not have it yet.
+BOOST_FIXTURE_TEST_CASE(ledger_withReportUnderWay_isNotRecorded, Fleet)
+{
+    const auto key = keyAt(1);
+    BOOST_TEST(ask(0, key) == "run");
+    const auto request = lastAsked();
+    node(0).client->completeWithAnswer(request, StoredAnswer{200, {}, "paid"});
+    collect();
+    const auto report = std::exchange(messages, {});
+    BOOST_TEST(ask(1, key) == "unknown IdempotencyRunning");
+    BOOST_TEST(node(0).client->isReporting(request));
+    BOOST_TEST(!recorded.contains(request));
+    deliver(report.front());
+    settle();
+    BOOST_TEST(recorded.contains(request));
+    BOOST_TEST(ask(1, key) == "answer paid");
+}
+
+// A home stops as planned, and its next home acts already when the report of a run reaches the stopping one. If that
+// one acknowledged it, the caller would have its answer and the next home would tell its repeat to wait.
+BOOST_FIXTURE_TEST_CASE(ledger_withReportToStoppingHome_isRecordedOnlyWhenTheNextHasIt, Fleet)
+{
+    const auto key = keyMoving(1, {0, 2, 3}, 3);
+    BOOST_TEST(ask(0, key) == "run");
+    const auto request = lastAsked();
+    node(1).home->beginHandOver();
+    collect();
+    settle();
+    BOOST_TEST(node(1).home->handOverDone());
+    node(0).client->completeWithAnswer(request, StoredAnswer{200, {}, "paid"});
+    collect();
+    const Message report = messages.front();
+    messages.clear();
+    deliver(report);
+    std::vector<Message> toNext;
+    for (const Message &message : std::exchange(messages, {})) {
+        if (message.outgoing.to == vm(0)) {
+            deliver(message);
+        } else {
+            toNext.push_back(message);
+        }
+    }
+    BOOST_TEST(!recorded.contains(request));
+    BOOST_TEST(ask(2, key, "refund 7", {0, 1}) == "unknown IdempotencyRunning");
+    for (const Message &message : toNext) {
+        deliver(message);
+    }
+    settle();
+    tick(100ms);
+    settle();
+    BOOST_TEST(recorded.contains(request));
+    BOOST_TEST(ask(2, key) == "answer paid");
+}
+
+// A change brings a key back to its home, and the one that it had meanwhile has not heard of that. If the home
+// acknowledged a report at once, the other would tell a repeat that a run has not ended whose caller has its answer.
+BOOST_FIXTURE_TEST_CASE(ledger_withEarlierHomeUnheard_isNotRecorded, Fleet)
+{
+    const auto key = keyMoving(1, {0, 2, 3}, 2);
+    applyToAll(configuration(2, {0, 2, 3}));
+    settle();
+    BOOST_TEST(ask(0, key) == "run");
+    const auto request = lastAsked();
+    const auto back = configuration(3, {0, 1, 2, 3});
+    apply(0, back);
+    apply(1, back);
+    const auto fetches = std::exchange(messages, {});
+    node(0).client->completeWithAnswer(request, StoredAnswer{200, {}, "paid"});
+    collect();
+    settle();
+    BOOST_TEST(ask(3, key) == "unknown IdempotencyRunning"); // by the configuration before
+    BOOST_TEST(!recorded.contains(request));
+    for (const Message &fetch : fetches) {
+        deliver(fetch);
+    }
+    settle();
+    tick(100ms);
+    settle();
+    BOOST_TEST(recorded.contains(request));
+    applyToAll(back);
+    settle();
+    BOOST_TEST(ask(3, key) == "answer paid");
+}
+
 // A caller's first try times out and its library sends the refund again through another entry at the same moment.
 // With a home per key only one of the two is told to run.
 BOOST_FIXTURE_TEST_CASE(ledger_withTwoEntriesAtOnce_runsOne, Fleet)
--- a/src/routing/ledgerclient.cpp
+++ b/src/routing/ledgerclient.cpp
@@ -64,6 +64,22 @@
     return std::exchange(m_decisions, {});
 }
 
+std::vector<base::RequestId> LedgerClient::takeRecorded()
+{
+    return std::exchange(m_recorded, {});
+}
+
+bool LedgerClient::isReporting(const base::RequestId &request) const
+{
+    const auto found = m_entries.find(request);
+    return found != m_entries.end() && found->second.phase == Phase::Reporting;
+}
+
+base::Duration LedgerClient::recordPatience() const
+{
+    return m_settings.recordPatience;
+}
+
 std::vector<wire::Outgoing> LedgerClient::takeMessages()
 {
     return std::exchange(m_messages, {});
@@ -209,6 +225,7 @@
             m_messages.push_back(wire::outgoing(vm, wire::MessageKind::LedgerComplete, message));
         } else if (m_home.complete(message)) {
             entry.phase = Phase::Settled;
+            m_recorded.push_back(entry.claim.request);
         }
     }
 }
@@ -228,6 +245,7 @@
         const auto found = m_entries.find(result.request);
         if (found != m_entries.end() && found->second.phase == Phase::Reporting) {
             m_entries.erase(found);
+            m_recorded.push_back(result.request);
         }
         return;
     }
--- a/src/routing/ledgerhome.cpp
+++ b/src/routing/ledgerhome.cpp
@@ -198,7 +198,7 @@
                 return gap;
             }
         }
-        if (lost || handOver != nullptr) {
+        if (!isOpen(predecessor, state, claim.key)) {
             continue;
         }
         if (m_clock.now() - predecessor.asked < m_settings.fetchPatience) {
@@ -243,17 +243,46 @@
     if (!m_ledger.complete(record)) {
         return false;
     }
-    if (m_stopping) {
-        // The record may be under way to the next home already, in the state before.
-        LedgerHandOver part;
-        part.service = record.service;
-        if (auto current = m_ledger.record(record.key)) {
-            part.records.push_back(std::move(*current));
-            queuePart(nextHomeOf(record.key, *state.vms), std::move(part));
-        }
-    }
+    const bool nextHasIt = !m_stopping || handOn(state, record.key);
     // While frozen, or after a fetch, the new home must hear it too: no acknowledgement, so the entry asks on.
-    return state.frozenUntil <= m_configuration->revision();
+    if (!nextHasIt || state.frozenUntil > m_configuration->revision()) {
+        return false;
+    }
+    // An earlier home that was not heard yet may still answer by the record before. A stopping node answers no claims,
+    // and must not be held up by a home that is silent.
+    return m_stopping || std::none_of(state.predecessors.begin(), state.predecessors.end(), [&](const auto &p) {
+               return isOpen(p, state, record.key);
+           });
+}
+
+/// Whether `predecessor` may still answer claims for `key`, as it was not heard and has not stopped.
+bool LedgerHome::isOpen(const Predecessor &predecessor, const ServiceState &state, const KeyHash &key) const
+{
+    return !predecessor.lost && isHome(state, key) && isConcerned(predecessor, state, key)
+        && handedOver(predecessor, key) == nullptr;
+}
+
+/// Sends a record that changed after the hand-over began to the next home, and says whether that has it. The next home
+/// may act already, and would tell a repeat that a run has not ended whose caller has its answer.
+bool LedgerHome::handOn(const ServiceState &state, const KeyHash &key)
+{
+    const auto current = m_ledger.record(key);
+    const base::VmId next = nextHomeOf(key, *state.vms);
+    if (!current || next.empty() || next == m_self) {
+        return true;
+    }
+    if (m_handedOn.emplace(current->request, current->state).second) {
+        LedgerHandOver part;
+        part.service = current->service;
+        part.records.push_back(*current);
+        queuePart(next, std::move(part));
+    }
+    return std::none_of(m_parts.begin(), m_parts.end(), [&](const OutgoingPart &sent) {
+        const auto &records = sent.part.records;
+        return std::any_of(records.begin(), records.end(), [&](const LedgerRecord &record) {
+            return record.request == current->request && record.state == current->state;
+        });
+    });
 }
 
 // Messages
--- a/testsuite/repeat-with-idempotency-key/run.py
+++ b/testsuite/repeat-with-idempotency-key/run.py
@@ -4,13 +4,15 @@
 import threading
 import unittest
 
-from lab import http
+from lab import http, ports
 from lab.fleet import Fleet
 
 
-class RepeatTest(unittest.TestCase):
+class RefundTest(unittest.TestCase):
+    PROXIED = False
+
     def setUp(self):
-        self.fleet = Fleet()
+        self.fleet = Fleet(proxied=self.PROXIED)
         self.addCleanup(self.fleet.close)
 
     def refund(self, node, key, action="refund", timeout=10):
@@ -20,6 +22,8 @@
     def runs(self, action="refund"):
         return sum(found["action"] == action for found in self.fleet.actions())
 
+
+class RepeatTest(RefundTest):
     def test_refund_repeatedThroughOtherNodes_isAnsweredFromTheFirstRun(self):
         # The clerk's connection broke after the refund was paid; the till tries the next address it knows.
         answers = [self.refund(node, "till-1") for node in self.fleet.nodes]
@@ -58,5 +62,21 @@
         self.assertLessEqual(self.runs(), 1)
 
 
+class LatePeersTest(RefundTest):
+    PROXIED = True
+
+    def test_refund_repeatedAtItsHomeAtOnce_isAnsweredFromTheFirstRun(self):
+        # The clerk has the answer, and the till sends the refund again at once through the node that keeps the key's
+        # record. Messages between nodes take long, so the repeat is there before the report that the first one ended.
+        for index in range(len(self.fleet.nodes)):
+            self.fleet.link_fault(ports.PEER_LINK, index, delayMs=100)
+        for number in range(8):  # Each node is home of some of these keys.
+            with self.subTest(key=number):
+                answers = [self.refund(node, f"late-{number}", f"late-{number}") for node in self.fleet.nodes]
+                self.assertEqual([(answer.status, answer.code) for answer in answers], 3 * [(200, "")])
+                self.assertEqual(len({answer.body for answer in answers}), 1)
+                self.assertEqual(self.runs(f"late-{number}"), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
