Keep the answer of a run at a home that knows its key from a given-up request

Found by ledger_underRandomFaults with a new half of histories, which lose no memory, answer every run, and where a claim made after the acknowledgement of an answer must not be told that the outcome is unknown.

Change: a released record of another request gives way to the report.

--- a/src/routing/idempotencyledger.cpp
+++ b/src/routing/idempotencyledger.cpp
@@ -237,6 +237,10 @@
         return merge(report);
     }
     Record &record = known->second;
+    if (record.request != report.request && record.state == RecordState::Released) {
+        // That request was given up and says nothing of this one, which another home granted.
+        return merge(report);
+    }
     if (record.request != report.request || record.state == RecordState::Answered) {
         return true;
     }
--- a/src/routing/ledger_test.cpp
+++ b/src/routing/ledger_test.cpp
@@ -685,6 +685,33 @@
     BOOST_TEST(ledger.bytes() == 0u);
 }
 
+// A home that does not know a key hears first that one request with it was given up, and then that another one ran. Had
+// it kept to the first, the answer would be lost although its entry was told that it is kept.
+BOOST_AUTO_TEST_CASE(ledger_withAnswerAfterReleaseOfAnotherRequest_keepsTheAnswer)
+{
+    base::ManualClock clock;
+    IdempotencyLedger ledger(clock, {});
+    LedgerRecord report;
+    report.key.bytes[0] = 1;
+    report.workspace = workspace;
+    report.service = service;
+    report.left = base::Duration(10s).count();
+    report.retention = base::Duration(1h).count();
+    report.request.low = 2;
+    report.state = static_cast<std::uint8_t>(RecordState::Released);
+    BOOST_TEST(ledger.complete(report));
+    report.request.low = 1;
+    report.state = static_cast<std::uint8_t>(RecordState::Answered);
+    report.answer.body = "paid";
+    BOOST_TEST(ledger.complete(report));
+    LedgerClaim repeat;
+    repeat.key = report.key;
+    repeat.workspace = workspace;
+    repeat.request.low = 3;
+    BOOST_TEST_REQUIRE(ledger.lookUp(repeat).has_value());
+    BOOST_TEST(ledger.lookUp(repeat)->answer.body == "paid");
+}
+
 namespace {
 
 /// A number in [0, size), at every size of a test case alike.
@@ -709,21 +736,25 @@
 }
 
 // Everything at once, in any order: crossed, lost and repeated messages, crashes, planned stops, homes that move while
-// claims are under way, nodes that skip revisions. A caller would notice a fault as a refund paid twice. Two of four
-// nodes lose their memory at most (docs/design/idempotency.md says what holds when all do).
+// claims are under way, nodes that skip revisions. A caller would notice a fault as a refund paid twice, or, having its
+// answer, would be told on a repeat that the run has not ended. Two of four nodes lose their memory at most
+// (docs/design/idempotency.md says what holds when all do); a crash may also forget an answer.
 RC_BOOST_PROP(ledger_underRandomFaults_runsEachKeyAtMostOnce, ())
 {
     Fleet fleet;
     std::vector<config::ConfigurationPtr> published{fleet.latest};
     std::vector<std::string> keys{"a", "b", "c", "d"};
     std::vector<int> vms{0, 1, 2, 3};
-    int crashesLeft = 2;
+    const bool remembers = pick(2) == 0; // No memory is lost and each run is answered: its repeats must hear that.
+    int crashesLeft = remembers ? 0 : 2;
     struct Run
     {
         int entry;
         std::string key;
         bool open;
         bool ran;
+        bool afterAnswer; ///< Claimed when a caller had the answer, in a history that loses no memory.
+        bool isAnswered = false; ///< Reported so, in such a history.
     };
     std::map<base::RequestId, Run> asked;
     const int steps = pick(300);
@@ -744,7 +775,10 @@
                 keys.push_back(timedKey(fleet.clock.wallNow(), step));
             }
             const auto key = *rc::gen::elementOf(keys);
-            asked[fleet.claim(index, key)] = Run{index, key, true, false};
+            const bool afterAnswer = std::any_of(asked.begin(), asked.end(), [&](const auto &entry) {
+                return entry.second.key == key && entry.second.isAnswered && fleet.recorded.contains(entry.first);
+            });
+            asked[fleet.claim(index, key)] = Run{index, key, true, false, afterAnswer};
         } else if (action < 31) {
             fleet.tick(*rc::gen::element<base::Duration>(100ms, 300ms, 2s, 20s));
         } else if (action < 33) {
@@ -774,9 +808,10 @@
                 run.open = false;
             } else if (pick(4) == 0) {
                 run.open = false;
-                const int end = pick(3);
+                const int end = remembers ? 0 : pick(3);
                 auto &client = *fleet.node(run.entry).client;
                 if (end == 0) {
+                    run.isAnswered = remembers;
                     client.completeWithAnswer(request, StoredAnswer{200, {}, run.key});
                 } else if (end == 1) {
                     client.completeUnknown(request);
@@ -795,6 +830,10 @@
         if (verdict != fleet.verdicts.end() && verdict->second.verdict == ClaimVerdict::Answer) {
             RC_ASSERT(verdict->second.answer.body == run.key);
         }
+        if (run.afterAnswer && verdict != fleet.verdicts.end()) {
+            RC_ASSERT(verdict->second.refusal.outcome == Outcome::NotRun
+                      || verdict->second.verdict != ClaimVerdict::Refuse);
+        }
     }
     for (const auto &[key, count] : runs) {
         RC_ASSERT(count <= 1);
