Give a refusal of a keyed request at once

Seen by callers: where the home of an idempotency key is away, a refusal came up to a second late, though the request had been given up. Cause: the wait for the record, which an answer needs, stood before refusals too. Ruled out: a shorter wait: the repeat that it would spare a 409 comes again anyway, as it is told.

--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -531,12 +531,10 @@
         m_context.tokens.giveBack(*m_token);
     }
     m_token.reset();
-    const bool isReported = m_claimed;
+    // A refusal doesn't wait for its record as an answer does: what was given up must not be held back by a home that is
+    // away. A repeat that overtakes the report is told to come again.
     reportToLedger(refusal);
     m_context.schedulePump();
-    if (isReported) {
-        co_await awaitRecord();
-    }
     m_context.metrics.countRequest(m_progress.service, refusal.code, m_context.clock.now() - m_arrived);
     logRefusal(refusal);
     net::WholeAnswer answer = m_context.callers().refusal(refusal, shownId(), {});
