Explain requests without an end or without any line; show what was known of rates

Now a story without an end goes on to the next stop or start of its nodes and says that the end is missing; a request that no line names is answered with the times in which nodes were not running; `limits:` and `log:` lines count as beliefs.

--- a/src/ctl/requeststory.cpp
+++ b/src/ctl/requeststory.cpp
@@ -11,6 +11,8 @@
 /// How long before its first line a belief may have begun that decided about a request: a gray spell is held for some
 /// two seconds, and a configuration is in force everywhere within two.
 constexpr int beliefSeconds = 3;
+/// A node that was killed is started again within some seconds.
+constexpr int restartSeconds = 10;
 
 const std::regex &lineShape()
 {
@@ -22,10 +24,22 @@
 /// The parts whose lines without a request say what a node believes.
 bool tellsBeliefs(const LogLine &line)
 {
-    static const std::set<std::string> parts{"config", "health", "membership", "node", "platform", "serving"};
+    static const std::set<std::string> parts{
+        "config", "health", "limits", "log", "membership", "node", "platform", "serving"};
     return parts.contains(line.part) && !line.fields.contains("request");
 }
 
+/// Whether the line tells how a request ended for its caller. A summary names requests that were refused.
+bool tellsEnd(const LogLine &line)
+{
+    static const std::set<std::string> ends{"Answered a request.",
+                                            "Broke an answer off.",
+                                            "Gave a request up.",
+                                            "Refused a request.",
+                                            "Refused more requests."};
+    return line.part == "routing" && ends.contains(line.sentence);
+}
+
 /// Seconds of the day; a story that crosses midnight loses the beliefs before it, and nothing else.
 double secondsOfDay(const std::string &time)
 {
@@ -127,17 +141,40 @@
         own.begin(), own.end(), [](const LogLine &a, const LogLine &b) { return a.time < b.time; });
     const double from = secondsOfDay(first->time) - beliefSeconds;
     const double to = secondsOfDay(last->time);
+    const bool ended = hasEnd();
     std::vector<LogLine> story = own;
     std::copy_if(m_lines.begin(), m_lines.end(), std::back_inserter(story), [&](const LogLine &line) {
         const double at = secondsOfDay(line.time);
         const std::string server = valueOf(line, "server");
         const bool concerns = nodes.contains(line.node) && (server.empty() || servers.contains(server));
-        return tellsBeliefs(line) && concerns && at >= from && at <= to;
+        const double until = line.part == "node" && !ended ? to + restartSeconds : to;
+        return tellsBeliefs(line) && concerns && at >= from && at <= until;
     });
     std::stable_sort(story.begin(), story.end(), [](const LogLine &a, const LogLine &b) { return a.time < b.time; });
     return story;
 }
 
+bool RequestStory::hasEnd() const
+{
+    return std::any_of(
+        m_lines.begin(), m_lines.end(), [this](const LogLine &line) { return tellsEnd(line) && names(line); });
+}
+
+std::vector<NodeStart> RequestStory::starts() const
+{
+    std::vector<NodeStart> found;
+    std::map<std::string, const LogLine *> before;
+    for (const LogLine &line : m_lines) {
+        const LogLine *&last = before[line.node];
+        if (line.part == "node" && line.sentence == "Started." && last != nullptr) {
+            found.push_back({line.node, last->time, line.time, last->part == "node" && last->sentence == "Stopped."});
+        }
+        last = &line;
+    }
+    std::sort(found.begin(), found.end(), [](const auto &a, const auto &b) { return a.startedAt < b.startedAt; });
+    return found;
+}
+
 std::size_t RequestStory::foreign() const
 {
     return m_foreign;
--- a/src/ctl/requeststory.h
+++ b/src/ctl/requeststory.h
@@ -27,6 +27,17 @@
 /// or was written by another program.
 std::optional<LogLine> parseLogLine(std::string_view text, const std::string &fallbackNode);
 
+/// A start of a node that had run before.
+struct NodeStart
+{
+    std::string node;
+    std::string lastLineAt; ///< Of the run before.
+    std::string startedAt;
+    bool planned = false; ///< The run before ended with its line of a planned stop.
+
+    auto operator<=>(const NodeStart &) const = default;
+};
+
 /// What the logs of several nodes tell of one request.
 class RequestStory
 {
@@ -40,6 +51,13 @@
     /// it ran: about the servers it met, the configuration and the directory. In order of time.
     std::vector<LogLine> lines() const;
 
+    /// Whether a line tells how the request ended for its caller. If not, lines() also holds the stops and starts of
+    /// its nodes shortly after.
+    bool hasEnd() const;
+
+    /// When nodes were not running, in order of time: a request that no line names may have reached none.
+    std::vector<NodeStart> starts() const;
+
     /// Lines that were no log lines of a node.
     std::size_t foreign() const;
 
--- a/src/ctl/requeststory_test.cpp
+++ b/src/ctl/requeststory_test.cpp
@@ -77,6 +77,55 @@
     BOOST_TEST(!story.lines().empty());
 }
 
+// The node that a caller spoke with is killed while it waits for a server. No line can tell that; the log of the node
+// just goes on with its next start, a moment later.
+BOOST_AUTO_TEST_CASE(story_whoseEntryWasKilled_goesOnToItsNextStart)
+{
+    read("2026-01-02T03:04:05.000100Z I routing: Placed an attempt. request=r7 hop=aa server=s1\n"
+         "2026-01-02T03:04:07.200000Z I node: Started. vm=vm-1\n",
+         "vm-1");
+    read("2026-01-02T03:04:07.300000Z I node: Started. vm=vm-9\n", "vm-9");
+    const auto lines = story.lines();
+    BOOST_TEST(!story.hasEnd());
+    BOOST_REQUIRE_EQUAL(lines.size(), 2U);
+    BOOST_TEST(lines[1].node == "vm-1");
+    BOOST_TEST(lines[1].sentence == "Started.");
+}
+
+// A caller could not connect. Its request stands in no log, so the engineer needs to know which nodes were away.
+BOOST_AUTO_TEST_CASE(request_thatReachedNoNode_isExplainedByTheStarts)
+{
+    read("2026-01-02T03:04:01.000000Z I node: Started. vm=vm-1\n"
+         "2026-01-02T03:04:05.000000Z I node: Stopped. open=0\n"
+         "2026-01-02T03:04:06.000000Z I node: Started. vm=vm-1\n",
+         "vm-1");
+    read("2026-01-02T03:04:01.000000Z I node: Started. vm=vm-2\n"
+         "2026-01-02T03:04:03.000000Z I routing: Answered a request. request=other\n"
+         "2026-01-02T03:04:04.500000Z I node: Started. vm=vm-2\n",
+         "vm-2");
+    BOOST_TEST(story.lines().empty());
+    const std::vector<NodeStart> expected{{"vm-2", "2026-01-02T03:04:03.000000Z", "2026-01-02T03:04:04.500000Z", false},
+                                          {"vm-1", "2026-01-02T03:04:05.000000Z", "2026-01-02T03:04:06.000000Z", true}};
+    BOOST_TEST((story.starts() == expected));
+}
+
+// A request is refused because the nodes that hold its workspace's tokens are silent. The line that says which ones
+// names no request, and comes from the part that decides on rates.
+BOOST_AUTO_TEST_CASE(story_ofARefusalByRate_hasWhatItsEntryKnewOfTheHolders)
+{
+    read("2026-01-02T03:04:04.900000Z W limits: Passing over a node that holds workspaces' rates. vm=10.0.0.9\n"
+         "2026-01-02T03:04:04.950000Z E log: Dropped lines. count=7\n"
+         "2026-01-02T03:04:05.000000Z W routing: Refused a request. request=r7 tokensRefusedBy=nobody-answered\n",
+         "vm-1");
+    BOOST_TEST(story.lines().size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(story_ofAnAnsweredRequest_hasItsEnd)
+{
+    read(entryLog, "vm-1");
+    BOOST_TEST(story.hasEnd());
+}
+
 // In an overload most refusals stand in a summary only, with many ids in one line.
 BOOST_AUTO_TEST_CASE(request_namedInASummary_isFound)
 {
--- a/src/ctl/tracecommand.cpp
+++ b/src/ctl/tracecommand.cpp
@@ -60,11 +60,16 @@
         for (const LogLine &line : lines) {
             print(line, streams.out);
         }
+        if (!lines.empty() && !story.hasEnd()) {
+            streams.out
+                << "No line tells how it ended: its node ended first, its line was dropped, or a log is missing.\n";
+        }
         if (story.foreign() > 0) {
             streams.err << story.foreign() << " lines were passed over: cut, or of another program.\n";
         }
         if (lines.empty()) {
-            streams.err << "No line names this request.\n";
+            streams.err << "No line names this request: it reached none of these nodes, or its lines were dropped.\n";
+            printStarts(story.starts(), streams.out);
             return exitFailed;
         }
         return exitOk;
@@ -84,6 +89,14 @@
         story.read(log, std::filesystem::path(file).stem().string());
     }
 
+    static void printStarts(const std::vector<NodeStart> &starts, std::ostream &out)
+    {
+        for (const NodeStart &start : starts) {
+            out << start.node << " was not running between " << start.lastLineAt << " and " << start.startedAt
+                << (start.planned ? ", after a planned stop.\n" : "; it ended without a planned stop.\n");
+        }
+    }
+
     static void print(const LogLine &line, std::ostream &out)
     {
         const bool believed = !line.fields.contains("request") && !line.fields.contains("requests");
