Count what nodes decide: requests, retries, slots, rates, holds, platform calls, reloads

Missing of what operators need to see a failure before callers complain: outcomes and kinds of requests, retries and what is left of their budget, slots in use and for how long, servers held back and returned, tokens granted, lent and taken alone, calls of the platform by kind and answer, cancels, reloads of settings, bytes of the log. Health events were counted as attempts of a service "health"; running totals were gauges.

Labels are kinds, codes and services. A label for each of 32,000 routes was ruled out: with some ten ends each a node would hold 300,000 series. A node of the planned size sees 1,200 services, so after 64 the rest share a label.

Running totals are counters now and end in _total. The measure of control traffic added the bytes of each kind of message to their sum since these have a family of their own, and so counted them twice; it reads the sum alone.

--- a/scripts/lab/cases/cost.py
+++ b/scripts/lab/cases/cost.py
@@ -41,8 +41,7 @@
 
 
 def _sent_bytes(fleet, name):
-    return sum(value for sample, value in fleet.metrics(name).items()
-               if sample.startswith("papayastep_peer_bytes_sent"))
+    return fleet.metrics(name)["papayastep_peer_bytes_sent_total"]
 
 
 def in_services(block, size):
--- a/src/base/logoutput.cpp
+++ b/src/base/logoutput.cpp
@@ -140,6 +140,7 @@
         return;
     }
     ++m_counters.written;
+    m_counters.bytes += line.size();
     m_buffer += line;
 }
 
--- a/src/base/logoutput_test.cpp
+++ b/src/base/logoutput_test.cpp
@@ -55,6 +55,7 @@
     const std::string text = readAll();
     BOOST_TEST(text.ends_with("Z W routing: Refused a request. request=7\n"));
     BOOST_TEST(text.find('T') == 10U);
+    BOOST_TEST(output.counters().bytes == text.size());
 }
 
 // The program that collects the logs hangs and reads no more, so the pipe fills up. A node that blocks on its next line
--- a/src/health/healthmonitor.cpp
+++ b/src/health/healthmonitor.cpp
@@ -776,6 +776,27 @@
     return m_impl->m_counters;
 }
 
+std::string_view name(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Success:
+        return "success";
+    case AttemptOutcome::Error:
+        return "error";
+    case AttemptOutcome::Partial:
+        return "partial";
+    case AttemptOutcome::Timeout:
+        return "timeout";
+    case AttemptOutcome::ConnectionRefused:
+        return "connection-refused";
+    case AttemptOutcome::Shed:
+        return "shed";
+    case AttemptOutcome::CancelledByUs:
+        return "cancelled-by-us";
+    }
+    return "unknown";
+}
+
 std::string_view name(HealthEventKind kind)
 {
     switch (kind) {
--- a/src/include/papayastep/base/logoutput.h
+++ b/src/include/papayastep/base/logoutput.h
@@ -57,6 +57,7 @@
     struct Counters
     {
         std::uint64_t written = 0; ///< Lines.
+        std::uint64_t bytes = 0; ///< Of these.
         std::uint64_t dropped = 0; ///< Lines, by the budget or for want of room in the buffer.
 
         auto operator<=>(const Counters &) const = default;
--- a/src/include/papayastep/health/attempt.h
+++ b/src/include/papayastep/health/attempt.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string_view>
 
 /// What a node tells about its attempts: the raw evidence of the package.
 namespace papayastep::health {
@@ -28,6 +29,9 @@
     CancelledByUs, ///< Given up for reasons that say nothing about the server.
 };
 
+/// The name of `outcome`, for metric labels.
+std::string_view name(AttemptOutcome outcome);
+
 /// How a hop ended, as the entry saw it.
 enum class HopOutcome {
     Answered, ///< A whole answer of the backend server that is no server error.
--- a/src/include/papayastep/limits/ratelimiter.h
+++ b/src/include/papayastep/limits/ratelimiter.h
@@ -81,6 +81,10 @@
     std::uint64_t asksSent = 0;
     std::uint64_t grantsMade = 0;
     std::uint64_t loansMade = 0;
+    double tokensGranted
+        = 0; ///< Whole tokens in these grants, to this node's own requests too where it holds the share.
+    double tokensLent = 0; ///< Whole tokens in these loans.
+    std::uint64_t admittedAlone = 0; ///< Of the admitted, without a word of any holder.
     std::uint64_t returnsReceived = 0;
     std::uint64_t messagesSent = 0;
     std::uint64_t messagesIgnored = 0; ///< Late, repeated, from a stranger, or malformed.
--- a/src/include/papayastep/net/platformclient.h
+++ b/src/include/papayastep/net/platformclient.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "papayastep/config/configuration.h"
+#include "papayastep/net/callbook.h"
 #include "papayastep/net/httpclient.h"
 #include "papayastep/net/platformanswers.h"
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -28,18 +30,23 @@
 class HttpPlatformClient final : public PlatformClient
 {
 public:
-    HttpPlatformClient(asio::io_context &context, const base::Clock &clock, std::vector<Endpoint> endpoints);
+    HttpPlatformClient(asio::io_context &context,
+                       const base::Clock &clock,
+                       std::vector<Endpoint> endpoints,
+                       std::shared_ptr<CallBook> calls);
 
     Awaitable<std::optional<PublishedIndex>> configuration(base::Revision after, std::chrono::seconds wait) override;
     Awaitable<std::string> file(const PublishedFile &file) override;
     Awaitable<std::optional<config::VmList>> vms(std::uint64_t after, std::chrono::seconds wait) override;
 
 private:
-    Awaitable<std::optional<std::string>> read(std::string target, std::chrono::seconds wait);
+    Awaitable<std::optional<std::string>> read(std::string_view call, std::string target, std::chrono::seconds wait);
 
     asio::io_context &m_context;
+    const base::Clock &m_clock;
     HttpPool m_pool;
     std::vector<Endpoint> m_endpoints;
+    std::shared_ptr<CallBook> m_calls;
     std::size_t m_next = 0;
 };
 
--- a/src/include/papayastep/node/node.h
+++ b/src/include/papayastep/node/node.h
@@ -71,6 +71,10 @@
     net::WholeAnswer explainPage(const AdminHandler::Query &query);
     net::WholeAnswer metricsPage();
     void collectMetrics();
+    void collectNews();
+    void collectTraffic();
+    void collectDecisions();
+    void collectSlots();
 
     base::LogOutput &m_log;
     SettingsKeeper m_settingsKeeper;
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -14,6 +14,26 @@
 
 namespace papayastep::node {
 
+/// Slots of the backend servers of this VM, for one service.
+struct SlotUse
+{
+    int slots = 0;
+    std::size_t running = 0;
+    std::size_t queued = 0;
+    std::size_t heldBack = 0; ///< Servers taken for gray.
+
+    SlotUse &operator+=(const SlotUse &other)
+    {
+        slots += other.slots;
+        running += other.running;
+        queued += other.queued;
+        heldBack += other.heldBack;
+        return *this;
+    }
+
+    auto operator<=>(const SlotUse &) const = default;
+};
+
 /// The serving side: takes attempts for the backend servers of this VM, queues them fairly, runs them, and can say
 /// of each whether it was started. It says `not-run` only of an attempt that it will never start.
 class ServingNode
@@ -45,6 +65,7 @@
     /// Attempts queued or running.
     std::size_t inFlight() const;
     std::size_t queued() const;
+    std::map<base::ServiceId, SlotUse> slotUse() const;
 
 private:
     struct Work;
--- a/src/include/papayastep/routing/retrybudget.h
+++ b/src/include/papayastep/routing/retrybudget.h
@@ -3,6 +3,8 @@
 #include "papayastep/base/clock.h"
 #include "papayastep/base/identifiers.h"
 
+#include <cstdint>
+#include <map>
 #include <unordered_map>
 
 namespace papayastep::routing {
@@ -38,6 +40,16 @@
 /// 0.65 of the ratio over one and a half windows, and 0.3 of the slack twice. The debt takes what is left of the slack.
 RetryBudgetSettings partOf(const FleetRetryLimit &limit, std::size_t nodes);
 
+/// Retries asked for since the start.
+struct RetryBudgetCounters
+{
+    std::uint64_t spent = 0;
+    std::uint64_t refusedByService = 0; ///< The budget of the service was spent.
+    std::uint64_t refusedByWorkspace = 0; ///< Only that of the workspace was.
+
+    auto operator<=>(const RetryBudgetCounters &) const = default;
+};
+
 /// Bounds retries to a share of recent first attempts, per service and per workspace.
 ///
 /// Without it a sick service is hit with several times its traffic just when it can least bear it, and one
@@ -60,6 +72,10 @@
     void tick();
 
     std::size_t size() const;
+    const RetryBudgetCounters &counters() const;
+
+    /// Retries that each service seen lately could spend now; below zero: in debt.
+    std::map<base::ServiceId, double> left();
 
 private:
     struct Account
@@ -71,11 +87,13 @@
 
     template<typename Map, typename Id>
     Account &refreshed(Map &accounts, const Id &id);
+    double available(const Account &account) const;
     bool canSpend(const Account &account) const;
     static void take(Account &account);
 
     const base::Clock &m_clock;
     RetryBudgetSettings m_settings;
+    RetryBudgetCounters m_counters;
     std::unordered_map<base::ServiceId, Account> m_services;
     std::unordered_map<base::WorkspaceId, Account> m_workspaces;
 };
--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -380,6 +380,7 @@
     const std::uint32_t granted = std::min(whole, plenty ? std::max(urgent, wanted) : urgent);
     pool.bucket.level -= granted;
     m_counters.grantsMade += granted > 0 ? 1 : 0;
+    m_counters.tokensGranted += granted;
     return granted;
 }
 
@@ -467,6 +468,7 @@
             m_decisions.push_back({request, Refused{base::ResultCode::KeyUnknown, {}}});
         } else if (takeAlone(*configured, m_entries[wish.workspace])) {
             ++m_counters.admittedWaiting;
+            ++m_counters.admittedAlone;
             m_decisions.push_back({request, Admitted{tokenOf(wish.workspace)}});
         } else {
             ++m_counters.refusedSilent;
--- a/src/limits/pooledlimiter_test.cpp
+++ b/src/limits/pooledlimiter_test.cpp
@@ -166,6 +166,26 @@
     BOOST_TEST(refused == 0);
 }
 
+// A node that is cut off admits alone. Operators see that only in its counters: to callers it looks like any other.
+BOOST_FIXTURE_TEST_CASE(counters_ofANodeThatIsCutOff_tellWhatItAdmittedAlone, PooledFleet)
+{
+    const auto sum = [this](auto member) {
+        std::uint64_t total = 0;
+        for (const auto &limiter : limiters) {
+            total += static_cast<std::uint64_t>(limiter->counters().*member);
+        }
+        return total;
+    };
+    play(10s, rate / 1.6);
+    BOOST_TEST(sum(&BrokerCounters::admittedAlone) == 0U);
+    BOOST_TEST(sum(&BrokerCounters::tokensGranted) >= admitted.size());
+
+    const int away = home() == 0 ? 1 : 0;
+    cut.insert(away);
+    play(10s, rate / 1.6);
+    BOOST_TEST(limiters[static_cast<std::size_t>(away)]->counters().admittedAlone > 0U);
+}
+
 // One workspace sends five times its rate, spread over all entries. The others would be crowded out if each entry only
 // knew what it sees itself.
 BOOST_FIXTURE_TEST_CASE(pool_farOverTheRate_staysWithinWhatIsTolerated, PooledFleet)
--- a/src/limits/workspacetokens.cpp
+++ b/src/limits/workspacetokens.cpp
@@ -701,6 +701,7 @@
         granted += own;
     }
     m_context.counters.grantsMade += answer.parts.size();
+    m_context.counters.tokensGranted += wholeTokens(granted);
     return granted;
 }
 
@@ -721,6 +722,7 @@
         m_share->grant(++m_context.lastGrant, amount, now + surelyExpired(settings, settings.grantValidity));
         answer.parts.push_back(GrantPart{m_context.lastGrant, amount, toMicroseconds(settings.grantValidity)});
         ++m_context.counters.loansMade;
+        m_context.counters.tokensLent += wholeTokens(amount);
     }
     answer.level = ownLevel();
     answer.busy = overloaded();
--- a/src/net/platformclient.cpp
+++ b/src/net/platformclient.cpp
@@ -19,10 +19,13 @@
 
 HttpPlatformClient::HttpPlatformClient(asio::io_context &context,
                                        const base::Clock &clock,
-                                       std::vector<Endpoint> endpoints)
+                                       std::vector<Endpoint> endpoints,
+                                       std::shared_ptr<CallBook> calls)
     : m_context(context)
+    , m_clock(clock)
     , m_pool(context, clock, HttpPool::Limits{})
     , m_endpoints(std::move(endpoints))
+    , m_calls(std::move(calls))
 {
 }
 
@@ -33,7 +36,7 @@
     if (wait.count() > 0) {
         target += "?after=" + std::to_string(after) + "&wait=" + std::to_string(wait.count());
     }
-    const auto answer = co_await read(target, wait);
+    const auto answer = co_await read("configuration", target, wait);
     if (!answer) {
         co_return std::nullopt;
     }
@@ -42,8 +45,8 @@
 
 Awaitable<std::string> HttpPlatformClient::file(const PublishedFile &file)
 {
-    const auto answer
-        = co_await read("/v1/configuration/files/" + file.name + "?digest=" + file.digest, std::chrono::seconds(0));
+    std::string target = "/v1/configuration/files/" + file.name + "?digest=" + file.digest;
+    const auto answer = co_await read("file", std::move(target), std::chrono::seconds(0));
     if (!answer) {
         refuse("the platform has no file '" + file.name + "'");
     }
@@ -61,15 +64,18 @@
     if (wait.count() > 0) {
         target += "?after=" + std::to_string(after) + "&wait=" + std::to_string(wait.count());
     }
-    const auto answer = co_await read(target, wait);
+    const auto answer = co_await read("vms", target, wait);
     if (!answer) {
         co_return std::nullopt;
     }
     co_return parseVmList(*answer);
 }
 
-Awaitable<std::optional<std::string>> HttpPlatformClient::read(std::string target, std::chrono::seconds wait)
+Awaitable<std::optional<std::string>> HttpPlatformClient::read(std::string_view call,
+                                                               std::string target,
+                                                               std::chrono::seconds wait)
 {
+    const base::TimePoint began = m_clock.now();
     const Endpoint endpoint = m_endpoints[m_next % m_endpoints.size()];
     GetLimits limits;
     limits.timeout = wait + answerTimeout;
@@ -77,16 +83,19 @@
     GetResult result;
     try {
         result = co_await httpGet(m_context, m_pool, endpoint, std::move(target), limits);
-    } catch (const base::Error &) {
+    } catch (const base::Error &error) {
         ++m_next;
+        m_calls->note(call, error.code(), m_clock.now() - began);
         throw;
     }
     constexpr unsigned noContent = 204;
     constexpr unsigned ok = 200;
+    const bool good = result.status == noContent || result.status == ok;
+    m_calls->note(call, good ? base::ResultCode::Ok : base::ResultCode::PlatformAnswerInvalid, m_clock.now() - began);
     if (result.status == noContent) {
         co_return std::nullopt;
     }
-    if (result.status != ok) {
+    if (!good) {
         refuse("status " + std::to_string(result.status));
     }
     co_return std::move(result.body);
--- /dev/null
+++ b/src/node/collectmetrics.cpp
@@ -0,0 +1,147 @@
+// What the parts of a node keep, put into its metrics before each scrape.
+
+#include "papayastep/node/node.h"
+
+#include <algorithm>
+
+namespace papayastep::node {
+
+namespace {
+
+template<typename Integer>
+double real(Integer value)
+{
+    return static_cast<double>(value);
+}
+
+/// -1: nothing was heard yet.
+double ageSeconds(std::optional<base::Duration> age)
+{
+    return age ? std::chrono::duration<double>(*age).count() : -1;
+}
+
+}
+
+void Node::collectMetrics()
+{
+    collectNews();
+    collectTraffic();
+    collectDecisions();
+    collectSlots();
+}
+
+/// What the node knows of the configuration and the platform, and how old that is.
+void Node::collectNews()
+{
+    NodeMetrics &metrics = m_context.metrics;
+    const membership::SpreadStatus spread = m_spread.status();
+    metrics.set("configuration_revision", real(m_published ? m_published->revision() : 0));
+    metrics.set("configuration_news_age_seconds", ageSeconds(spread.newsAge));
+    metrics.setTotal("configurations_rejected", real(spread.rejected));
+    metrics.set("configuration_store_bytes", real(spread.storeBytes));
+    metrics.set("platform_stale", spread.platformStale ? 1 : 0);
+    metrics.set("vm_list_version", real(spread.vmListVersion));
+    metrics.set("vms", real(m_context.vms.vms.size()));
+    if (m_directoryKeeper) {
+        metrics.set("directory_news_age_seconds", ageSeconds(m_servers.age()));
+    }
+    for (const auto &[kind, total] : m_context.interfaces.platformCalls->totals()) {
+        const NodeMetrics::Labels labels{{"call", kind.call}, {"answer", kind.answer}};
+        metrics.setTotal("platform_calls", real(total.calls), labels);
+        metrics.setTotal("platform_call_seconds", std::chrono::duration<double>(total.took).count(), labels);
+    }
+}
+
+void Node::collectTraffic()
+{
+    NodeMetrics &metrics = m_context.metrics;
+    const net::PeerEndpoint::Counters &peers = m_peers.counters();
+    metrics.setTotal("peer_messages_sent", real(peers.messagesSent));
+    metrics.setTotal("peer_messages_received", real(peers.messagesReceived));
+    metrics.setTotal("peer_bytes_received", real(peers.bytesReceived));
+    metrics.setTotal("peer_messages_dropped", real(peers.dropped));
+    metrics.setTotal("peer_messages_refused", real(m_peers.refused()));
+    metrics.setTotal("peer_bytes_sent", real(peers.bytesSent));
+    for (const auto &[kind, tally] : m_peers.sent()) {
+        metrics.setTotal(
+            "peer_bytes_sent_of_kind", real(tally.bytes), {{"kind", std::to_string(static_cast<int>(kind))}});
+    }
+    metrics.set("peer_sockets", real(m_peers.openSockets()));
+    const base::LogOutput::Counters log = m_log.counters();
+    metrics.setTotal("log_lines_written", real(log.written));
+    metrics.setTotal("log_bytes_written", real(log.bytes));
+    metrics.setTotal("log_lines_dropped", real(log.dropped));
+    metrics.set("caller_connections", real(m_callerServer.connections()));
+    metrics.setTotal("caller_connections_refused", real(m_callerServer.refusedConnections()));
+}
+
+void Node::collectDecisions()
+{
+    NodeMetrics &metrics = m_context.metrics;
+    const limits::BrokerCounters &tokens = m_context.tokens.counters();
+    metrics.setTotal("tokens_admitted", real(tokens.admitted));
+    metrics.setTotal("tokens_admitted_waiting", real(tokens.admittedWaiting));
+    metrics.setTotal("tokens_admitted_alone", real(tokens.admittedAlone));
+    metrics.setTotal("tokens_refused", real(tokens.refused));
+    metrics.setTotal("tokens_refused_silent", real(tokens.refusedSilent));
+    metrics.setTotal("tokens_given_back", real(tokens.givenBack));
+    metrics.setTotal("tokens_granted", tokens.tokensGranted);
+    metrics.setTotal("tokens_lent", tokens.tokensLent);
+    metrics.setTotal("token_asks_sent", real(tokens.asksSent));
+    metrics.setTotal("token_grants_made", real(tokens.grantsMade));
+    metrics.setTotal("token_loans_made", real(tokens.loansMade));
+    metrics.setTotal("token_messages_ignored", real(tokens.messagesIgnored));
+    metrics.setTotal("token_tenures_lost", real(tokens.tenuresLost));
+    metrics.setTotal("token_pauses", real(tokens.pauses));
+    metrics.set("token_workspaces", real(m_context.tokens.activeWorkspaces()));
+
+    const health::HealthCounters &health = m_context.health.counters();
+    metrics.setTotal("health_ejections", real(health.ejections));
+    metrics.setTotal("health_returns", real(health.returns));
+    metrics.setTotal("health_trials", real(health.trials));
+    metrics.setTotal("health_floor_holds", real(health.floorHolds));
+    metrics.setTotal("health_path_ejections", real(health.pathEjections));
+    metrics.setTotal("health_path_returns", real(health.pathReturns));
+    metrics.setTotal("health_pauses", real(health.pauses));
+    metrics.setTotal("health_messages_ignored", real(health.messagesIgnored));
+
+    const routing::RetryBudgetCounters &retries = m_context.retryBudget.counters();
+    metrics.setTotal("retries_spent", real(retries.spent));
+    metrics.setTotal("retries_refused", real(retries.refusedByService), {{"budget", "service"}});
+    metrics.setTotal("retries_refused", real(retries.refusedByWorkspace), {{"budget", "workspace"}});
+    metrics.clear("retry_budget_left");
+    std::map<std::string, double> least;
+    for (const auto &[service, left] : m_context.retryBudget.left()) {
+        const auto [place, isNew] = least.try_emplace(metrics.serviceLabel(service), left);
+        place->second = std::min(place->second, left);
+    }
+    for (const auto &[service, left] : least) {
+        metrics.set("retry_budget_left", left, {{"service", service}});
+    }
+    metrics.set("ledger_records", real(m_context.ledgerHome.ledger().size()));
+    metrics.set("ledger_bytes", real(m_context.ledgerHome.ledger().bytes()));
+}
+
+void Node::collectSlots()
+{
+    NodeMetrics &metrics = m_context.metrics;
+    for (const char *name : {"slots", "slots_in_use", "slots_queued", "servers_held"}) {
+        metrics.clear(name);
+    }
+    std::map<std::string, SlotUse> byLabel;
+    for (const auto &[service, use] : m_serving.slotUse()) {
+        byLabel[metrics.serviceLabel(service)] += use;
+    }
+    for (const auto &[service, use] : byLabel) {
+        const NodeMetrics::Labels labels{{"service", service}};
+        metrics.set("slots", use.slots, labels);
+        metrics.set("slots_in_use", real(use.running), labels);
+        metrics.set("slots_queued", real(use.queued), labels);
+        metrics.set("servers_held", real(use.heldBack), labels);
+    }
+    metrics.set("requests_open", real(m_entry.open()));
+    metrics.set("attempts_serving", real(m_serving.inFlight()));
+    metrics.set("attempts_queued", real(m_serving.queued()));
+}
+
+}
--- a/src/node/entryhandler.cpp
+++ b/src/node/entryhandler.cpp
@@ -19,7 +19,7 @@
 
 net::WholeAnswer EntryHandler::refusal(base::ResultCode code, const std::string &detail)
 {
-    m_context.metrics.countRequest(base::ServiceId(), code, {});
+    m_context.metrics.countRequest({{}, false, routing::name(routing::Outcome::NotRun), code, {}});
     return m_context.callers().refusal(notRun(code), {}, detail);
 }
 
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -290,6 +290,7 @@
         m_choice.noteResult(m_current, result, m_watch.advice());
         const routing::RetryDecision decision = m_context.retryPolicy.decide(m_progress, result);
         m_context.metrics.countAttempt(m_progress.service, routing::name(result.event));
+        m_context.metrics.countRetryDecision(m_progress.service, routing::name(decision.action));
         if (decision.action != routing::RetryAction::AnswerCaller) {
             const wire::HopRequest &hop = m_watch.attempt()->hop();
             PAPAYASTEP_LOG(INFO, logPrefix)
@@ -310,6 +311,7 @@
     const auto choice = co_await m_choice.choose(need, m_callerGone);
     if (m_callerGone) {
         // Nothing is sent any more, and nobody is there to be told.
+        giveUp("The caller went away while a server was chosen.");
         co_return std::nullopt;
     }
     if (const auto *none = std::get_if<NoServer>(&choice)) {
@@ -345,6 +347,7 @@
     auto attempt = makeAttempt(chosen);
     m_current = chosen.candidate.server;
     m_machine.handle(RequestEvent::Place);
+    m_context.metrics.countPlacement(m_progress.service, chosen.reason);
     logPlacement(chosen);
     m_watch.begin(
         std::move(attempt), m_context.retryPolicy.timeouts(m_progress, chosen.typicalLatency), forwardedRequest());
@@ -438,8 +441,7 @@
         co_await refuse(decision.refusal);
         co_return true;
     case routing::RetryAction::BreakOff:
-        PAPAYASTEP_LOG(INFO, logPrefix) << "Gave a request up." << base::field("request", shownId())
-                                        << base::field("reason", decision.reason);
+        giveUp(decision.reason);
         m_watch.abandon();
         co_return true;
     }
@@ -470,7 +472,7 @@
 net::Awaitable<void> EntryRequest::passStoredAnswer()
 {
     m_machine.handle(RequestEvent::Answer);
-    m_context.metrics.countRequest(m_progress.service, ResultCode::Ok, m_context.clock.now() - m_arrived);
+    countEnd(EndedRequest::answeredOutcome, ResultCode::Ok);
     net::ResponseHead head;
     head.result(static_cast<unsigned>(m_claim->answer.status));
     for (const auto &[name, value] : m_claim->answer.headers) {
@@ -488,7 +490,6 @@
 net::Awaitable<void> EntryRequest::passAnswer()
 {
     m_machine.handle(RequestEvent::Answer);
-    m_context.metrics.countRequest(m_progress.service, ResultCode::Ok, m_context.clock.now() - m_arrived);
     ServedAnswer answer = std::move(m_watch.release()->answer());
     net::ResponseHead head;
     head.result(answer.head.result_int());
@@ -499,6 +500,7 @@
         co_await passLargeAnswer(answer, std::move(head));
         co_return;
     }
+    countEnd(EndedRequest::answeredOutcome, ResultCode::Ok);
     reportAnswerToLedger(answer);
     net::WholeAnswer whole(std::move(head), std::move(answer.body));
     co_await m_exchange.answer(std::move(whole));
@@ -513,6 +515,7 @@
     }
     // A named result: GCC 12 destroys an argument by value twice when the co_await stands in a condition.
     const bool whole = co_await passStream(m_exchange, answer, std::move(head));
+    countEnd(whole ? EndedRequest::answeredOutcome : EndedRequest::brokenOffOutcome, ResultCode::Ok);
     if (!whole) {
         PAPAYASTEP_LOG(INFO, logPrefix) << "Broke an answer off." << base::field("request", shownId())
                                         << base::field("server", answer.reply.server);
@@ -530,12 +533,26 @@
     m_token.reset();
     reportToLedger(refusal);
     m_context.schedulePump();
-    m_context.metrics.countRequest(m_progress.service, refusal.code, m_context.clock.now() - m_arrived);
+    countEnd(routing::name(refusal.outcome), refusal.code);
     logRefusal(refusal);
     net::WholeAnswer answer = m_context.callers().refusal(refusal, shownId(), {});
     co_await m_exchange.answer(std::move(answer));
 }
 
+void EntryRequest::giveUp(std::string_view reason) const
+{
+    countEnd(EndedRequest::givenUpOutcome, ResultCode::Ok);
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Gave a request up." << base::field("request", shownId())
+                                    << base::field("reason", reason) << base::field("attempts", m_progress.tries)
+                                    << base::field("tookMs", milliseconds(m_context.clock.now() - m_arrived));
+}
+
+void EntryRequest::countEnd(std::string_view outcome, ResultCode code) const
+{
+    const auto took = m_context.clock.now() - m_arrived;
+    m_context.metrics.countRequest({m_progress.service, m_progress.idempotent, outcome, code, took});
+}
+
 /// With what the choice went by, and how old that is.
 void EntryRequest::logPlacement(const ChosenServer &chosen) const
 {
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -60,6 +60,8 @@
     net::Awaitable<void> refuse(routing::Refusal refusal);
     void logPlacement(const ChosenServer &chosen) const;
     void logAnswer(unsigned status, const base::BackendServerId &server) const;
+    void giveUp(std::string_view reason) const;
+    void countEnd(std::string_view outcome, base::ResultCode code) const;
     void logRefusal(const routing::Refusal &refusal) const;
     void reportToLedger(const routing::Refusal &refusal);
     void reportAnswerToLedger(const ServedAnswer &answer);
--- a/src/node/interfaces.cpp
+++ b/src/node/interfaces.cpp
@@ -7,7 +7,8 @@
     Interfaces interfaces;
     interfaces.callers = std::make_unique<OwnCallerProtocol>();
     interfaces.backends = std::make_unique<OwnBackendProtocol>();
-    interfaces.platform = std::make_shared<net::HttpPlatformClient>(io, clock, settings.platform);
+    interfaces.platform
+        = std::make_shared<net::HttpPlatformClient>(io, clock, settings.platform, interfaces.platformCalls);
     return interfaces;
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -250,7 +250,7 @@
 void Node::countHealthEvents()
 {
     for (const health::HealthEvent &event : m_context.health.takeEvents()) {
-        m_context.metrics.countAttempt(base::ServiceId("health"), health::name(event.kind));
+        m_context.metrics.countHealthEvent(health::name(event.kind));
     }
 }
 
@@ -373,8 +373,10 @@
         if (m_published) {
             applyCallerLimits();
         }
+        m_context.metrics.countReload("taken");
         PAPAYASTEP_LOG(INFO, logPrefix) << "Took over changed settings." << base::field("atNextStart", waiting);
     } catch (const base::Error &error) {
+        m_context.metrics.countReload("kept");
         PAPAYASTEP_LOG(ERROR, logPrefix) << "Kept the settings; the changed file is wrong."
                                          << base::field("code", number(error.code()))
                                          << base::field("detail", error.what());
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -258,6 +258,7 @@
     const int attempt = static_cast<int>(cancel.attempt);
     const auto answer = m_registry.cancel({request, attempt}, stamp, base::Duration(cancel.remaining));
     const auto found = m_work.find({request, attempt});
+    m_context.metrics.countCancel(routing::name(answer));
     PAPAYASTEP_LOG(INFO, logPrefix) << "Answered a cancel."
                                     << base::field("request",
                                                    found != m_work.end() ? found->second->hop.shownId()
@@ -406,6 +407,16 @@
     return m_work.size();
 }
 
+std::map<base::ServiceId, SlotUse> ServingNode::slotUse() const
+{
+    std::map<base::ServiceId, SlotUse> result;
+    for (const auto &[id, lane] : m_lanes) {
+        result[lane->server.service]
+            += {lane->queue.slots(), lane->queue.running(), lane->queue.queued(), lane->heldBack ? 1U : 0U};
+    }
+    return result;
+}
+
 std::size_t ServingNode::queued() const
 {
     std::size_t count = 0;
@@ -534,7 +545,7 @@
     work->started = m_context.clock.now();
     work->running = true;
     work->exchange = std::make_shared<net::HttpExchange>(m_context.io, m_context.backendPool, endpoint);
-    m_context.metrics.observeQueueWait(work->started - work->arrived);
+    m_context.metrics.observeQueueWait(server.service, work->started - work->arrived);
     m_context.health.attemptStarted(work->hop.server, work->healthKey(), work->hop.route);
     Lane &lane = *laneOf(work->hop.server);
     if (lane.filter.isOnTrial(work->started)) {
@@ -583,6 +594,8 @@
         const bool ranToItsEnd
             = outcome == health::AttemptOutcome::Success || outcome == health::AttemptOutcome::Timeout;
         lane->queue.finished(work.id(), ranToItsEnd);
+        m_context.metrics.countServed(
+            {lane->server.service, health::name(outcome), m_context.clock.now() - work.started});
         noteOutcome(*lane, work, outcome);
     }
     m_work.erase(work.id());
@@ -615,8 +628,10 @@
     }
     m_context.gray.note(server, lane.filter.grayProbability(now));
     lane.heldBack = true;
+    const std::string_view evidence = overdue ? "overdue" : "failed";
+    m_context.metrics.countHold(lane.server.service, evidence);
     PAPAYASTEP_LOG(INFO, logPrefix) << "Holds a backend server back." << base::field("server", server)
-                                    << base::field("evidence", overdue ? "overdue" : "failed")
+                                    << base::field("evidence", evidence)
                                     << base::field("grayPercent", int{lane.grayPercent(now)});
     const health::GrayNotice notice{server.value(), lane.grayPercent(now)};
     for (const auto &[entry, seen] : lane.entries) {
@@ -636,6 +651,7 @@
     case health::AttemptOutcome::Success:
         lane.filter.noteOutcome(false, now);
         if (std::exchange(lane.heldBack, false)) {
+            m_context.metrics.countReturn(lane.server.service);
             PAPAYASTEP_LOG(INFO, logPrefix)
                 << "A backend server answers again." << base::field("request", work.hop.shownId())
                 << base::field("server", work.hop.server);
@@ -723,6 +739,7 @@
     answer.reply.code = number(code);
     answer.reply.retryAfterMs = milliseconds(retryAfter);
     answer.reply.advice = replayed ? base::BackendServerId() : advise(work);
+    m_context.metrics.countRefusedAttempt(code);
     logRefusal(work, answer.reply);
     return answer;
 }
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -57,9 +57,14 @@
     return account;
 }
 
+double RetryBudget::available(const Account &account) const
+{
+    return account.earned + account.reserve;
+}
+
 bool RetryBudget::canSpend(const Account &account) const
 {
-    return account.earned + account.reserve + m_settings.debt + epsilon >= 1;
+    return available(account) + m_settings.debt + epsilon >= 1;
 }
 
 void RetryBudget::take(Account &account)
@@ -79,9 +84,15 @@
 {
     Account &ofService = refreshed(m_services, service);
     Account &ofWorkspace = refreshed(m_workspaces, workspace);
-    if (!canSpend(ofService) || !canSpend(ofWorkspace)) {
+    if (!canSpend(ofService)) {
+        ++m_counters.refusedByService;
         return false;
     }
+    if (!canSpend(ofWorkspace)) {
+        ++m_counters.refusedByWorkspace;
+        return false;
+    }
+    ++m_counters.spent;
     take(ofService);
     take(ofWorkspace);
     return true;
@@ -98,6 +109,20 @@
     std::erase_if(m_workspaces, isIdle);
 }
 
+const RetryBudgetCounters &RetryBudget::counters() const
+{
+    return m_counters;
+}
+
+std::map<base::ServiceId, double> RetryBudget::left()
+{
+    std::map<base::ServiceId, double> result;
+    for (const auto &[service, account] : m_services) {
+        result[service] = available(refreshed(m_services, service));
+    }
+    return result;
+}
+
 std::size_t RetryBudget::size() const
 {
     return m_services.size() + m_workspaces.size();
--- a/src/routing/retrypolicy_test.cpp
+++ b/src/routing/retrypolicy_test.cpp
@@ -53,6 +53,26 @@
 
 }
 
+// The users' engineers must see that lookups failed because retries were used up, and by whom.
+BOOST_FIXTURE_TEST_CASE(retryBudget_whenSpent_countsWhoseItWas, RetryFixture)
+{
+    const base::WorkspaceId south("south");
+    BOOST_TEST(budget.left().empty());
+    budget.countRequest(progress.service, progress.workspace);
+    const double before = budget.left().at(progress.service);
+    BOOST_TEST(budget.spend(progress.service, progress.workspace));
+    BOOST_TEST(budget.left().at(progress.service) == before - 1, boost::test_tools::tolerance(1e-9));
+    while (budget.spend(progress.service, progress.workspace)) {}
+    BOOST_TEST(!budget.spend(progress.service, south));
+
+    BOOST_TEST(budget.left().at(progress.service) < 1);
+    BOOST_TEST(budget.counters().spent == 5U);
+    BOOST_TEST(budget.counters().refusedByService == 2U);
+    const base::ServiceId van("van");
+    while (budget.spend(van, progress.workspace)) {}
+    BOOST_TEST(budget.counters().refusedByWorkspace == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(retryPolicy_withIdempotentRequestAndSilence_triesElsewhere, RetryFixture)
 {
     progress.idempotent = true;
