Say what refusals, repeats and failures went by

Looked at in traces of failed requests: a refusal by rate did not say whether the workspace's home refused or was not heard; one for want of a server not what the nodes asked had said; an error passed on not why it was not repeated, and whether attempts or the budget were used up; a failure at a server not its kind; a repeat that found no place, a caller that left while a server was chosen, and an answer that could not be sent had no line at all; nor had nodes that were silent when asked.

Each has a line or field now.

--- a/src/include/papayastep/limits/ratelimiter.h
+++ b/src/include/papayastep/limits/ratelimiter.h
@@ -36,6 +36,8 @@
 {
     base::ResultCode code = base::ResultCode::RateExceeded;
     base::Duration retryAfter{}; ///< When a token is expected.
+    base::VmId by{}; ///< Who holds the tokens and decided, where that is known.
+    bool silent = false; ///< Nobody who holds tokens answered in time, so this node decided alone.
 };
 
 using Admission = std::variant<Admitted, Waiting, Refused>;
--- a/src/include/papayastep/routing/retrypolicy.h
+++ b/src/include/papayastep/routing/retrypolicy.h
@@ -131,6 +131,7 @@
                          base::Duration retryAfter,
                          std::string_view reason) const;
     bool mayTryAgain(const RequestProgress &progress) const;
+    std::string_view whyNoRetry(const RequestProgress &progress) const;
     /// Whether another attempt may follow that a backend server gets beyond the first; takes it from the budget.
     bool takeRetry(const RequestProgress &progress);
 
--- a/src/include/papayastep/routing/slotsurvey.h
+++ b/src/include/papayastep/routing/slotsurvey.h
@@ -3,7 +3,9 @@
 #include "papayastep/base/resultcode.h"
 #include "papayastep/routing/placement.h"
 
+#include <iosfwd>
 #include <map>
+#include <optional>
 
 namespace papayastep::routing {
 
@@ -44,6 +46,22 @@
     double worthWaiting = 0.025;
 };
 
+/// What the nodes asked in a survey said, for logs.
+struct SurveyTally
+{
+    std::size_t asked = 0;
+    std::size_t free = 0; ///< Would start it, at once or after a wait.
+    std::size_t full = 0; ///< Could not start it in time.
+    std::size_t held = 0; ///< Hold their server back as gray.
+    std::size_t silent = 0; ///< Have not answered.
+    std::optional<base::Duration> soonest; ///< The least wait that any of the free or full named.
+
+    auto operator<=>(const SurveyTally &) const = default;
+};
+
+/// As `asked:4,full:2,held:1,silent:1,soonestMs:700`; what is zero is left out.
+std::ostream &operator<<(std::ostream &stream, const SurveyTally &tally);
+
 /// What to do next in a survey.
 struct SurveyStep
 {
@@ -92,6 +110,7 @@
     /// Servers that have not answered within the patience of a wave.
     std::vector<std::size_t> silent(base::TimePoint now) const;
     std::size_t asked() const;
+    SurveyTally tally() const;
 
 private:
     std::optional<std::size_t> alikeTo(std::size_t best, std::mt19937_64 &random) const;
@@ -123,8 +142,10 @@
 public:
     explicit SilenceBook(const base::Clock &clock);
 
-    void noteSilent(const base::VmId &vm);
-    void noteHeard(const base::VmId &vm);
+    /// Whether it was heard of since it was last silent.
+    bool noteSilent(const base::VmId &vm);
+    /// Whether it was silent before.
+    bool noteHeard(const base::VmId &vm);
     bool isSilent(const base::VmId &vm) const;
 
 private:
--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -102,7 +102,7 @@
             return Admitted{tokenOf(workspace)};
         }
         ++m_counters.refused;
-        return Refused{base::ResultCode::RateExceeded, comeBackAfter(*configured)};
+        return Refused{base::ResultCode::RateExceeded, comeBackAfter(*configured), m_self.vm};
     }
     Wish wish;
     wish.workspace = workspace;
@@ -472,7 +472,7 @@
             m_decisions.push_back({request, Admitted{tokenOf(wish.workspace)}});
         } else {
             ++m_counters.refusedSilent;
-            m_decisions.push_back({request, Refused{base::ResultCode::RateExceeded, m_settings.suspicion}});
+            m_decisions.push_back({request, Refused{base::ResultCode::RateExceeded, m_settings.suspicion, {}, true}});
         }
     }
 }
@@ -493,7 +493,8 @@
             m_decisions.push_back({request, Admitted{tokenOf(wish.workspace)}});
         } else {
             ++m_counters.refused;
-            m_decisions.push_back({request, Refused{base::ResultCode::RateExceeded, retryAfter}});
+            const base::VmId &by = wish.home.empty() ? m_self.vm : wish.home;
+            m_decisions.push_back({request, Refused{base::ResultCode::RateExceeded, retryAfter, by}});
         }
     }
     if (granted > 0) {
--- a/src/limits/pooledlimiter_test.cpp
+++ b/src/limits/pooledlimiter_test.cpp
@@ -186,6 +186,38 @@
     BOOST_TEST(limiters[static_cast<std::size_t>(away)]->counters().admittedAlone > 0U);
 }
 
+// A request is refused though its workspace was inside its rate. The users' engineer must see whether the workspace's
+// home said so or was not heard.
+BOOST_FIXTURE_TEST_CASE(refusal_atTheHomeAndAtANodeThatIsCutOff_tellsWhoDecided, PooledFleet)
+{
+    const auto refusalAt = [this](int node) {
+        PooledLimiter &limiter = *limiters[static_cast<std::size_t>(node)];
+        for (int tries = 0; tries < 200; ++tries) {
+            Admission admission = limiter.acquire(depots, base::RequestId{2, ++lastRequest}, clock.now() + 2s);
+            while (std::holds_alternative<Waiting>(admission)) {
+                clock.advance(10ms);
+                limiter.tick();
+                limiter.takeMessages();
+                for (const AdmissionDecision &decision : limiter.takeDecisions()) {
+                    admission = decision.admission;
+                }
+            }
+            if (const auto *refusal = std::get_if<Refused>(&admission)) {
+                return *refusal;
+            }
+        }
+        return Refused{base::ResultCode::Internal, {}};
+    };
+    const Refused byHome = refusalAt(home());
+    BOOST_TEST((byHome.code == base::ResultCode::RateExceeded));
+    BOOST_TEST(byHome.by == vm(home()));
+    BOOST_TEST(!byHome.silent);
+    const Refused alone = refusalAt(home() == 0 ? 1 : 0);
+    BOOST_TEST((alone.code == base::ResultCode::RateExceeded));
+    BOOST_TEST(alone.by.empty());
+    BOOST_TEST(alone.silent);
+}
+
 // One workspace sends five times its rate, spread over all entries. The others would be crowded out if each entry only
 // knew what it sees itself.
 BOOST_FIXTURE_TEST_CASE(pool_farOverTheRate_staysWithinWhatIsTolerated, PooledFleet)
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
 
 namespace papayastep::node {
 
@@ -221,6 +222,7 @@
         }
     }
     if (const auto *refused = std::get_if<limits::Refused>(&admission)) {
+        m_tokensRefusedBy = refused->silent ? "nobody-answered" : refused->by.value();
         co_return notRun(refused->code, refused->retryAfter);
     }
     m_token = std::get<limits::Admitted>(admission).token;
@@ -291,7 +293,7 @@
         const routing::RetryDecision decision = m_context.retryPolicy.decide(m_progress, result);
         m_context.metrics.countAttempt(m_progress.service, routing::name(result.event));
         m_context.metrics.countRetryDecision(m_progress.service, routing::name(decision.action));
-        if (decision.action != routing::RetryAction::AnswerCaller) {
+        if (result.event != routing::AttemptEvent::Complete) {
             const wire::HopRequest &hop = m_watch.attempt()->hop();
             PAPAYASTEP_LOG(INFO, logPrefix)
                 << "Decided after an attempt." << base::field("request", shownId())
@@ -315,6 +317,7 @@
         co_return std::nullopt;
     }
     if (const auto *none = std::get_if<NoServer>(&choice)) {
+        m_heard = none->heard;
         co_return m_context.retryPolicy.refuseInstead(m_progress, none->code, none->retryAfter);
     }
     begin(std::get<ChosenServer>(choice));
@@ -329,10 +332,13 @@
     const auto choice = co_await m_choice.choose(need, m_callerGone);
     const auto *chosen = std::get_if<ChosenServer>(&choice);
     if (chosen == nullptr) {
+        m_heard = std::get<NoServer>(choice).heard;
+        logStay("No other server has room.");
         co_return;
     }
     const Step unpaid = co_await payRepeat();
     if (unpaid || m_callerGone || m_watch.attempt()->finished()) {
+        logStay(unpaid ? "No token is left for a repeat." : "It ended meanwhile.");
         co_return;
     }
     m_machine.handle(RequestEvent::Retry);
@@ -484,7 +490,7 @@
         m_context.tokens.giveBack(*m_token);
     }
     net::WholeAnswer repeated(std::move(head), m_claim->answer.body);
-    co_await m_exchange.answer(std::move(repeated));
+    co_await send(std::move(repeated));
 }
 
 net::Awaitable<void> EntryRequest::passAnswer()
@@ -503,7 +509,7 @@
     countEnd(EndedRequest::answeredOutcome, ResultCode::Ok);
     reportAnswerToLedger(answer);
     net::WholeAnswer whole(std::move(head), std::move(answer.body));
-    co_await m_exchange.answer(std::move(whole));
+    co_await send(std::move(whole));
 }
 
 net::Awaitable<void> EntryRequest::passLargeAnswer(ServedAnswer &answer, net::ResponseHead head)
@@ -536,7 +542,16 @@
     countEnd(routing::name(refusal.outcome), refusal.code);
     logRefusal(refusal);
     net::WholeAnswer answer = m_context.callers().refusal(refusal, shownId(), {});
-    co_await m_exchange.answer(std::move(answer));
+    co_await send(std::move(answer));
+}
+
+net::Awaitable<void> EntryRequest::send(net::WholeAnswer answer)
+{
+    // A named result: GCC 12 destroys an argument by value twice when the co_await stands in a condition.
+    const bool sent = co_await m_exchange.answer(std::move(answer));
+    if (!sent) {
+        PAPAYASTEP_LOG(INFO, logPrefix) << "Could not send the caller its answer." << base::field("request", shownId());
+    }
 }
 
 void EntryRequest::giveUp(std::string_view reason) const
@@ -570,6 +585,11 @@
                                     << base::field("ageMs", milliseconds(server.freshness))
                                     << base::field("revision", m_inForce.configuration->revision())
                                     << base::field("leftMs", milliseconds(left));
+    if (chosen.lastResort && chosen.heard.asked > 0) {
+        PAPAYASTEP_LOG(INFO, logPrefix) << "Every server is full or held back as gray."
+                                        << base::field("request", shownId()) << base::field("server", server.server)
+                                        << base::field("heard", chosen.heard);
+    }
 }
 
 void EntryRequest::logAnswer(unsigned status, const base::BackendServerId &server) const
@@ -580,6 +600,14 @@
                                     << base::field("tookMs", milliseconds(m_context.clock.now() - m_arrived));
 }
 
+/// An attempt that is silent was to be repeated elsewhere, and is awaited instead.
+void EntryRequest::logStay(std::string_view reason) const
+{
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Stays with a silent attempt." << base::field("request", shownId())
+                                    << base::field("attempt", m_progress.tries) << base::field("server", m_current)
+                                    << base::field("reason", reason) << base::field("heard", m_heard);
+}
+
 /// Refusals that are proved not to have run come by the hundred in an overload and are summed up; one whose outcome is
 /// unknown is what users ask about, and always has its line.
 void EntryRequest::logRefusal(const routing::Refusal &refusal) const
@@ -594,7 +622,20 @@
                                        << base::field("outcome", routing::name(refusal.outcome))
                                        << base::field("server", m_current) << base::field("attempts", m_progress.tries)
                                        << base::field("retryAfterMs", milliseconds(refusal.retryAfter))
-                                       << base::field("tookMs", milliseconds(m_context.clock.now() - m_arrived));
+                                       << base::field("tookMs", milliseconds(m_context.clock.now() - m_arrived))
+                                       << inputsOf(refusal);
+}
+
+/// What a refusal went by, as fields of its line.
+std::string EntryRequest::inputsOf(const routing::Refusal &refusal) const
+{
+    std::ostringstream fields;
+    if (refusal.code == ResultCode::RateExceeded) {
+        fields << base::field("tokensRefusedBy", m_tokensRefusedBy);
+    } else if (m_heard.asked > 0) {
+        fields << base::field("heard", m_heard);
+    }
+    return fields.str();
 }
 
 void EntryRequest::reportToLedger(const routing::Refusal &refusal)
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -60,6 +60,9 @@
     net::Awaitable<void> refuse(routing::Refusal refusal);
     void logPlacement(const ChosenServer &chosen) const;
     void logAnswer(unsigned status, const base::BackendServerId &server) const;
+    net::Awaitable<void> send(net::WholeAnswer answer);
+    std::string inputsOf(const routing::Refusal &refusal) const;
+    void logStay(std::string_view reason) const;
     void giveUp(std::string_view reason) const;
     void countEnd(std::string_view outcome, base::ResultCode code) const;
     void logRefusal(const routing::Refusal &refusal) const;
@@ -93,6 +96,8 @@
     bool m_claimed = false; ///< The ledger was told that this request runs and waits for its end.
 
     base::BackendServerId m_current; ///< Of the last attempt.
+    routing::SurveyTally m_heard; ///< When no server was found.
+    std::string m_tokensRefusedBy; ///< A VM, or that none answered; empty: not known.
     bool m_callerGone = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< For callbacks that may come after the end.
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -209,7 +209,9 @@
         const wire::SlotOffer offer = m_serving.offerFor(wire::decode<wire::SlotAsk>(envelope.payload));
         m_peers.send(wire::outgoing(envelope.sender, wire::MessageKind::SlotOffer, offer));
     } else if (envelope.kind == wire::MessageKind::SlotOffer) {
-        m_context.silence.noteHeard(envelope.sender);
+        if (m_context.silence.noteHeard(envelope.sender)) {
+            PAPAYASTEP_LOG(INFO, "health") << "A node answers again." << base::field("vm", envelope.sender);
+        }
         m_entry.deliver(wire::decode<wire::SlotOffer>(envelope.payload));
     } else if (isBetween(envelope.kind, 40, 49)) {
         handleCancel(envelope);
--- a/src/node/serverchoice.cpp
+++ b/src/node/serverchoice.cpp
@@ -1,5 +1,6 @@
 #include "serverchoice.h"
 
+#include "papayastep/base/log.h"
 #include "papayastep/node/candidates.h"
 
 #include <algorithm>
@@ -126,7 +127,7 @@
     noteSilent();
     const auto survey = std::move(m_survey);
     if (step.kind != SurveyStep::Kind::Take) {
-        const NoServer none{step.code, step.retryAfter};
+        const NoServer none{step.code, step.retryAfter, survey->tally()};
         co_return none;
     }
     ChosenServer chosen;
@@ -134,6 +135,7 @@
     chosen.reason = step.lastResort ? "all-gray" : "survey";
     chosen.lastResort = step.lastResort;
     chosen.asked = survey->asked();
+    chosen.heard = survey->tally();
     chosen.typicalLatency = typical;
     co_return chosen;
 }
@@ -162,7 +164,10 @@
 void ServerChoice::noteSilent() const
 {
     for (const std::size_t index : m_survey->silent(m_context.clock.now())) {
-        m_context.silence.noteSilent(m_survey->candidate(index).vm);
+        const base::VmId &vm = m_survey->candidate(index).vm;
+        if (m_context.silence.noteSilent(vm)) {
+            PAPAYASTEP_LOG(INFO, "health") << "A node does not answer." << base::field("vm", vm);
+        }
     }
 }
 
--- a/src/node/serverchoice.h
+++ b/src/node/serverchoice.h
@@ -27,6 +27,7 @@
     bool lastResort = false; ///< Every other one is held back as gray, so this one is to try all the same.
     bool byAdvice = false; ///< A sibling named it.
     std::size_t asked = 0; ///< Nodes that were asked for a slot.
+    routing::SurveyTally heard; ///< With lastResort: what they said.
     base::Duration typicalLatency{0}; ///< Of the service; 0: not known.
 };
 
@@ -35,6 +36,7 @@
 {
     base::ResultCode code = base::ResultCode::NoBackendServer;
     base::Duration retryAfter{0};
+    routing::SurveyTally heard{}; ///< Nothing, if nobody was asked.
 };
 
 /// Finds the server for each attempt of one request, and remembers what became of those before.
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -667,6 +667,8 @@
         noteFailure(lane, work.hop.server, false);
         PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server failed." << base::field("request", work.hop.shownId())
                                         << base::field("server", work.hop.server)
+                                        << base::field("how", health::name(outcome))
+                                        << base::field("runMs", milliseconds(now - work.started))
                                         << base::field("grayPercent", int{lane.grayPercent(now)});
         break;
     case health::AttemptOutcome::ConnectionRefused:
--- a/src/routing/retrypolicy.cpp
+++ b/src/routing/retrypolicy.cpp
@@ -141,6 +141,12 @@
     return mayTryAgain(progress) && m_budget.spend(progress.service, progress.workspace);
 }
 
+/// After takeRetry() or mayTryAgain() said no.
+std::string_view RetryPolicy::whyNoRetry(const RequestProgress &progress) const
+{
+    return mayTryAgain(progress) ? "The retry budget is spent." : "No attempt is left.";
+}
+
 RetryDecision RetryPolicy::decide(RequestProgress &progress, const AttemptResult &result)
 {
     switch (result.event) {
@@ -199,7 +205,7 @@
     if (free ? mayTryAgain(progress) : takeRetry(progress)) {
         return plain(RetryAction::RetryElsewhere, "The attempt did not run, which is proved.");
     }
-    return refuse(progress, code, result.retryAfter, "No attempt or no retry budget is left.");
+    return refuse(progress, code, result.retryAfter, whyNoRetry(progress));
 }
 
 RetryDecision RetryPolicy::onSilence(RequestProgress &progress, const AttemptResult &result)
@@ -211,7 +217,7 @@
                                   : "No acknowledgement came in time, and only a cancel shows whether it started.");
     }
     if (!takeRetry(progress)) {
-        return plain(RetryAction::Wait, "No attempt or no retry budget is left, so this one is awaited.");
+        return plain(RetryAction::Wait, whyNoRetry(progress));
     }
     progress.mayHaveRun = true;
     RetryDecision decision = plain(RetryAction::RetryElsewhere, "The attempt is silent and safe to repeat.");
@@ -233,7 +239,8 @@
         return plain(RetryAction::RetryElsewhere, "The attempt failed and is safe to repeat.");
     }
     if (hasAnswer) {
-        return plain(RetryAction::AnswerCaller, "The backend server's own answer is whole.");
+        return plain(RetryAction::AnswerCaller,
+                     progress.idempotent ? whyNoRetry(progress) : "The request may not run twice.");
     }
     const bool partial = result.event == AttemptEvent::Partial;
     const ResultCode code = partial ? ResultCode::AnswerIncomplete : ResultCode::OutcomeUnknown;
--- a/src/routing/slotsurvey.cpp
+++ b/src/routing/slotsurvey.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <ostream>
 
 namespace papayastep::routing {
 
@@ -13,6 +14,29 @@
 /// a moment must not stay without work.
 constexpr base::Duration silenceMemory = std::chrono::seconds(1);
 
+bool isFull(const SlotQuote &quote)
+{
+    return quote.code == ResultCode::HopQueueTimeout || quote.code == ResultCode::HopQueueFull;
+}
+
+}
+
+std::ostream &operator<<(std::ostream &stream, const SurveyTally &tally)
+{
+    stream << "asked:" << tally.asked;
+    const auto add = [&stream](const char *name, std::size_t count) {
+        if (count > 0) {
+            stream << ',' << name << ':' << count;
+        }
+    };
+    add("free", tally.free);
+    add("full", tally.full);
+    add("held", tally.held);
+    add("silent", tally.silent);
+    if (tally.soonest) {
+        stream << ",soonestMs:" << std::chrono::duration_cast<std::chrono::milliseconds>(*tally.soonest).count();
+    }
+    return stream;
 }
 
 SlotSurvey::SlotSurvey(const PlacementPolicy &policy,
@@ -102,6 +126,28 @@
     return m_asked;
 }
 
+SurveyTally SlotSurvey::tally() const
+{
+    SurveyTally tally;
+    tally.asked = m_asked;
+    tally.silent = m_open.size();
+    for (const auto &quote : m_quotes) {
+        if (!quote) {
+            continue;
+        }
+        if (quote->code == ResultCode::HopBackendServerEjected) {
+            ++tally.held;
+            continue;
+        }
+        tally.free += quote->code == ResultCode::Ok ? 1 : 0;
+        tally.full += isFull(*quote) ? 1 : 0;
+        if (quote->code == ResultCode::Ok || isFull(*quote)) {
+            tally.soonest = std::min(tally.soonest.value_or(quote->wait), quote->wait);
+        }
+    }
+    return tally;
+}
+
 /// The servers that the policy would choose one after the other.
 std::vector<std::size_t> SlotSurvey::nextWave(base::TimePoint now, std::mt19937_64 &random)
 {
@@ -211,11 +257,10 @@
             continue;
         }
         const bool isGray = quote->code == ResultCode::HopBackendServerEjected;
-        const bool isFull = quote->code == ResultCode::HopQueueTimeout || quote->code == ResultCode::HopQueueFull;
         if (isGray && (!leastGray || quote->failureRisk < m_quotes[*leastGray]->failureRisk)) {
             leastGray = index;
         }
-        if (isFull && quote->wait < soonest) {
+        if (isFull(*quote) && quote->wait < soonest) {
             soonest = quote->wait;
             refusal.code = quote->code;
             refusal.retryAfter = quote->wait;
@@ -233,14 +278,14 @@
 {
 }
 
-void SilenceBook::noteSilent(const base::VmId &vm)
+bool SilenceBook::noteSilent(const base::VmId &vm)
 {
-    m_since[vm] = m_clock.now();
+    return m_since.insert_or_assign(vm, m_clock.now()).second;
 }
 
-void SilenceBook::noteHeard(const base::VmId &vm)
+bool SilenceBook::noteHeard(const base::VmId &vm)
 {
-    m_since.erase(vm);
+    return m_since.erase(vm) > 0;
 }
 
 bool SilenceBook::isSilent(const base::VmId &vm) const
--- a/src/routing/slotsurvey_test.cpp
+++ b/src/routing/slotsurvey_test.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <sstream>
+
 using namespace papayastep;
 using namespace papayastep::routing;
 using namespace std::chrono_literals;
@@ -192,6 +194,25 @@
     BOOST_TEST(step.lastResort);
 }
 
+// A lookup is refused in an overload. The users' engineer must see from one line whether the servers were full, held
+// back as gray, or not to be reached, and by how much the nearest slot was too late.
+BOOST_AUTO_TEST_CASE(survey_refused_tellsWhatEachNodeSaid)
+{
+    SlotSurvey asked = survey(4);
+    const std::vector<std::size_t> first = next(asked).ask;
+    refuse(asked, first[0], base::ResultCode::HopQueueTimeout, 800ms);
+    refuse(asked, first[1], base::ResultCode::HopQueueTimeout, 700ms);
+    const std::vector<std::size_t> second = next(asked).ask;
+    BOOST_REQUIRE_EQUAL(second.size(), 2U);
+    refuse(asked, second[0], base::ResultCode::HopBackendServerEjected, 0ms, 0.9);
+    clock.advance(28ms);
+    BOOST_TEST((next(asked).kind == Kind::Refuse));
+    BOOST_TEST((asked.tally() == SurveyTally{4, 0, 2, 1, 1, 700ms}));
+    std::ostringstream text;
+    text << asked.tally();
+    BOOST_TEST(text.str() == "asked:4,full:2,held:1,silent:1,soonestMs:700");
+}
+
 BOOST_AUTO_TEST_CASE(survey_noCandidate_refuses)
 {
     SlotSurvey asked = survey(0);
@@ -203,10 +224,13 @@
 BOOST_AUTO_TEST_CASE(silence_afterASecond_isForgotten)
 {
     SilenceBook book(clock);
-    book.noteSilent(base::VmId("vm-1"));
+    BOOST_TEST(book.noteSilent(base::VmId("vm-1")));
+    BOOST_TEST(!book.noteSilent(base::VmId("vm-1")));
     BOOST_TEST(book.isSilent(base::VmId("vm-1")));
     clock.advance(1s);
     BOOST_TEST(!book.isSilent(base::VmId("vm-1")));
+    BOOST_TEST(book.noteHeard(base::VmId("vm-1")));
+    BOOST_TEST(!book.noteHeard(base::VmId("vm-1")));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
