Count admissions after a wait among the admitted, as documented

The pooled limiter counted a request that asked the home only in tokens_admitted_waiting and tokens_refused_silent, which are meant as parts of tokens_admitted and tokens_refused; shares of them came out wrong. Test: counters_ofANodeThatIsCutOff_tellWhatItAdmittedAlone.

--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -467,10 +467,12 @@
         if (configured == nullptr) {
             m_decisions.push_back({request, Refused{base::ResultCode::KeyUnknown, {}}});
         } else if (takeAlone(*configured, m_entries[wish.workspace])) {
+            ++m_counters.admitted;
             ++m_counters.admittedWaiting;
             ++m_counters.admittedAlone;
             m_decisions.push_back({request, Admitted{tokenOf(wish.workspace)}});
         } else {
+            ++m_counters.refused;
             ++m_counters.refusedSilent;
             m_decisions.push_back({request, Refused{base::ResultCode::RateExceeded, m_settings.suspicion, {}, true}});
         }
@@ -489,6 +491,7 @@
     for (const base::RequestId &request : wish.requests) {
         if (granted > 0) {
             --granted;
+            ++m_counters.admitted;
             ++m_counters.admittedWaiting;
             m_decisions.push_back({request, Admitted{tokenOf(wish.workspace)}});
         } else {
--- a/src/limits/pooledlimiter_test.cpp
+++ b/src/limits/pooledlimiter_test.cpp
@@ -178,6 +178,7 @@
     };
     play(10s, rate / 1.6);
     BOOST_TEST(sum(&BrokerCounters::admittedAlone) == 0U);
+    BOOST_TEST(sum(&BrokerCounters::admitted) == admitted.size());
     BOOST_TEST(sum(&BrokerCounters::tokensGranted) >= admitted.size());
 
     const int away = home() == 0 ? 1 : 0;
