--- a/src/include/papayastep/limits/ratelimiter.h
+++ b/src/include/papayastep/limits/ratelimiter.h
@@ -36,6 +36,8 @@
 {
     base::ResultCode code = base::ResultCode::RateExceeded;
     base::Duration retryAfter{}; ///< When a token is expected.
+    base::VmId by{}; ///< Who holds the tokens and decided, where that is known.
+    bool silent = false; ///< Nobody who holds tokens answered in time, so this node decided alone.
 };
 
 using Admission = std::variant<Admitted, Waiting, Refused>;
@@ -81,6 +83,10 @@
     std::uint64_t asksSent = 0;
     std::uint64_t grantsMade = 0;
     std::uint64_t loansMade = 0;
+    double tokensGranted
+        = 0; ///< Whole tokens in these grants, to this node's own requests too where it holds the share.
+    double tokensLent = 0; ///< Whole tokens in these loans.
+    std::uint64_t admittedAlone = 0; ///< Of the admitted, without a word of any holder.
     std::uint64_t returnsReceived = 0;
     std::uint64_t messagesSent = 0;
     std::uint64_t messagesIgnored = 0; ///< Late, repeated, from a stranger, or malformed.
--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -102,7 +102,7 @@
             return Admitted{tokenOf(workspace)};
         }
         ++m_counters.refused;
-        return Refused{base::ResultCode::RateExceeded, comeBackAfter(*configured)};
+        return Refused{base::ResultCode::RateExceeded, comeBackAfter(*configured), m_self.vm};
     }
     Wish wish;
     wish.workspace = workspace;
@@ -380,6 +380,7 @@
     const std::uint32_t granted = std::min(whole, plenty ? std::max(urgent, wanted) : urgent);
     pool.bucket.level -= granted;
     m_counters.grantsMade += granted > 0 ? 1 : 0;
+    m_counters.tokensGranted += granted;
     return granted;
 }
 
@@ -466,11 +467,14 @@
         if (configured == nullptr) {
             m_decisions.push_back({request, Refused{base::ResultCode::KeyUnknown, {}}});
         } else if (takeAlone(*configured, m_entries[wish.workspace])) {
+            ++m_counters.admitted;
             ++m_counters.admittedWaiting;
+            ++m_counters.admittedAlone;
             m_decisions.push_back({request, Admitted{tokenOf(wish.workspace)}});
         } else {
+            ++m_counters.refused;
             ++m_counters.refusedSilent;
-            m_decisions.push_back({request, Refused{base::ResultCode::RateExceeded, m_settings.suspicion}});
+            m_decisions.push_back({request, Refused{base::ResultCode::RateExceeded, m_settings.suspicion, {}, true}});
         }
     }
 }
@@ -487,11 +491,13 @@
     for (const base::RequestId &request : wish.requests) {
         if (granted > 0) {
             --granted;
+            ++m_counters.admitted;
             ++m_counters.admittedWaiting;
             m_decisions.push_back({request, Admitted{tokenOf(wish.workspace)}});
         } else {
             ++m_counters.refused;
-            m_decisions.push_back({request, Refused{base::ResultCode::RateExceeded, retryAfter}});
+            const base::VmId &by = wish.home.empty() ? m_self.vm : wish.home;
+            m_decisions.push_back({request, Refused{base::ResultCode::RateExceeded, retryAfter, by}});
         }
     }
     if (granted > 0) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -212,7 +212,9 @@
         const wire::SlotOffer offer = m_serving.offerFor(wire::decode<wire::SlotAsk>(envelope.payload));
         m_peers.send(wire::outgoing(envelope.sender, wire::MessageKind::SlotOffer, offer));
     } else if (envelope.kind == wire::MessageKind::SlotOffer) {
-        m_context.silence.noteHeard(envelope.sender);
+        if (m_context.silence.noteHeard(envelope.sender)) {
+            PAPAYASTEP_LOG(INFO, "health") << "A node answers again." << base::field("vm", envelope.sender);
+        }
         m_entry.deliver(wire::decode<wire::SlotOffer>(envelope.payload));
     } else if (isBetween(envelope.kind, 40, 49)) {
         handleCancel(envelope);
@@ -253,7 +255,7 @@
 void Node::countHealthEvents()
 {
     for (const health::HealthEvent &event : m_context.health.takeEvents()) {
-        m_context.metrics.countAttempt(base::ServiceId("health"), health::name(event.kind));
+        m_context.metrics.countHealthEvent(health::name(event.kind));
     }
 }
 
@@ -385,8 +387,10 @@
         if (m_published) {
             applyCallerLimits();
         }
+        m_context.metrics.countReload("taken");
         PAPAYASTEP_LOG(INFO, logPrefix) << "Took over changed settings." << base::field("atNextStart", waiting);
     } catch (const base::Error &error) {
+        m_context.metrics.countReload("kept");
         PAPAYASTEP_LOG(ERROR, logPrefix) << "Kept the settings; the changed file is wrong."
                                          << base::field("code", number(error.code()))
                                          << base::field("detail", error.what());
