Leave no empty entry behind when a socket to a peer can't be opened

Cause: send() made the entry of a peer before its socket. Found by reading; nng_push0_open fails only out of memory, so no test brings it about. Change: the entry is made with its socket.

--- a/src/net/peerendpoint.cpp
+++ b/src/net/peerendpoint.cpp
@@ -146,11 +146,11 @@
 
 bool PeerEndpoint::send(const Endpoint &peer, const std::string &bytes)
 {
-    auto &push = m_peers[peer];
-    if (!push) {
-        push = std::make_unique<Push>(peer);
+    auto found = m_peers.find(peer);
+    if (found == m_peers.end()) {
+        found = m_peers.emplace(peer, std::make_unique<Push>(peer)).first;
     }
-    if (!push->send(bytes, m_clock.now())) {
+    if (!found->second->send(bytes, m_clock.now())) {
         ++m_counters.dropped;
         VLOG(1) << logPrefix << ": Dropped a message to a slow peer." << base::field("peer", toString(peer));
         return false;
