Say by whose tokens a node admits where it is not the home's

What was missing: of a workspace over its allowance one could see that nodes passed over its home, not who admitted how many of its requests by whose grant. A node now writes one line a second and workspace, only while a stand-in or the entry alone has admitted, or it has granted as a stand-in; the sums of it add up over the nodes.

Ruled out: what entries admit alone, prefetched stock, tokens given back, the changes of the VM list (one home all the while).

--- a/src/include/papayastep/limits/pooledlimiter.h
+++ b/src/include/papayastep/limits/pooledlimiter.h
@@ -106,6 +106,19 @@
         bool aloneUsed = false;
     };
 
+    /// What became of a workspace's requests here since `since`, by whose tokens; and what was given to others.
+    struct Tally
+    {
+        base::TimePoint since;
+        int stock = 0; ///< Out of tokens asked for in advance, or given back.
+        int home = 0;
+        int standIn = 0;
+        int alone = 0;
+        int refused = 0;
+        int givenBack = 0;
+        int granted = 0; ///< Out of the pool at this node, its own requests included.
+    };
+
     /// Who waits for the answer to a wish.
     struct Wish
     {
@@ -148,6 +161,10 @@
     void receiveGrant(const base::VmId &from, const PoolGrant &grant);
     void passOver(const base::VmId &home);
 
+    Tally &tallyOf(const base::WorkspaceId &workspace);
+    void tallyAdmitted(const base::WorkspaceId &workspace, const base::VmId &home);
+    void writeTallies();
+
     const BrokerSelf m_self;
     const base::Clock &m_clock;
     const PoolSettings m_settings;
@@ -163,6 +180,7 @@
     std::map<base::VmId, base::TimePoint> m_heard; ///< When a node last sent anything about rates.
     std::map<base::VmId, PoolAsk> m_asks; ///< To be sent.
     std::map<std::pair<base::VmId, base::Incarnation>, PoolGrant> m_grants; ///< To be sent.
+    std::map<base::WorkspaceId, Tally> m_tallies; ///< Not yet written down.
     std::vector<AdmissionDecision> m_decisions;
     BrokerCounters m_counters;
     std::uint64_t m_lastAsk = 0;
--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -23,6 +23,9 @@
 /// still under way; less refuses callers who keep to their rate.
 constexpr double newPoolPart = 0.25;
 
+/// Sums of admissions are written this often.
+constexpr base::Duration tallyInterval = std::chrono::seconds(1);
+
 constexpr base::Duration shortestRetryAfter = std::chrono::milliseconds(50);
 /// Callers who were told to come back later than this had better see what has changed.
 constexpr base::Duration longestRetryAfter = std::chrono::seconds(2);
@@ -92,6 +95,7 @@
     if (entry.stock >= 1 && m_clock.now() < entry.stockUntil) {
         entry.stock -= 1;
         ++m_counters.admitted;
+        ++tallyOf(workspace).stock;
         return Admitted{tokenOf(workspace)};
     }
     entry.stock = 0;
@@ -99,9 +103,11 @@
     if (home == m_self.vm && !m_draining) {
         if (takeFromPool(*configured, 1, 1) == 1) {
             ++m_counters.admitted;
+            tallyAdmitted(workspace, home);
             return Admitted{tokenOf(workspace)};
         }
         ++m_counters.refused;
+        ++tallyOf(workspace).refused;
         return Refused{base::ResultCode::RateExceeded, comeBackAfter(*configured)};
     }
     Wish wish;
@@ -127,6 +133,7 @@
         return;
     }
     ++m_counters.givenBack;
+    ++tallyOf(token.workspace).givenBack;
     Entry &kept = entry->second;
     const bool isStale = m_clock.now() >= kept.stockUntil;
     if (isStale || kept.stock < 1) {
@@ -174,6 +181,7 @@
         ask(std::move(wish));
     }
     std::erase_if(m_suspects, [now](const auto &suspect) { return suspect.second <= now; });
+    writeTallies();
 }
 
 std::optional<base::TimePoint> PooledLimiter::nextTick() const
@@ -182,6 +190,10 @@
     for (const auto &[number, wish] : m_wishes) {
         next = std::min(next.value_or(wish.overdue), wish.overdue);
     }
+    for (const auto &[workspace, tally] : m_tallies) {
+        const base::TimePoint due = tally.since + tallyInterval;
+        next = std::min(next.value_or(due), due);
+    }
     return next;
 }
 
@@ -379,6 +391,7 @@
     const bool plenty = pool.bucket.level > workspace.burst / 2;
     const std::uint32_t granted = std::min(whole, plenty ? std::max(urgent, wanted) : urgent);
     pool.bucket.level -= granted;
+    tallyOf(workspace.id).granted += static_cast<int>(granted);
     m_counters.grantsMade += granted > 0 ? 1 : 0;
     return granted;
 }
@@ -467,9 +480,11 @@
             m_decisions.push_back({request, Refused{base::ResultCode::KeyUnknown, {}}});
         } else if (takeAlone(*configured, m_entries[wish.workspace])) {
             ++m_counters.admittedWaiting;
+            ++tallyOf(wish.workspace).alone;
             m_decisions.push_back({request, Admitted{tokenOf(wish.workspace)}});
         } else {
             ++m_counters.refusedSilent;
+            ++tallyOf(wish.workspace).refused;
             m_decisions.push_back({request, Refused{base::ResultCode::RateExceeded, m_settings.suspicion}});
         }
     }
@@ -488,9 +503,11 @@
         if (granted > 0) {
             --granted;
             ++m_counters.admittedWaiting;
+            tallyAdmitted(wish.workspace, wish.home);
             m_decisions.push_back({request, Admitted{tokenOf(wish.workspace)}});
         } else {
             ++m_counters.refused;
+            ++tallyOf(wish.workspace).refused;
             m_decisions.push_back({request, Refused{base::ResultCode::RateExceeded, retryAfter}});
         }
     }
@@ -561,4 +578,49 @@
     m_suspects[home] = m_clock.now() + m_settings.suspicion;
 }
 
+PooledLimiter::Tally &PooledLimiter::tallyOf(const base::WorkspaceId &workspace)
+{
+    const auto [place, isNew] = m_tallies.try_emplace(workspace);
+    if (isNew) {
+        place->second.since = m_clock.now();
+    }
+    return place->second;
+}
+
+/// `home`: whose answer admitted the request; this node itself where that is empty.
+void PooledLimiter::tallyAdmitted(const base::WorkspaceId &workspace, const base::VmId &home)
+{
+    const std::vector<base::VmId> &homes = homesOf(workspace);
+    const base::VmId &giver = home.empty() ? m_self.vm : home;
+    const bool isHome = !homes.empty() && homes.front() == giver;
+    ++(isHome ? tallyOf(workspace).home : tallyOf(workspace).standIn);
+}
+
+/// Says once a second who admitted by whose tokens, where it was not all by the home's.
+void PooledLimiter::writeTallies()
+{
+    const base::TimePoint now = m_clock.now();
+    for (auto entry = m_tallies.begin(); entry != m_tallies.end();) {
+        const auto current = entry++;
+        const Tally &tally = current->second;
+        if (now - tally.since < tallyInterval) {
+            continue;
+        }
+        const bool isUsual
+            = tally.standIn == 0 && tally.alone == 0 && (tally.granted == 0 || isFirstHome(current->first));
+        if (!isUsual) {
+            PAPAYASTEP_LOG(INFO, logPrefix)
+                << "Admitted not only by the home's tokens." << base::field("workspace", current->first)
+                << base::field("stock", tally.stock) << base::field("home", tally.home)
+                << base::field("standIn", tally.standIn) << base::field("alone", tally.alone)
+                << base::field("refused", tally.refused) << base::field("givenBack", tally.givenBack)
+                << base::field("granted", tally.granted) << base::field("vms", m_vms.size())
+                << base::field("homeVm",
+                               homesOf(current->first).empty() ? base::VmId() : homesOf(current->first).front())
+                << base::field("part", partOfRate(current->first));
+        }
+        m_tallies.erase(current);
+    }
+}
+
 }
