Count a home as replaced also if it last gave in the very moment

Cause: a pool counts as another's if a node before it in the order left the list after the pool was last used. Ruled out: the quarter of a burst of each change of homes.

--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -382,7 +382,7 @@
 {
     const std::uint64_t own = base::rendezvousWeight(workspace.value(), m_self.vm.value());
     return std::any_of(m_left.begin(), m_left.end(), [&](const auto &left) {
-        return left.second > since && base::rendezvousWeight(workspace.value(), left.first.value()) >= own;
+        return left.second >= since && base::rendezvousWeight(workspace.value(), left.first.value()) >= own;
     });
 }
 
