Let no unforeseen exception end the loop or, without a word, one of its duties

Cause: what a handler threw left io.run() and ended the process with the requests of all callers; what a detached coroutine threw was dropped with it, so the tick, the accept loops, the watches of directory, configuration and VM list and the probes could end while the process looked alive. Only base::Error was caught, at a few places. An exception in the builder's thread ended the process too. The drain ends the process whatever failed on its way. A request whose coroutine throws no longer stays counted as open. The builder rejects the revision instead. Why going on is safe: a handler that throws is over, its objects are released by the unwinding, and no lock is held (one thread). What it left undone is bounded by deadlines of requests and repaired by the next tick, message or watch. Not covered: an exception inside the start of an Asio operation within co_await calls std::terminate in this Boost; an attempt whose serving coroutine throws keeps its slot.

--- a/src/include/papayastep/node/node.h
+++ b/src/include/papayastep/node/node.h
@@ -60,9 +60,13 @@
     void applyDirectory();
     void applyCallerLimits();
     void tick();
+    void tickDirectory();
+    void sweep();
     base::TimePoint nextTick();
     net::Awaitable<void> tickLoop();
     net::Awaitable<void> drain();
+    net::Awaitable<void> finishRequests();
+    void endDuties();
     bool isIdle() const;
 
     void addAdminPages();
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "papayastep/base/error.h"
 #include "papayastep/base/log.h"
+#include "papayastep/net/task.h"
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -74,9 +75,16 @@
                 break;
             }
             ++m_server.m_inFlight;
-            const bool whole = co_await readHead();
-            if (whole) {
-                co_await handleRequest();
+            bool whole = false;
+            try {
+                whole = co_await readHead();
+                if (whole) {
+                    co_await handleRequest();
+                }
+            } catch (...) {
+                // A request that stayed counted would keep a planned stop waiting until its time is over.
+                taskFaults(m_server.m_context).note("request", std::current_exception());
+                whole = false;
             }
             --m_server.m_inFlight;
             if (!whole || m_server.m_stopping) {
@@ -446,7 +454,7 @@
     if (error) {
         throw base::Error(base::ResultCode::SettingsAddressInUse, toString(endpoint) + ": " + error.message());
     }
-    asio::co_spawn(m_context, acceptLoop(), asio::detached);
+    spawnDuty(m_context, "accept", [this] { return acceptLoop(); });
 }
 
 HttpServer::~HttpServer() = default;
@@ -509,8 +517,7 @@
             continue;
         }
         auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
-        asio::co_spawn(
-            m_context, [connection]() -> Awaitable<void> { co_await connection->run(); }, asio::detached);
+        spawnTask(m_context, "connection", [connection] { return connection->run(); });
     }
 }
 
--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "papayastep/base/error.h"
 #include "papayastep/base/log.h"
+#include "papayastep/net/task.h"
 #include "papayastep/node/servingnode.h"
 
 namespace papayastep::node {
@@ -160,7 +161,7 @@
         self->m_finished = true;
         self->notifyChanged();
     };
-    net::asio::co_spawn(m_context.io, std::move(run), net::asio::detached);
+    net::spawnTask(m_context.io, "attempt", std::move(run));
 }
 
 void LocalAttempt::abandon()
@@ -203,7 +204,7 @@
     auto run = [self, request = std::move(request)]() mutable -> net::Awaitable<void> {
         co_await self->run(std::move(request));
     };
-    net::asio::co_spawn(m_context.io, std::move(run), net::asio::detached);
+    net::spawnTask(m_context.io, "attempt", std::move(run));
 }
 
 void RemoteAttempt::abandon()
--- a/src/node/configurationkeeper.cpp
+++ b/src/node/configurationkeeper.cpp
@@ -2,6 +2,7 @@
 
 #include "papayastep/base/error.h"
 #include "papayastep/base/log.h"
+#include "papayastep/net/task.h"
 
 namespace papayastep::node {
 
@@ -43,12 +44,12 @@
 void ConfigurationKeeper::start()
 {
     startConfiguration();
-    net::asio::co_spawn(m_context.io, vmListLoop(), net::asio::detached);
+    net::spawnDuty(m_context.io, "vm-list", [this] { return vmListLoop(); });
 }
 
 void ConfigurationKeeper::startConfiguration()
 {
-    net::asio::co_spawn(m_context.io, configurationLoop(), net::asio::detached);
+    net::spawnDuty(m_context.io, "configuration", [this] { return configurationLoop(); });
 }
 
 void ConfigurationKeeper::stop()
--- a/src/node/directorykeeper.cpp
+++ b/src/node/directorykeeper.cpp
@@ -2,6 +2,7 @@
 
 #include "papayastep/base/error.h"
 #include "papayastep/base/log.h"
+#include "papayastep/net/task.h"
 
 #include <algorithm>
 
@@ -49,7 +50,7 @@
 void DirectoryKeeper::start(std::function<void(base::Revision published, bool changed)> answered)
 {
     m_answered = std::move(answered);
-    net::asio::co_spawn(m_context.io, loop(), net::asio::detached);
+    net::spawnDuty(m_context.io, "directory", [this] { return loop(); });
 }
 
 void DirectoryKeeper::stop()
--- a/src/node/hophandler.cpp
+++ b/src/node/hophandler.cpp
@@ -3,6 +3,7 @@
 #include "papayastep/base/error.h"
 #include "papayastep/base/log.h"
 #include "papayastep/net/signal.h"
+#include "papayastep/net/task.h"
 #include "papayastep/node/refusals.h"
 #include "papayastep/node/streamedanswer.h"
 
@@ -62,7 +63,7 @@
         pending->answer = co_await m_serving.serve(std::move(hop), std::move(request), std::move(suspect));
         pending->changed.notify();
     };
-    net::asio::co_spawn(m_context.io, std::move(serve), net::asio::detached);
+    net::spawnTask(m_context.io, "serve", std::move(serve));
     exchange.watchClient(
         [this, id = hop.requestId(), attempt = static_cast<int>(hop.attempt)] { m_serving.entryGone(id, attempt); });
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -5,6 +5,7 @@
 #include "papayastep/base/error.h"
 #include "papayastep/base/log.h"
 #include "papayastep/base/logoutput.h"
+#include "papayastep/net/task.h"
 #include "papayastep/node/node.h"
 #include "papayastep/routing/requestmachine.h"
 
@@ -114,7 +115,7 @@
     papayastep::node::Node node(
         io, clock, std::move(keeper), std::move(settings), std::move(interfaces), log, randomSeed());
     watchSignals(signals, node);
-    io.run();
+    papayastep::net::runLoop(io);
 }
 
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "papayastep/base/error.h"
 #include "papayastep/base/log.h"
+#include "papayastep/net/task.h"
 
 #include <algorithm>
 #include <malloc.h>
@@ -62,6 +63,28 @@
     return {settings.caller.port, settings.hop.port, settings.peer.port, settings.admin.port};
 }
 
+struct Built
+{
+    membership::BuildResult result;
+    std::shared_ptr<const routing::RouteTable> routes;
+};
+
+/// Runs in the builder's thread, out of which any exception ends the process. A revision that can't be built for
+/// whatever reason is rejected instead, and the one in force stays.
+Built buildAll(const membership::Build &build) noexcept
+{
+    try {
+        Built built;
+        built.result = membership::runBuild(build);
+        if (built.result.configuration) {
+            built.routes = std::make_shared<routing::RouteTable>(built.result.configuration);
+        }
+        return built;
+    } catch (const std::exception &error) {
+        return {{nullptr, error.what()}, nullptr};
+    }
+}
+
 bool isBetween(wire::MessageKind kind, int first, int last)
 {
     const int number = static_cast<int>(kind);
@@ -123,7 +146,7 @@
         m_keeper.start();
     }
     m_prober.start();
-    net::asio::co_spawn(io, tickLoop(), net::asio::detached);
+    net::spawnDuty(io, "tick", [this] { return tickLoop(); });
     PAPAYASTEP_LOG(INFO, logPrefix) << "Started." << base::field("vm", m_context.settings.vm)
                                     << base::field("zone", m_context.settings.zone)
                                     << base::field("incarnation", m_context.incarnation)
@@ -143,7 +166,7 @@
     }
     PAPAYASTEP_LOG(INFO, logPrefix) << "Draining for a planned stop." << base::field("open", m_entry.open())
                                     << base::field("serving", m_serving.inFlight());
-    net::asio::co_spawn(m_context.io, drain(), net::asio::detached);
+    net::spawnTask(m_context.io, "drain", [this] { return drain(); });
 }
 
 // Decisions and messages pile up in the packages while events come in; one pump after a burst of events takes them all.
@@ -261,14 +284,10 @@
         return;
     }
     net::asio::post(m_builder, [this, build = std::move(*build)]() mutable {
-        const membership::BuildResult result = membership::runBuild(build);
-        std::shared_ptr<const routing::RouteTable> routes;
-        if (result.configuration) {
-            routes = std::make_shared<routing::RouteTable>(result.configuration);
-        }
-        net::asio::post(m_context.io, [this, build = std::move(build), result, routes]() mutable {
-            m_builtRoutes = routes;
-            m_spread.finishBuild(std::move(build), result);
+        Built built = buildAll(build);
+        net::asio::post(m_context.io, [this, build = std::move(build), built = std::move(built)]() mutable {
+            m_builtRoutes = built.routes;
+            m_spread.finishBuild(std::move(build), built.result);
             schedulePump();
         });
     });
@@ -390,31 +409,44 @@
     }
 }
 
+// Each part by itself: one that fails at every tick would otherwise keep the parts after it from ever having theirs, and
+// leases or tokens would run out for no reason of their own.
 void Node::tick()
 {
-    m_context.tokens.tick();
-    m_context.health.tick();
-    m_context.ledgerClient.tick();
-    m_context.ledgerHome.tick();
-    m_spread.tick();
-    m_serving.tick();
+    const auto step = [this](const char *part, const auto &run) { net::runStep(m_context.io, part, run); };
+    step("tokens", [this] { m_context.tokens.tick(); });
+    step("health", [this] { m_context.health.tick(); });
+    step("ledger-client", [this] { m_context.ledgerClient.tick(); });
+    step("ledger-home", [this] { m_context.ledgerHome.tick(); });
+    step("spread", [this] { m_spread.tick(); });
+    step("serving", [this] { m_serving.tick(); });
+    step("directory", [this] { tickDirectory(); });
+    step("refusals", [this] { logFoldedRefusals(); });
+    const auto now = m_context.clock.now();
+    if (now >= m_nextSweep) {
+        m_nextSweep = now + sweepEvery;
+        step("sweep", [this] { sweep(); });
+    }
+}
+
+void Node::tickDirectory()
+{
     if (m_servers.tick()) {
         applyDirectory();
     }
     if (m_directoryKeeper) {
         m_directoryKeeper->sendNews();
     }
-    const auto now = m_context.clock.now();
-    logFoldedRefusals();
-    if (now >= m_nextSweep) {
-        m_nextSweep = now + sweepEvery;
-        rereadSettings();
-        m_context.retryBudget.tick();
-        m_context.gray.expire();
-        m_context.hopPool.sweep();
-        m_context.backendPool.sweep();
-        m_peers.sweep();
-    }
+}
+
+void Node::sweep()
+{
+    rereadSettings();
+    m_context.retryBudget.tick();
+    m_context.gray.expire();
+    m_context.hopPool.sweep();
+    m_context.backendPool.sweep();
+    m_peers.sweep();
 }
 
 base::TimePoint Node::nextTick()
@@ -440,16 +472,31 @@
         m_armedTick = nextTick();
         co_await m_tickSignal.waitUntil(m_armedTick);
         tick();
-        pump();
+        net::runStep(m_context.io, "pump", [this] { pump(); });
     }
 }
 
+// The process must end whatever fails on the way: one that stays is killed at the end of its grace time, with the
+// requests in flight.
 net::Awaitable<void> Node::drain()
+{
+    try {
+        co_await finishRequests();
+    } catch (...) {
+        net::taskFaults(m_context.io).note("drain", std::current_exception());
+    }
+    net::runStep(m_context.io, "stop", [this] { endDuties(); });
+    m_context.io.stop();
+}
+
+net::Awaitable<void> Node::finishRequests()
 {
     m_context.stopping = true;
-    m_context.health.setLeaving(m_context.settings.vm);
-    m_spread.announceLeaving();
-    schedulePump();
+    net::runStep(m_context.io, "announce", [this] {
+        m_context.health.setLeaving(m_context.settings.vm);
+        m_spread.announceLeaving();
+        schedulePump();
+    });
 
     net::asio::steady_timer timer(m_context.io);
     net::beast::error_code ignored;
@@ -459,17 +506,23 @@
 
     m_context.draining = true;
     m_callerServer.stop();
-    m_context.tokens.drain();
-    m_context.ledgerHome.beginHandOver();
-    schedulePump();
+    net::runStep(m_context.io, "hand-over", [this] {
+        m_context.tokens.drain();
+        m_context.ledgerHome.beginHandOver();
+        schedulePump();
+    });
 
     const auto patience = m_context.clock.now() + m_context.settings.drainTimeout;
     while (!isIdle() && m_context.clock.now() < patience) {
         timer.expires_after(drainPoll);
         co_await timer.async_wait(net::into(ignored));
         tick();
-        pump();
+        net::runStep(m_context.io, "pump", [this] { pump(); });
     }
+}
+
+void Node::endDuties()
+{
     m_hopServer.stop();
     m_life.handle(isIdle() ? NodeEvent::Drained : NodeEvent::PatienceEnded);
     PAPAYASTEP_LOG(INFO, logPrefix) << "Stopped." << base::field("open", m_entry.open())
@@ -479,7 +532,6 @@
     if (m_directoryKeeper) {
         m_directoryKeeper->stop();
     }
-    m_context.io.stop();
 }
 
 bool Node::isIdle() const
--- a/src/node/nodepages.cpp
+++ b/src/node/nodepages.cpp
@@ -1,5 +1,6 @@
 // The pages of a node for operators: /healthz, /readyz, /status, /explain and /metrics.
 
+#include "papayastep/net/task.h"
 #include "papayastep/node/candidates.h"
 #include "papayastep/node/node.h"
 
@@ -244,6 +245,7 @@
 
     set("ledger_records", m_context.ledgerHome.ledger().size());
     set("ledger_bytes", m_context.ledgerHome.ledger().bytes());
+    set("task_faults", net::taskFaults(m_context.io).count());
     set("requests_open", m_entry.open());
     set("attempts_serving", m_serving.inFlight());
     set("attempts_queued", m_serving.queued());
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -1,6 +1,7 @@
 #include "papayastep/node/prober.h"
 
 #include "papayastep/base/log.h"
+#include "papayastep/net/task.h"
 
 namespace papayastep::node {
 
@@ -19,7 +20,7 @@
 
 void Prober::start()
 {
-    net::asio::co_spawn(m_context.io, loop(), net::asio::detached);
+    net::spawnDuty(m_context.io, "probes", [this] { return loop(); });
 }
 
 net::Awaitable<void> Prober::loop()
@@ -42,7 +43,9 @@
         const config::BackendServer *server = configuration.backendServer(id);
         const config::Service *service = server != nullptr ? configuration.service(server->service) : nullptr;
         if (service != nullptr && !service->healthPath.empty()) {
-            net::asio::co_spawn(m_context.io, probe(*server, service->healthPath), net::asio::detached);
+            net::spawnTask(m_context.io, "probe", [this, server = *server, path = service->healthPath] {
+                return probe(server, path);
+            });
         }
     }
 }
