Let no answer of a server that Beast can't hold end the node

Cause: as for requests, on the other side: fields behind a chunked answer stand under no limit, and one above 64 KiB makes Beast throw out of its read operation, past every handler and out of the loop. A sick backend server could so end the node beside it. Change: what is read of an answer at a time is bounded to 60 KiB, so such a field is an error of that exchange. Test first: exchange_trailerLongerThanTheLibraryHolds_fails threw out of the loop before and passes now (net_test).

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "papayastep/net/httpclient.h"
 
+#include "papayastep/net/task.h"
+
 #include <algorithm>
 #include <charconv>
 #include <limits>
@@ -12,6 +14,10 @@
 
 constexpr std::size_t partBytes = 32 * 1024;
 
+/// Beast counts the bytes of a field in 16 bits and throws at a longer one, out of its read operations past every
+/// handler: a server that sends one behind its answer would end the node. What does not fit here is an error instead.
+constexpr std::size_t largestRead = 60 * 1024;
+
 bool isOpenAndQuiet(tcp::socket &socket)
 {
     char byte = 0;
@@ -63,6 +69,7 @@
 public:
     explicit ClientConnection(asio::io_context &context)
         : m_stream(context)
+        , m_buffer(largestRead)
     {
     }
 
@@ -237,7 +244,7 @@
         sending->failed = static_cast<bool>(error);
         sending->connection.reset();
     };
-    asio::co_spawn(m_context, std::move(send), asio::detached);
+    spawnTask(m_context, "send", std::move(send));
 }
 
 Awaitable<bool> HttpExchange::readHead(bool isHead)
--- /dev/null
+++ b/src/net/httpclient_test.cpp
@@ -0,0 +1,61 @@
+#include "papayastep/base/clock.h"
+#include "papayastep/net/httpclient.h"
+#include "papayastep/net/task.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace papayastep;
+
+namespace {
+
+constexpr std::uint16_t port = 38472;
+
+/// An exchange with a server that answers it with bytes of the test.
+struct ExchangeFixture
+{
+    ExchangeFixture()
+    {
+        net::ClientRequest request;
+        request.head.method(net::http::verb::get);
+        request.head.target("/");
+        net::spawnTask(context, "exchange", [this, request]() -> net::Awaitable<void> {
+            constexpr std::size_t holdBytes = 1024;
+            co_await exchange.run(request, holdBytes);
+            ended = true;
+        });
+        context.poll();
+        server = acceptor.accept();
+    }
+
+    /// Sends in parts that fit into the buffers of the connection, and lets the exchange take in each.
+    void answer(std::string_view bytes)
+    {
+        constexpr std::size_t partBytes = 4096;
+        net::beast::error_code error;
+        for (; !bytes.empty() && !error; bytes.remove_prefix(std::min(partBytes, bytes.size()))) {
+            net::asio::write(server, net::asio::buffer(bytes.data(), std::min(partBytes, bytes.size())), error);
+            context.poll();
+        }
+    }
+
+    const base::SystemClock clock;
+    net::asio::io_context context{1};
+    net::asio::io_context serverContext;
+    net::tcp::acceptor acceptor{serverContext, {net::asio::ip::make_address("127.0.0.1"), port}};
+    net::HttpPool pool{context, clock, {}};
+    net::HttpExchange exchange{context, pool, {"127.0.0.1", port}};
+    net::tcp::socket server{serverContext};
+    bool ended = false;
+};
+
+}
+
+// A sick backend server sends endless fields behind its answer. Beast can't count so long a field and throws: the node
+// beside that server ended, and with it the requests of all its callers.
+BOOST_FIXTURE_TEST_CASE(exchange_trailerLongerThanTheLibraryHolds_fails, ExchangeFixture)
+{
+    answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nLong: " + std::string(70'000, 'x') + "\r\n\r\n");
+    BOOST_TEST(ended);
+    BOOST_TEST((exchange.failure() != net::ExchangeFailure::None));
+}
