Close at once what a node has no descriptor for, and keep some for its own side

Cause: callers could take every file descriptor of a process (4,096 connections on each listener, VMs have 4,100 to 8,192). Then accept() failed, the accept loop paused and tried again, and whoever connected lay in the queue until its own timeout; hops, the watch of the directory and the nodes' own pages found none either, which looks like sick paths and servers. Weighed: raising the limit (the machine's rules stay as they are); closing idle connections (a caller may be about to send on one); pausing longer. Each leaves callers hanging. Change: callers get half of the descriptors, hops a quarter, the rest is the node's own; beyond that a connection is closed at once (3018, cause=limit). Where none is left all the same, a spare one is given up to take the connection and close it (cause=descriptors); then the next is waited for, so nothing spins. The spare descriptor itself has no test yet in this commit.

--- a/src/include/papayastep/net/httpserver.h
+++ b/src/include/papayastep/net/httpserver.h
@@ -4,6 +4,7 @@
 #include "papayastep/base/resultcode.h"
 #include "papayastep/net/endpoint.h"
 #include "papayastep/net/httpmessage.h"
+#include "papayastep/net/sparedescriptor.h"
 
 #include <functional>
 #include <memory>
@@ -72,7 +73,7 @@
 class HttpServer
 {
 public:
-    /// Listens at once. Throws Error(SettingsAddressInUse).
+    /// Listens at once. Throws Error(SettingsAddressInUse). A process out of file descriptors closes what connects.
     HttpServer(asio::io_context &context, const Endpoint &endpoint, ServerLimits limits, RequestHandler &handler);
     ~HttpServer();
 
@@ -94,9 +95,13 @@
     friend class ServerConnection;
     using ConnectionSet = std::set<ServerConnection *>;
     Awaitable<void> acceptLoop();
+    Awaitable<void> refuseForWantOfDescriptors();
+    Awaitable<void> pauseAfterFailure();
+    void noteRefusal(std::string_view cause);
 
     asio::io_context &m_context;
     tcp::acceptor m_acceptor;
+    SpareDescriptor m_spare;
     ServerLimits m_limits;
     RequestHandler &m_handler;
     std::shared_ptr<ConnectionSet> m_connections;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -258,8 +258,8 @@
         co_return true;
     }
 
-    /// Parses what was read, or reads more where that is not enough. A field longer than Beast can count, in a header or
-    /// behind a chunked body, makes it throw. Out of its own read operations that would leave the loop and end the
+    /// Parses what was read, or reads more where that is not enough. A field longer than Beast can count, in a header
+    /// or behind a chunked body, makes it throw. Out of its own read operations that would leave the loop and end the
     /// requests of all callers; here it becomes an error of this request.
     Awaitable<beast::error_code> parseMore()
     {
@@ -504,16 +504,18 @@
         if (error == asio::error::operation_aborted || !m_acceptor.is_open()) {
             co_return;
         }
+        const bool outOfDescriptors
+            = error == asio::error::no_descriptors || error == beast::errc::too_many_files_open_in_system;
+        if (error && outOfDescriptors) {
+            co_await refuseForWantOfDescriptors();
+            continue;
+        }
         if (error) {
-            // Out of file descriptors, as a rule: pause instead of spinning on the same error.
-            asio::steady_timer pause(m_context, std::chrono::milliseconds(50));
-            co_await pause.async_wait(into(error));
+            co_await pauseAfterFailure();
             continue;
         }
         if (m_connections->size() >= m_limits.connections) {
-            ++m_refused;
-            PAPAYASTEP_LOG(WARNING, logPrefix)
-                << "Refused a connection." << base::field("code", number(base::ResultCode::TooManyConnections));
+            noteRefusal("limit");
             continue;
         }
         auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
@@ -521,4 +523,44 @@
     }
 }
 
+/// accept() fails without a free descriptor even when nobody waits, so to call it again at once would spin; and a
+/// caller that is left in the queue hears nothing. So the next one is waited for, taken with the spare descriptor and
+/// closed.
+Awaitable<void> HttpServer::refuseForWantOfDescriptors()
+{
+    if (!m_spare.takeBack()) {
+        co_await pauseAfterFailure();
+        co_return;
+    }
+    beast::error_code error;
+    co_await m_acceptor.async_wait(tcp::acceptor::wait_read, into(error));
+    if (error || m_stopping) {
+        co_return;
+    }
+    m_acceptor.non_blocking(true, error);
+    m_spare.giveUp();
+    tcp::socket socket(m_context);
+    m_acceptor.accept(socket, error);
+    if (!error) {
+        noteRefusal("descriptors");
+    }
+    socket.close(error);
+    m_spare.takeBack();
+}
+
+Awaitable<void> HttpServer::pauseAfterFailure()
+{
+    asio::steady_timer pause(m_context, std::chrono::milliseconds(50));
+    beast::error_code ignored;
+    co_await pause.async_wait(into(ignored));
+}
+
+void HttpServer::noteRefusal(std::string_view cause)
+{
+    ++m_refused;
+    PAPAYASTEP_LOG(WARNING, logPrefix) << "Refused a connection."
+                                       << base::field("code", number(base::ResultCode::TooManyConnections))
+                                       << base::field("cause", cause);
+}
+
 }
--- a/src/net/httpserver_test.cpp
+++ b/src/net/httpserver_test.cpp
@@ -107,8 +107,8 @@
     BOOST_TEST(open.server.inFlight() == 0U);
 }
 
-// Where longer headers are allowed, one caller sends a field of more than 64 KiB, which the HTTP library can't hold. Its
-// exception left the loop, and one request ended the node with the requests of all other callers.
+// Where longer headers are allowed, one caller sends a field of more than 64 KiB, which the HTTP library can't hold.
+// Its exception left the loop, and one request ended the node with the requests of all other callers.
 BOOST_AUTO_TEST_CASE(request_fieldLongerThanTheLibraryHolds_isRefused)
 {
     net::ServerLimits limits;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -26,6 +26,17 @@
 // time.
 constexpr base::Duration longestBackoff = std::chrono::milliseconds(1000);
 
+// Parts of the file descriptors of the process. Callers that open connections without end must not keep the node from
+// opening its own: its hops would fail, and healthy servers and paths be taken for sick.
+constexpr double callerShare = 0.5;
+constexpr double hopShare = 0.25;
+
+net::ServerLimits limitsWithin(double share, net::ServerLimits limits)
+{
+    limits.connections = net::connectionsWithin(share, limits.connections);
+    return limits;
+}
+
 std::shared_ptr<const base::StateChart> nodeChart()
 {
     return base::StateChart::parse(embedded::nodeChart,
@@ -117,8 +128,8 @@
     , m_entry(m_context, m_serving)
     , m_hop(m_context, m_serving)
     , m_peers(m_context, [this](const wire::Envelope &envelope) { dispatch(envelope); })
-    , m_callerServer(io, m_context.settings.caller, m_context.settings.limits, m_entry)
-    , m_hopServer(io, m_context.settings.hop, m_context.settings.limits, m_hop)
+    , m_callerServer(io, m_context.settings.caller, limitsWithin(callerShare, m_context.settings.limits), m_entry)
+    , m_hopServer(io, m_context.settings.hop, limitsWithin(hopShare, m_context.settings.limits), m_hop)
     , m_adminServer(io, m_context.settings.admin, {}, m_admin)
     , m_tickSignal(io)
     , m_readyAtLatest(clock.now() + longestSettling)
@@ -338,9 +349,9 @@
     limits.bodyBytes = wanted.bodyBytes.value_or(limits.bodyBytes);
     limits.headerTimeout = wanted.headerTimeout.value_or(limits.headerTimeout);
     limits.idleTimeout = wanted.idleTimeout.value_or(limits.idleTimeout);
-    m_callerServer.setLimits(limits);
+    m_callerServer.setLimits(limitsWithin(callerShare, limits));
     limits.idleTimeout = m_context.settings.limits.idleTimeout;
-    m_hopServer.setLimits(limits);
+    m_hopServer.setLimits(limitsWithin(hopShare, limits));
 }
 
 void Node::applyDirectory()
@@ -409,8 +420,8 @@
     }
 }
 
-// Each part by itself: one that fails at every tick would otherwise keep the parts after it from ever having theirs, and
-// leases or tokens would run out for no reason of their own.
+// Each part by itself: one that fails at every tick would otherwise keep the parts after it from ever having theirs,
+// and leases or tokens would run out for no reason of their own.
 void Node::tick()
 {
     const auto step = [this](const char *part, const auto &run) { net::runStep(m_context.io, part, run); };
