--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -1,5 +1,6 @@
 // What the parts of a node keep, put into its metrics before each scrape.
 
+#include "papayastep/net/task.h"
 #include "papayastep/node/node.h"
 
 #include <algorithm>
@@ -73,6 +74,7 @@
     metrics.setTotal("log_lines_dropped", real(log.dropped));
     metrics.set("caller_connections", real(m_callerServer.connections()));
     metrics.setTotal("caller_connections_refused", real(m_callerServer.refusedConnections()));
+    metrics.setTotal("task_faults", real(net::taskFaults(m_context.io).count()));
 }
 
 void Node::collectDecisions()
--- a/src/node/nodepages.cpp
+++ b/src/node/nodepages.cpp
@@ -1,5 +1,6 @@
 // The pages of a node for operators: /healthz, /readyz, /status, /explain and /metrics.
 
+#include "papayastep/net/task.h"
 #include "papayastep/node/candidates.h"
 #include "papayastep/node/node.h"
 
