--- a/src/include/papayastep/node/metrics.h
+++ b/src/include/papayastep/node/metrics.h
@@ -3,6 +3,7 @@
 #include "papayastep/base/clock.h"
 #include "papayastep/base/identifiers.h"
 #include "papayastep/base/resultcode.h"
+#include "papayastep/node/metricfamily.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -11,9 +12,9 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 
 namespace papayastep::node {
 
@@ -91,7 +92,7 @@
 
     /// `service` as a label: the service itself, or `other` for those that came when there were many already, or
     /// `none`.
-    std::string serviceLabel(const base::ServiceId &service);
+    const std::string &serviceLabel(const base::ServiceId &service);
 
     /// The text format of Prometheus.
     std::string text() const;
@@ -101,21 +102,21 @@
     prometheus::Family<prometheus::Histogram> &histograms(const std::string &name, const std::string &help);
 
     std::shared_ptr<prometheus::Registry> m_registry;
-    std::set<std::string> m_services; ///< With a label of their own.
-    prometheus::Family<prometheus::Counter> &m_requests;
-    prometheus::Family<prometheus::Histogram> &m_requestSeconds;
-    prometheus::Family<prometheus::Counter> &m_attempts;
-    prometheus::Family<prometheus::Counter> &m_retryDecisions;
-    prometheus::Family<prometheus::Counter> &m_placements;
-    prometheus::Family<prometheus::Histogram> &m_queueWait;
-    prometheus::Family<prometheus::Counter> &m_served;
-    prometheus::Family<prometheus::Histogram> &m_slotHeld;
-    prometheus::Family<prometheus::Counter> &m_refusedAttempts;
-    prometheus::Family<prometheus::Counter> &m_cancels;
-    prometheus::Family<prometheus::Counter> &m_holds;
-    prometheus::Family<prometheus::Counter> &m_returns;
-    prometheus::Family<prometheus::Counter> &m_healthEvents;
-    prometheus::Family<prometheus::Counter> &m_reloads;
+    std::unordered_set<std::string> m_services; ///< With a label of their own.
+    MetricFamily<prometheus::Counter> m_requests;
+    MetricFamily<prometheus::Histogram> m_requestSeconds;
+    MetricFamily<prometheus::Counter> m_attempts;
+    MetricFamily<prometheus::Counter> m_retryDecisions;
+    MetricFamily<prometheus::Counter> m_placements;
+    MetricFamily<prometheus::Histogram> m_queueWait;
+    MetricFamily<prometheus::Counter> m_served;
+    MetricFamily<prometheus::Histogram> m_slotHeld;
+    MetricFamily<prometheus::Counter> m_refusedAttempts;
+    MetricFamily<prometheus::Counter> m_cancels;
+    MetricFamily<prometheus::Counter> m_holds;
+    MetricFamily<prometheus::Counter> m_returns;
+    MetricFamily<prometheus::Counter> m_healthEvents;
+    MetricFamily<prometheus::Counter> m_reloads;
     std::map<std::string, prometheus::Family<prometheus::Gauge> *> m_gauges;
     std::map<std::string, std::map<Labels, prometheus::Gauge *>> m_gaugeSeries;
     std::map<std::string, prometheus::Family<prometheus::Counter> *> m_totals;
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -10,8 +10,6 @@
 
 /// A planned fleet has 1,200 services, and each may take some dozens of series at a node.
 constexpr std::size_t mostServiceLabels = 64;
-constexpr const char *otherServices = "other";
-constexpr const char *noService = "none";
 
 const prometheus::Histogram::BucketBoundaries secondsBuckets{
     0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
@@ -25,92 +23,95 @@
 
 NodeMetrics::NodeMetrics()
     : m_registry(std::make_shared<prometheus::Registry>())
-    , m_requests(counters("requests_total", "Requests of callers that ended (code 0: answered by a backend server)"))
-    , m_requestSeconds(histograms("request_seconds", "Time from the head of a request to its answer"))
-    , m_attempts(counters("attempts_total", "What was heard of attempts"))
-    , m_retryDecisions(counters("retry_decisions_total", "What was done after an attempt"))
-    , m_placements(counters("placements_total", "Attempts placed, by why their server was chosen"))
-    , m_queueWait(histograms("queue_wait_seconds", "Time that attempts waited for a slot of a backend server"))
+    , m_requests(counters("requests_total", "Requests of callers that ended (code 0: answered by a backend server)"),
+                 {"service", "kind", "outcome", "code"})
+    , m_requestSeconds(histograms("request_seconds", "Time from the head of a request to its answer"),
+                       {"service", "outcome"})
+    , m_attempts(counters("attempts_total", "What was heard of attempts"), {"service", "event"})
+    , m_retryDecisions(counters("retry_decisions_total", "What was done after an attempt"), {"service", "action"})
+    , m_placements(counters("placements_total", "Attempts placed, by why their server was chosen"),
+                   {"service", "reason"})
+    , m_queueWait(histograms("queue_wait_seconds", "Time that attempts waited for a slot of a backend server"),
+                  {"service"})
     , m_served(
-          counters("served_attempts_total", "Attempts that backend servers of this VM worked on, by how they ended"))
-    , m_slotHeld(histograms("slot_held_seconds", "Time that attempts held a slot of a backend server"))
-    , m_refusedAttempts(counters("refused_attempts_total", "Attempts that this node refused before they ran"))
-    , m_cancels(counters("cancels_total", "Cancels of attempts that came to this node, by its answer"))
-    , m_holds(counters("server_holds_total", "Times that a backend server of this VM was held back as gray"))
-    , m_returns(counters("server_returns_total", "Times that a server held back answered again"))
-    , m_healthEvents(counters("health_events_total", "Decisions about servers and paths"))
-    , m_reloads(counters("settings_reloads_total", "Changed settings files, taken over or refused and kept from use"))
+          counters("served_attempts_total", "Attempts that backend servers of this VM worked on, by how they ended"),
+          {"service", "outcome"})
+    , m_slotHeld(histograms("slot_held_seconds", "Time that attempts held a slot of a backend server"), {"service"})
+    , m_refusedAttempts(counters("refused_attempts_total", "Attempts that this node refused before they ran"), {"code"})
+    , m_cancels(counters("cancels_total", "Cancels of attempts that came to this node, by its answer"), {"answer"})
+    , m_holds(counters("server_holds_total", "Times that a backend server of this VM was held back as gray"),
+              {"service", "evidence"})
+    , m_returns(counters("server_returns_total", "Times that a server held back answered again"), {"service"})
+    , m_healthEvents(counters("health_events_total", "Decisions about servers and paths"), {"event"})
+    , m_reloads(counters("settings_reloads_total", "Changed settings files, taken over or refused and kept from use"),
+                {"result"})
 {
 }
 
 void NodeMetrics::countRequest(const EndedRequest &request)
 {
-    const std::string service = serviceLabel(request.service);
-    const std::string outcome(request.outcome);
-    m_requests
-        .Add({{"service", service},
-              {"kind", request.idempotent ? "idempotent" : "other"},
-              {"outcome", outcome},
-              {"code", std::to_string(number(request.code))}})
-        .Increment();
-    m_requestSeconds.Add({{"service", service}, {"outcome", outcome}}, secondsBuckets).Observe(seconds(request.took));
+    const std::string &service = serviceLabel(request.service);
+    const std::string code = std::to_string(number(request.code));
+    const std::string_view kind = request.idempotent ? "idempotent" : "other";
+    m_requests.of({service, kind, request.outcome, code}).Increment();
+    m_requestSeconds.of({service, request.outcome}, secondsBuckets).Observe(seconds(request.took));
 }
 
 void NodeMetrics::countAttempt(const base::ServiceId &service, std::string_view event)
 {
-    m_attempts.Add({{"service", serviceLabel(service)}, {"event", std::string(event)}}).Increment();
+    m_attempts.of({serviceLabel(service), event}).Increment();
 }
 
 void NodeMetrics::countRetryDecision(const base::ServiceId &service, std::string_view action)
 {
-    m_retryDecisions.Add({{"service", serviceLabel(service)}, {"action", std::string(action)}}).Increment();
+    m_retryDecisions.of({serviceLabel(service), action}).Increment();
 }
 
 void NodeMetrics::countPlacement(const base::ServiceId &service, std::string_view reason)
 {
-    m_placements.Add({{"service", serviceLabel(service)}, {"reason", std::string(reason)}}).Increment();
+    m_placements.of({serviceLabel(service), reason}).Increment();
 }
 
 void NodeMetrics::observeQueueWait(const base::ServiceId &service, base::Duration wait)
 {
-    m_queueWait.Add({{"service", serviceLabel(service)}}, secondsBuckets).Observe(seconds(wait));
+    m_queueWait.of({serviceLabel(service)}, secondsBuckets).Observe(seconds(wait));
 }
 
 void NodeMetrics::countServed(const ServedAttempt &attempt)
 {
-    const std::string service = serviceLabel(attempt.service);
-    m_served.Add({{"service", service}, {"outcome", std::string(attempt.outcome)}}).Increment();
-    m_slotHeld.Add({{"service", service}}, secondsBuckets).Observe(seconds(attempt.held));
+    const std::string &service = serviceLabel(attempt.service);
+    m_served.of({service, attempt.outcome}).Increment();
+    m_slotHeld.of({service}, secondsBuckets).Observe(seconds(attempt.held));
 }
 
 void NodeMetrics::countRefusedAttempt(base::ResultCode code)
 {
-    m_refusedAttempts.Add({{"code", std::to_string(number(code))}}).Increment();
+    m_refusedAttempts.of({std::to_string(number(code))}).Increment();
 }
 
 void NodeMetrics::countCancel(std::string_view answer)
 {
-    m_cancels.Add({{"answer", std::string(answer)}}).Increment();
+    m_cancels.of({answer}).Increment();
 }
 
 void NodeMetrics::countHold(const base::ServiceId &service, std::string_view evidence)
 {
-    m_holds.Add({{"service", serviceLabel(service)}, {"evidence", std::string(evidence)}}).Increment();
+    m_holds.of({serviceLabel(service), evidence}).Increment();
 }
 
 void NodeMetrics::countReturn(const base::ServiceId &service)
 {
-    m_returns.Add({{"service", serviceLabel(service)}}).Increment();
+    m_returns.of({serviceLabel(service)}).Increment();
 }
 
 void NodeMetrics::countHealthEvent(std::string_view event)
 {
-    m_healthEvents.Add({{"event", std::string(event)}}).Increment();
+    m_healthEvents.of({event}).Increment();
 }
 
 void NodeMetrics::countReload(std::string_view result)
 {
-    m_reloads.Add({{"result", std::string(result)}}).Increment();
+    m_reloads.of({result}).Increment();
 }
 
 void NodeMetrics::set(const std::string &name, double value, const Labels &labels)
@@ -148,19 +149,18 @@
     m_gaugeSeries.erase(series);
 }
 
-std::string NodeMetrics::serviceLabel(const base::ServiceId &service)
+const std::string &NodeMetrics::serviceLabel(const base::ServiceId &service)
 {
+    static const std::string none = "none";
+    static const std::string other = "other";
     if (service.empty()) {
-        return noService;
+        return none;
     }
-    if (m_services.contains(service.value())) {
-        return service.value();
+    const auto known = m_services.find(service.value());
+    if (known != m_services.end()) {
+        return *known;
     }
-    if (m_services.size() >= mostServiceLabels) {
-        return otherServices;
-    }
-    m_services.insert(service.value());
-    return service.value();
+    return m_services.size() < mostServiceLabels ? *m_services.insert(service.value()).first : other;
 }
 
 std::string NodeMetrics::text() const
