--- a/src/ctl/requeststory.cpp
+++ b/src/ctl/requeststory.cpp
@@ -126,11 +126,15 @@
     std::vector<LogLine> own;
     std::set<std::string> servers;
     std::set<std::string> nodes;
+    std::set<std::string> entries; ///< Only there rates were asked for.
     for (const LogLine &line : m_lines) {
         if (names(line)) {
             own.push_back(line);
             servers.insert(valueOf(line, "server"));
             nodes.insert(line.node);
+            if (line.part == "routing") {
+                entries.insert(line.node);
+            }
         }
     }
     servers.erase("");
@@ -146,7 +150,8 @@
     std::copy_if(m_lines.begin(), m_lines.end(), std::back_inserter(story), [&](const LogLine &line) {
         const double at = secondsOfDay(line.time);
         const std::string server = valueOf(line, "server");
-        const bool concerns = nodes.contains(line.node) && (server.empty() || servers.contains(server));
+        const std::set<std::string> &where = line.part == "limits" ? entries : nodes;
+        const bool concerns = where.contains(line.node) && (server.empty() || servers.contains(server));
         const double until = line.part == "node" && !ended ? to + restartSeconds : to;
         return tellsBeliefs(line) && concerns && at >= from && at <= until;
     });
--- a/src/ctl/requeststory_test.cpp
+++ b/src/ctl/requeststory_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <sstream>
 
 using namespace papayastep::ctl;
@@ -117,7 +118,13 @@
          "2026-01-02T03:04:04.950000Z E log: Dropped lines. count=7\n"
          "2026-01-02T03:04:05.000000Z W routing: Refused a request. request=r7 tokensRefusedBy=nobody-answered\n",
          "vm-1");
-    BOOST_TEST(story.lines().size() == 3U);
+    read("2026-01-02T03:04:04.900000Z W limits: Passing over a node that holds workspaces' rates. vm=10.0.0.9\n"
+         "2026-01-02T03:04:04.990000Z I serving: Started an attempt. request=r7 server=s1\n",
+         "vm-2");
+    const auto lines = story.lines();
+    BOOST_TEST(lines.size() == 4U);
+    BOOST_TEST(std::none_of(
+        lines.begin(), lines.end(), [](const LogLine &line) { return line.node == "vm-2" && line.part == "limits"; }));
 }
 
 BOOST_AUTO_TEST_CASE(story_ofAnAnsweredRequest_hasItsEnd)
