--- a/src/limits/tokenbroker_test.cpp
+++ b/src/limits/tokenbroker_test.cpp
@@ -237,6 +237,26 @@
     BOOST_TEST(bus.broker(1).status(school).entryTokens == 0);
 }
 
+// Zone 0 gets all requests of a workspace and needs more than its share. Operators see from the counters how much moved
+// within the zone and how much the other zone lent.
+BOOST_AUTO_TEST_CASE(counters_ofGrantsAndLoans_holdTheTokensMoved)
+{
+    FleetBus bus(fleet(6, 2), {terms(40, 40)}, 5);
+    for (int step = 0; step < 300; ++step) {
+        bus.offer(10s + step * 30ms, 0, 0);
+    }
+    bus.run(20s);
+    double granted = 0;
+    double lent = 0;
+    for (int node = 0; node < 6; ++node) {
+        granted += bus.broker(node).counters().tokensGranted;
+        lent += bus.broker(node).counters().tokensLent;
+    }
+    BOOST_TEST(lent >= 1);
+    BOOST_TEST(lent <= 300);
+    BOOST_TEST(granted + lent <= 2 * 300);
+}
+
 // The VM list no longer names a holder that lives, and the platform can't be read from there, nor can its zone be
 // reached. It must stop by itself before its successor starts, or the share counts twice.
 BOOST_AUTO_TEST_CASE(holder_droppedFromTheListAndCutOff_stopsBeforeItsSuccessorStarts)
