Let what is known of run times grow old, and judge new servers by their siblings

Its first answer had taken 510 ms; the entries' latency of it, and what its node quoted, never changed again, so others went first for as long as they had room, and nobody measured it anew. And a node that knew no run time of its server yet went by a guess of 50 ms, which stayed in the mean for a dozen runs: ordinary first runs of 200 ms counted as overdue, so joined and restarted servers were held back as hanging (i-029b018fa8: "usualMs=60 runMs=201"). Ruled out: the ejection plan and its floor (where placement goes by cost it gates nothing); paths (no broken path to these servers); gray beliefs of entries (they drift as the teller's do). Change: driftedLatency(): what was measured drifts to what siblings take within a second or two, at the entry, in the claims and in what a node quotes. overdueAfter(): with few runs of its own a server is judged by its siblings. The first runs weigh alike in the mean. "Started an attempt." tells usualMs. Tests: the new ones pass; they were not run against the old code (new interfaces), but for reading of it.

--- a/src/health/assessment.cpp
+++ b/src/health/assessment.cpp
@@ -1,6 +1,8 @@
 #include "assessment.h"
 #include "latencyscale.h"
 
+#include "papayastep/health/runestimate.h"
+
 #include <algorithm>
 
 namespace papayastep::health {
@@ -323,7 +325,7 @@
     if (beside != knowledge.own.end()) {
         inUse = std::max(inUse, static_cast<int>(beside->second.evidence().inFlight()));
         view.queueLength = beside->second.queueLength();
-        view.latency = beside->second.evidence().recentLatency();
+        view.latency = beside->second.latency(usualLatency, now);
         view.age = base::Duration::zero();
     } else if (told != knowledge.beliefs.end() && told->second.heardAt) {
         const Belief &belief = told->second;
@@ -332,12 +334,11 @@
             inUse = std::max(inUse, belief.slotsInUse);
             view.queueLength = belief.queueLength;
         }
-        if (belief.latencySteps > 0) {
-            view.latency = std::max(latencyOf(belief.latencySteps), usualLatency / boastDivisor);
-        }
+        const base::Duration latency = std::max(latencyOf(belief.latencySteps), usualLatency / boastDivisor);
+        view.latency = belief.latencySteps > 0 ? driftedLatency(latency, usualLatency, *view.age) : usualLatency;
     }
     if (seen != nullptr && seen->answers() >= trustedAnswers) {
-        view.latency = seen->latency();
+        view.latency = driftedLatency(seen->latency(), view.latency, now - *seen->lastAnswer());
     }
     view.slotsInUse = std::min(inUse, server.slots);
 }
--- a/src/health/entryevidence.cpp
+++ b/src/health/entryevidence.cpp
@@ -37,7 +37,7 @@
     }
 }
 
-void EntryEvidence::ended(const AttemptKey &key, HopOutcome outcome, base::Duration latency, base::TimePoint)
+void EntryEvidence::ended(const AttemptKey &key, HopOutcome outcome, base::Duration latency, base::TimePoint now)
 {
     const auto found = m_hops.find(key);
     if (found == m_hops.end()) {
@@ -54,6 +54,7 @@
     m_failureShare += failureWeight * ((failed ? 1.0 : 0.0) - m_failureShare);
     if (!failed) {
         m_latencies.add(latency);
+        m_lastAnswer = now;
         ++m_goodInProbation;
     }
 }
@@ -134,6 +135,11 @@
     return m_latencies.median();
 }
 
+std::optional<base::TimePoint> EntryEvidence::lastAnswer() const
+{
+    return m_lastAnswer;
+}
+
 double EntryEvidence::failureShare() const
 {
     return m_failureShare;
--- a/src/health/entryevidence.h
+++ b/src/health/entryevidence.h
@@ -34,6 +34,7 @@
     double weight() const;
     int inFlight() const;
     base::Duration latency() const;
+    std::optional<base::TimePoint> lastAnswer() const;
     double failureShare() const;
     std::size_t answers() const;
     bool idleSince(base::TimePoint limit) const;
@@ -52,6 +53,7 @@
     HealthSettings m_settings;
     std::unordered_map<AttemptKey, Hop> m_hops;
     MedianRing m_latencies;
+    std::optional<base::TimePoint> m_lastAnswer;
     Cusum m_test;
     double m_failureShare = 0;
     double m_usualFailures = 0;
--- a/src/health/healthmonitor.cpp
+++ b/src/health/healthmonitor.cpp
@@ -125,7 +125,7 @@
     void judgePaths(base::TimePoint time);
     void judgeEntryEvidence(base::TimePoint time);
     void sendStates(base::TimePoint time);
-    FullClaim fullClaim(const OwnServer &server) const;
+    FullClaim fullClaim(const OwnServer &server, base::TimePoint time);
     void expire(base::TimePoint time);
     void leave(const base::VmId &vm, base::Incarnation incarnation, base::TimePoint time);
     void report(const HealthEvent &event);
@@ -466,9 +466,10 @@
     }
 }
 
-FullClaim HealthMonitor::Impl::fullClaim(const OwnServer &server) const
+FullClaim HealthMonitor::Impl::fullClaim(const OwnServer &server, base::TimePoint time)
 {
-    FullClaim full{server.configured().service, server.claim(), {}, {}};
+    const base::ServiceId &service = server.configured().service;
+    FullClaim full{service, server.claim(assessmentOf(service, time)->usualLatency, time), {}, {}};
     for (const auto &[route, latencies] : server.evidence().routes()) {
         if (latencies.size() >= tellingAnswers) {
             full.routes[route] = latencySteps(latencies.median());
@@ -501,7 +502,7 @@
     }
     std::vector<FullClaim> claims;
     for (const auto &[id, server] : m_know.own) {
-        claims.push_back(fullClaim(server));
+        claims.push_back(fullClaim(server, time));
     }
     for (wire::Outgoing &message : m_know.siblings.dueMessages(claims, urgent, time)) {
         m_outbox.push_back(std::move(message));
@@ -566,7 +567,8 @@
     if (server == nullptr) {
         return report;
     }
-    const ServerClaim claim = server->claim();
+    const Assessment *assessment = assessmentOf(server->configured().service, time);
+    const ServerClaim claim = server->claim(assessment->usualLatency, time);
     report.server = claim.server;
     report.serverId = id.value();
     report.state = claim.state;
@@ -575,7 +577,7 @@
     report.queueLength = claim.queueLength;
     report.latencySteps = claim.latencySteps;
     report.ejectedVersion = m_ejectedVersion;
-    for (const base::BackendServerId &ejected : assessmentOf(server->configured().service, time)->plan.ejected) {
+    for (const base::BackendServerId &ejected : assessment->plan.ejected) {
         report.ejected.push_back(shortHash(ejected.value()));
     }
     return report;
@@ -760,6 +762,12 @@
     return view;
 }
 
+base::Duration HealthMonitor::usualLatency(const base::ServiceId &service) const
+{
+    const base::TimePoint time = m_impl->now();
+    return m_impl->m_know.configuration ? m_impl->assessmentOf(service, time)->usualLatency : base::Duration::zero();
+}
+
 std::vector<base::BackendServerId> HealthMonitor::probesWanted() const
 {
     const base::TimePoint time = m_impl->now();
--- a/src/health/ownserver.cpp
+++ b/src/health/ownserver.cpp
@@ -1,6 +1,8 @@
 #include "latencyscale.h"
 #include "ownserver.h"
 
+#include "papayastep/health/runestimate.h"
+
 #include <algorithm>
 
 namespace papayastep::health {
@@ -225,7 +227,14 @@
     }
 }
 
-ServerClaim OwnServer::claim() const
+base::Duration OwnServer::latency(base::Duration usual, base::TimePoint now) const
+{
+    const auto last = m_evidence.lastFinished();
+    const bool isAtWork = m_evidence.inFlight() > 0;
+    return driftedLatency(m_evidence.recentLatency(), usual, last && !isAtWork ? now - *last : base::Duration::zero());
+}
+
+ServerClaim OwnServer::claim(base::Duration usualLatency, base::TimePoint now) const
 {
     const auto bounded
         = [](std::size_t count) { return static_cast<std::uint16_t>(std::min<std::size_t>(count, 65535)); };
@@ -237,7 +246,7 @@
     claim.slotsInUse = bounded(m_evidence.inFlight());
     claim.queueLength = bounded(static_cast<std::size_t>(std::max(m_queueLength, 0)));
     if (m_evidence.recentLatency() > base::Duration::zero()) {
-        claim.latencySteps = latencySteps(m_evidence.recentLatency());
+        claim.latencySteps = latencySteps(latency(usualLatency, now));
     }
     claim.failurePermille = bounded(static_cast<std::size_t>(1000 * m_evidence.failureShare()));
     claim.accepting = m_evidence.accepting();
--- a/src/health/ownserver.h
+++ b/src/health/ownserver.h
@@ -41,7 +41,9 @@
 
     Admission admission() const;
     /// Without routes and shape, which are chosen per receiver.
-    ServerClaim claim() const;
+    ServerClaim claim(base::Duration usualLatency, base::TimePoint now) const;
+    /// Of recent answers; where there were none lately, what siblings usually take. 0: not known.
+    base::Duration latency(base::Duration usual, base::TimePoint now) const;
 
 private:
     HealthEvent event(HealthEventKind kind, const std::string &sentence) const;
--- a/src/health/siblings_test.cpp
+++ b/src/health/siblings_test.cpp
@@ -101,6 +101,27 @@
 
 }
 
+// A server answered a few requests slowly, to this entry or by what its node told, and nothing was heard since. As long
+// as it is taken for slow it gets nothing, so it would never be seen that it is well: its callers crowd at the others.
+BOOST_FIXTURE_TEST_CASE(server_slowSomeTimeAgo_isTakenForAsQuickAsItsSiblings, OneNode)
+{
+    hearAllHealthy();
+    ServerClaim slow = claimOf(2);
+    slow.latencySteps = latencySteps(300ms);
+    hear(2, slow);
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        const AttemptKey key{{1, number}, 1};
+        monitor.hopSent(vmId(3), serverId(3), key);
+        monitor.hopAcknowledged(vmId(3), key);
+        monitor.hopEnded(vmId(3), key, HopOutcome::Answered, 300ms);
+    }
+    BOOST_TEST((monitor.view(serverId(2)).latency > 250ms));
+    BOOST_TEST((monitor.view(serverId(3)).latency > 250ms));
+    wait(4s);
+    BOOST_TEST((monitor.view(serverId(2)).latency < 50ms));
+    BOOST_TEST((monitor.view(serverId(3)).latency < 50ms));
+}
+
 // A node tells that its server is ejected; an entry that goes on sending there only collects refusals.
 BOOST_FIXTURE_TEST_CASE(sibling_sayingItIsEjected_getsNoWork, OneNode)
 {
--- a/src/include/papayastep/health/healthmonitor.h
+++ b/src/include/papayastep/health/healthmonitor.h
@@ -83,6 +83,8 @@
     base::TimePoint nextTick() const;
 
     ServerView view(const base::BackendServerId &server) const;
+    /// The median of what the servers of `service` take, as their nodes tell; 0: not known.
+    base::Duration usualLatency(const base::ServiceId &service) const;
     /// Servers of this VM whose health endpoint is worth asking now, because no traffic tells.
     std::vector<base::BackendServerId> probesWanted() const;
     std::vector<HealthEvent> takeEvents();
--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -120,8 +120,12 @@
     /// How long an attempt offered now would wait for its slot, judged by recent run times.
     base::Duration expectedWait(const base::WorkspaceId &workspace, int priority = 0) const;
 
-    /// The mean of recent runs.
+    /// The mean of recent runs, or a guess before the first.
     base::Duration meanRun() const;
+    /// How many runs have told how long they take.
+    std::size_t runs() const;
+    /// When the last run ended, if none is at work.
+    std::optional<base::TimePoint> idleSince() const;
 
 private:
     struct Queued
@@ -172,6 +176,8 @@
     std::map<AttemptId, base::TimePoint> m_running; ///< Attempt -> when it started.
     std::vector<QueueDecision> m_evicted; ///< Pushed out by an offer, to be told by the next poll().
     base::Duration m_meanRun;
+    std::size_t m_runs = 0; ///< That m_meanRun is made of.
+    std::optional<base::TimePoint> m_lastEnd;
 };
 
 }
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -58,6 +58,7 @@
                                                 bool idempotent,
                                                 bool lastResort = false);
     base::TimePoint overdueAt(const Work &work);
+    base::Duration expectedRun(const Lane &lane) const;
     void watchOverdue();
     limits::QueueOffer offerOf(const Work &work) const;
     bool isHeldBack(const Lane &lane, bool idempotent) const;
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr int runMemory = 8; ///< The mean run time follows about this many attempts.
+constexpr std::size_t runMemory = 8; ///< The mean run time follows about this many attempts.
 constexpr base::Duration shortestRetryAfter = std::chrono::milliseconds(1);
 constexpr int leastUrgent = 8; ///< Less urgent tiers share its weight, which is next to nothing already.
 
@@ -89,9 +89,12 @@
     if (found == m_running.end()) {
         return;
     }
-    const base::Duration run = m_clock.now() - found->second;
+    m_lastEnd = m_clock.now();
+    const base::Duration run = *m_lastEnd - found->second;
     if (usual) {
-        m_meanRun += (run - m_meanRun) / runMemory;
+        // The first runs weigh alike: a guess that is far too short would else stay in the mean for a dozen of them.
+        ++m_runs;
+        m_meanRun += (run - m_meanRun) / static_cast<std::int64_t>(std::min(m_runs, runMemory));
     }
     m_running.erase(found);
 }
@@ -129,6 +132,16 @@
     return m_meanRun;
 }
 
+std::size_t SlotQueue::runs() const
+{
+    return m_runs;
+}
+
+std::optional<base::TimePoint> SlotQueue::idleSince() const
+{
+    return m_running.empty() ? m_lastEnd : std::nullopt;
+}
+
 base::Duration SlotQueue::expectedWait(const base::WorkspaceId &workspace, int priority) const
 {
     const std::size_t own = queuedOf(workspace, priority);
--- a/src/limits/slotqueue_test.cpp
+++ b/src/limits/slotqueue_test.cpp
@@ -151,6 +151,25 @@
 }
 
 // A server in a gray spell fails at once. By its run times it would look fast, and the queue before it short.
+// The guess of run times is far too short for this service. While it stays in the mean, ordinary runs look as if they
+// hung, and those who wait are promised an answer that can't come in time.
+BOOST_FIXTURE_TEST_CASE(runTimes_ofTheFirstRuns_replaceTheGuess, TwoSlots)
+{
+    BOOST_TEST(queue.runs() == 0U);
+    offer(1, quietWorkspace);
+    offer(2, quietWorkspace);
+    startNow();
+    BOOST_TEST(!queue.idleSince().has_value());
+    clock.advance(300ms);
+    queue.finished(attempt(1));
+    BOOST_TEST((queue.meanRun() == 300ms));
+    clock.advance(200ms);
+    queue.finished(attempt(2));
+    BOOST_TEST((queue.meanRun() == 400ms));
+    BOOST_TEST(queue.runs() == 2U);
+    BOOST_TEST((queue.idleSince() == clock.now()));
+}
+
 BOOST_FIXTURE_TEST_CASE(runTimes_ofFailedRuns_doNotCount, TwoSlots)
 {
     offer(1, quietWorkspace);
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -1,6 +1,7 @@
 #include "papayastep/node/servingnode.h"
 
 #include "papayastep/base/log.h"
+#include "papayastep/health/runestimate.h"
 #include "papayastep/node/candidates.h"
 
 namespace papayastep::node {
@@ -22,8 +23,6 @@
     return settings;
 }
 
-/// Mean run times after which an attempt is overdue. See FailureFilterSettings::wellOverdue.
-constexpr int overdueRuns = 3;
 /// Entries that sent nothing for so long have likely lost what they knew of the server anyway.
 constexpr base::Duration entryMemory = std::chrono::seconds(5);
 /// Bounds what a notice costs in a large fleet; the other entries find out by a refusal.
@@ -31,8 +30,6 @@
 
 /// Above it an attempt that hangs is worth running once more elsewhere: of ten repeats, one is for nothing.
 constexpr double suspectAbove = 0.9;
-/// Shorter runs are not watched: scheduling on a shared core takes some tens of milliseconds by itself.
-constexpr base::Duration shortestOverdue = std::chrono::milliseconds(200);
 
 std::int64_t microseconds(base::Duration duration)
 {
@@ -79,6 +76,7 @@
     health::FailureFilter filter;
     std::map<base::VmId, base::TimePoint> entries; ///< That sent attempts lately, and when.
     std::optional<limits::AttemptId> trial; ///< Shows whether the server is out of its spell.
+    std::optional<base::TimePoint> lastStart; ///< Of any attempt: a server without work for seconds is worth a look.
     bool heldBack = false; ///< Was found gray, and has not answered since.
     bool gone = false; ///< No longer configured; kept until its attempts have ended.
 };
@@ -247,7 +245,7 @@
     const limits::Verdict verdict = lane->queue.quote(wanted);
     offer.code = number(refused.value_or(verdict.code));
     offer.waitMicros = static_cast<std::uint32_t>(microseconds(verdict.retryAfter));
-    offer.runMicros = static_cast<std::uint32_t>(microseconds(lane->queue.meanRun()));
+    offer.runMicros = static_cast<std::uint32_t>(microseconds(expectedRun(*lane)));
     offer.grayPercent = lane->grayPercent(now);
     return offer;
 }
@@ -347,8 +345,21 @@
 
 base::TimePoint ServingNode::overdueAt(const Work &work)
 {
-    const base::Duration usual = laneOf(work.hop.server)->queue.meanRun();
-    return work.started + std::max(overdueRuns * usual, shortestOverdue);
+    const Lane &lane = *laneOf(work.hop.server);
+    const base::Duration usual = m_context.health.usualLatency(lane.server.service);
+    return work.started + health::overdueAfter(lane.queue.meanRun(), lane.queue.runs(), usual);
+}
+
+/// How long the next run will take. Judged by the siblings where this server has not run anything lately.
+base::Duration ServingNode::expectedRun(const Lane &lane) const
+{
+    const base::Duration usual = m_context.health.usualLatency(lane.server.service);
+    if (lane.queue.runs() == 0) {
+        return usual > base::Duration::zero() ? usual : lane.queue.meanRun();
+    }
+    const auto idleSince = lane.queue.idleSince();
+    const base::Duration age = idleSince ? m_context.clock.now() - *idleSince : base::Duration::zero();
+    return health::driftedLatency(lane.queue.meanRun(), usual, age);
 }
 
 /// A server that hangs answers nobody, so no failure is seen until the deadlines pass. The age of what runs shows it
@@ -540,13 +551,16 @@
     if (lane.filter.isOnTrial(work->started)) {
         lane.trial = work->id();
     }
-    PAPAYASTEP_LOG(INFO, logPrefix) << "Started an attempt." << base::field("request", work->hop.shownId())
-                                    << base::field("attempt", work->hop.attempt)
-                                    << base::field("entry", work->hop.entry) << base::field("server", work->hop.server)
-                                    << base::field("waitedMs", milliseconds(work->started - work->arrived))
-                                    << base::field("running", lane.queue.running())
-                                    << base::field("queued", lane.queue.queued())
-                                    << base::field("grayPercent", int{lane.grayPercent(work->started)});
+    PAPAYASTEP_LOG(INFO, logPrefix)
+        << "Started an attempt." << base::field("request", work->hop.shownId())
+        << base::field("attempt", work->hop.attempt) << base::field("entry", work->hop.entry)
+        << base::field("server", work->hop.server)
+        << base::field("waitedMs", milliseconds(work->started - work->arrived))
+        << base::field("running", lane.queue.running()) << base::field("queued", lane.queue.queued())
+        << base::field("grayPercent", int{lane.grayPercent(work->started)})
+        << base::field("usualMs", milliseconds(lane.queue.meanRun()))
+        << base::field("idleMs", milliseconds(work->started - lane.lastStart.value_or(work->started)));
+    lane.lastStart = work->started;
 
     BackendCall call;
     call.request = work->hop.requestId();
