Give a well server that had no request for a second the next one

An entry takes the first free answer unless it expects much of the other, and its own server answers at once; so what shows up as a little slower gets nothing for as long as others have room. Change: a SlotOffer tells how long the server had no new request; the entry remembers it for a second (IdleBook), and LeastCostPlacement counts up to 0.08 for such a use, but not where the server would refuse. Below the price of two ways to another zone, above the differences between well servers. Tests: preference, none for servers in doubt, none across zones where all are idle, the memory.

--- a/src/include/papayastep/node/nodecontext.h
+++ b/src/include/papayastep/node/nodecontext.h
@@ -57,6 +57,7 @@
     health::HealthMonitor health;
     health::GrayBook gray;
     routing::SilenceBook silence;
+    routing::IdleBook idle;
     routing::RetryBudget retryBudget;
     routing::RetryPolicy retryPolicy;
     routing::LedgerHome ledgerHome;
--- a/src/include/papayastep/routing/leastcostplacement.h
+++ b/src/include/papayastep/routing/leastcostplacement.h
@@ -28,6 +28,13 @@
     /// scouts one that failed once would get nothing for as long as others are free.
     double scoutGain = 0.1;
 
+    /// What it gains to give a request to a well server that nobody has used for `idleAfter`: it shows how the server
+    /// is now. Without it those that answer soonest, an entry's own first of all, keep all work at light load, and of
+    /// the others nobody knows whether they would serve when they are needed. Half of it is counted after half of the
+    /// time.
+    double idleGain = 0.08;
+    base::Duration idleAfter = std::chrono::seconds(1);
+
     /// Random part of the expected time. Entries with the same stale figures would otherwise all take the same server.
     double jitter = 0.2;
     std::size_t mostScored = 48; ///< Of larger services a random part is looked at.
@@ -54,6 +61,7 @@
     /// `noise` stretches the expected time; 1: not at all.
     double cost(const Candidate &candidate, const PlacementRequest &request, double noise) const;
     base::Duration waitAndRun(const Candidate &candidate) const;
+    double gainOfUse(const Candidate &candidate, const PlacementRequest &request) const;
     double lateness(base::Duration expected, const PlacementRequest &request) const;
 
     base::VmId m_self;
--- a/src/include/papayastep/routing/placement.h
+++ b/src/include/papayastep/routing/placement.h
@@ -30,6 +30,7 @@
     bool pathUsable = true; ///< From here to its VM.
     double failureRisk = 0; ///< How likely it is in a spell of gray failure.
     base::Duration freshness{0}; ///< Age of the load figures.
+    base::Duration idle{0}; ///< How long it has been without a new request; 0: not known.
     /// Wait and run together, as the node beside it says now; goes before the figures above.
     std::optional<base::Duration> quoted;
 
--- a/src/include/papayastep/routing/slotsurvey.h
+++ b/src/include/papayastep/routing/slotsurvey.h
@@ -14,6 +14,7 @@
     base::Duration wait{0}; ///< Until it could start, or, if refused, until it could be taken.
     base::Duration run{0}; ///< How long runs take there.
     double failureRisk = 0; ///< How likely its server is in a gray spell.
+    base::Duration idle{0}; ///< Since the last request was started there.
 
     auto operator<=>(const SlotQuote &) const = default;
 };
@@ -132,4 +133,27 @@
     std::map<base::VmId, base::TimePoint> m_since;
 };
 
+/// Remembers how long servers had been without work when their nodes were asked last, so that the next request goes
+/// there first.
+class IdleBook
+{
+public:
+    explicit IdleBook(const base::Clock &clock);
+
+    void note(const base::BackendServerId &server, base::Duration idle);
+    /// 0 where nothing was heard lately.
+    base::Duration idle(const base::BackendServerId &server) const;
+    void expire();
+
+private:
+    struct Told
+    {
+        base::Duration idle;
+        base::TimePoint heardAt;
+    };
+
+    const base::Clock &m_clock;
+    std::map<base::BackendServerId, Told> m_told;
+};
+
 }
--- a/src/include/papayastep/wire/slotask.h
+++ b/src/include/papayastep/wire/slotask.h
@@ -32,9 +32,10 @@
     std::uint32_t waitMicros = 0; ///< Until it could start; where it would be refused: until it could be taken.
     std::uint32_t runMicros = 0; ///< How long runs take there.
     std::uint8_t grayPercent = 0; ///< As in HopReply.
+    std::uint32_t idleMs = 0; ///< Since the last request was started there.
 
     auto operator<=>(const SlotOffer &) const = default;
-    MSGPACK_DEFINE(requestHigh, requestLow, server, code, waitMicros, runMicros, grayPercent)
+    MSGPACK_DEFINE(requestHigh, requestLow, server, code, waitMicros, runMicros, grayPercent, idleMs)
 };
 
 }
--- a/src/node/candidates.cpp
+++ b/src/node/candidates.cpp
@@ -18,6 +18,7 @@
     candidate.queueLength = view.queueLength;
     candidate.latency = view.latency;
     candidate.failureRisk = context.gray.probability(server.id);
+    candidate.idle = context.idle.idle(server.id);
     candidate.freshness = view.age.value_or(base::Duration::zero());
     candidate.drained = server.drain || context.isLeaving(server.vm)
         || view.availability == health::Availability::Draining || view.availability == health::Availability::Gone;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -411,6 +411,7 @@
         rereadSettings();
         m_context.retryBudget.tick();
         m_context.gray.expire();
+        m_context.idle.expire();
         m_context.hopPool.sweep();
         m_context.backendPool.sweep();
         m_peers.sweep();
--- a/src/node/nodecontext.cpp
+++ b/src/node/nodecontext.cpp
@@ -82,6 +82,7 @@
     , health({settings.vm, incarnation}, clock, random(), healthSettings(settings))
     , gray(clock)
     , silence(clock)
+    , idle(clock)
     , retryBudget(clock)
     , retryPolicy(clock, retryBudget, retrySettings())
     , ledgerHome(clock, settings.vm, incarnation, ledgerSettings(settings))
--- a/src/node/serverchoice.cpp
+++ b/src/node/serverchoice.cpp
@@ -22,6 +22,7 @@
     quote.wait = std::chrono::microseconds(offer.waitMicros);
     quote.run = std::chrono::microseconds(offer.runMicros);
     quote.failureRisk = std::min<int>(offer.grayPercent, 100) / 100.0;
+    quote.idle = std::chrono::milliseconds(offer.idleMs);
     return quote;
 }
 
@@ -49,6 +50,7 @@
 void ServerChoice::slotOffered(const wire::SlotOffer &offer)
 {
     m_context.gray.note(offer.server, quoteOf(offer).failureRisk);
+    m_context.idle.note(offer.server, quoteOf(offer).idle);
     if (m_survey) {
         m_survey->note(offer.server, quoteOf(offer));
         m_changed.notify();
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -62,6 +62,7 @@
         : server(configured)
         , queue(clock, configured.slots, queueSettings())
         , filter(clock.now())
+        , lastStart(clock.now())
     {
     }
 
@@ -76,7 +77,8 @@
     health::FailureFilter filter;
     std::map<base::VmId, base::TimePoint> entries; ///< That sent attempts lately, and when.
     std::optional<limits::AttemptId> trial; ///< Shows whether the server is out of its spell.
-    std::optional<base::TimePoint> lastStart; ///< Of any attempt: a server without work for seconds is worth a look.
+    base::TimePoint lastStart; ///< Of any attempt.
+    int offers = 0; ///< Made since then. Tells a server that nobody asks from one that is asked and not chosen.
     bool heldBack = false; ///< Was found gray, and has not answered since.
     bool gone = false; ///< No longer configured; kept until its attempts have ended.
 };
@@ -234,6 +236,7 @@
         offer.code = number(refused.value_or(ResultCode::HopBackendServerGone));
         return offer;
     }
+    ++lane->offers;
     const auto now = m_context.clock.now();
     limits::QueueOffer wanted;
     wanted.workspace = ask.workspace;
@@ -247,6 +250,7 @@
     offer.waitMicros = static_cast<std::uint32_t>(microseconds(verdict.retryAfter));
     offer.runMicros = static_cast<std::uint32_t>(microseconds(expectedRun(*lane)));
     offer.grayPercent = lane->grayPercent(now);
+    offer.idleMs = milliseconds(now - lane->lastStart);
     return offer;
 }
 
@@ -551,16 +555,18 @@
     if (lane.filter.isOnTrial(work->started)) {
         lane.trial = work->id();
     }
-    PAPAYASTEP_LOG(INFO, logPrefix)
-        << "Started an attempt." << base::field("request", work->hop.shownId())
-        << base::field("attempt", work->hop.attempt) << base::field("entry", work->hop.entry)
-        << base::field("server", work->hop.server)
-        << base::field("waitedMs", milliseconds(work->started - work->arrived))
-        << base::field("running", lane.queue.running()) << base::field("queued", lane.queue.queued())
-        << base::field("grayPercent", int{lane.grayPercent(work->started)})
-        << base::field("usualMs", milliseconds(lane.queue.meanRun()))
-        << base::field("idleMs", milliseconds(work->started - lane.lastStart.value_or(work->started)));
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Started an attempt." << base::field("request", work->hop.shownId())
+                                    << base::field("attempt", work->hop.attempt)
+                                    << base::field("entry", work->hop.entry) << base::field("server", work->hop.server)
+                                    << base::field("waitedMs", milliseconds(work->started - work->arrived))
+                                    << base::field("running", lane.queue.running())
+                                    << base::field("queued", lane.queue.queued())
+                                    << base::field("grayPercent", int{lane.grayPercent(work->started)})
+                                    << base::field("usualMs", milliseconds(lane.queue.meanRun()))
+                                    << base::field("offers", lane.offers)
+                                    << base::field("sinceLastMs", milliseconds(work->started - lane.lastStart));
     lane.lastStart = work->started;
+    lane.offers = 0;
 
     BackendCall call;
     call.request = work->hop.requestId();
--- a/src/routing/leastcostplacement.cpp
+++ b/src/routing/leastcostplacement.cpp
@@ -140,11 +140,20 @@
     if (request.idempotent && candidate.failureRisk <= heldRisk) {
         total -= m_settings.scoutGain * std::min(1.0, risk / (trialRisk - usualRisk));
     }
+    total -= gainOfUse(candidate, request);
     total += candidate.vm != m_self ? m_settings.hopCost : 0;
     total += candidate.zone != request.zone ? m_settings.zoneCost : 0;
     return total;
 }
 
+double LeastCostPlacement::gainOfUse(const Candidate &candidate, const PlacementRequest &request) const
+{
+    if (wouldBeHeldBack(candidate, request)) {
+        return 0;
+    }
+    return m_settings.idleGain * std::min(1.0, seconds(candidate.idle) / seconds(m_settings.idleAfter));
+}
+
 double LeastCostPlacement::lateness(base::Duration expected, const PlacementRequest &request) const
 {
     const bool hasDeadline = request.remaining > base::Duration::zero();
--- a/src/routing/leastcostplacement_test.cpp
+++ b/src/routing/leastcostplacement_test.cpp
@@ -84,6 +84,36 @@
     BOOST_TEST(shares()[4] > 0);
 }
 
+// One server of the zone answers a little later than the others. At light load the others have always room, so it would
+// get nothing, and how it is would be seen only when it is needed.
+BOOST_FIXTURE_TEST_CASE(leastCost_withAServerLongWithoutWork_usesIt, PlacementFixture)
+{
+    candidates[2].latency = 650ms;
+    BOOST_TEST(shares()[2] == 0);
+    candidates[2].idle = 1s;
+    BOOST_TEST(shares()[2] > 100);
+}
+
+// It is without work because its hold has just ended. A refund must not be the one that shows whether it is well.
+BOOST_FIXTURE_TEST_CASE(leastCost_withADoubtfulServerLongWithoutWork_keepsItForRequestsThatMayFail, PlacementFixture)
+{
+    candidates[2].failureRisk = 0.4;
+    candidates[2].idle = 2s;
+    BOOST_TEST(shares()[2] == 0);
+    request.idempotent = true;
+    BOOST_TEST(shares()[2] > 0);
+}
+
+// Idle servers are no reason to pay for the way to another zone, while those of the own zone are as idle.
+BOOST_FIXTURE_TEST_CASE(leastCost_withAllServersLongWithoutWork_staysInTheZone, PlacementFixture)
+{
+    for (Candidate &candidate : candidates) {
+        candidate.idle = 5s;
+    }
+    const auto chosen = shares();
+    BOOST_TEST(chosen[3] + chosen[4] + chosen[5] == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(leastCost_withEverybodyInASpell_stillChooses, PlacementFixture)
 {
     for (Candidate &candidate : candidates) {
--- a/src/routing/slotsurvey.cpp
+++ b/src/routing/slotsurvey.cpp
@@ -12,6 +12,8 @@
 /// A node that answered nothing is asked last for so long. Cuts and pauses last seconds; a node that was only busy for
 /// a moment must not stay without work.
 constexpr base::Duration silenceMemory = std::chrono::seconds(1);
+/// After it another entry has surely given the server a request.
+constexpr base::Duration idleMemory = std::chrono::seconds(1);
 
 }
 
@@ -39,6 +41,7 @@
     m_quotes[index] = quote;
     m_candidates[index].quoted = quote.wait + quote.run;
     m_candidates[index].failureRisk = quote.failureRisk;
+    m_candidates[index].idle = quote.idle;
 }
 
 SurveyStep SlotSurvey::next(base::TimePoint now, std::mt19937_64 &random)
@@ -249,4 +252,26 @@
     return found != m_since.end() && m_clock.now() - found->second < silenceMemory;
 }
 
+IdleBook::IdleBook(const base::Clock &clock)
+    : m_clock(clock)
+{
+}
+
+void IdleBook::note(const base::BackendServerId &server, base::Duration idle)
+{
+    m_told[server] = Told{idle, m_clock.now()};
+}
+
+base::Duration IdleBook::idle(const base::BackendServerId &server) const
+{
+    const auto found = m_told.find(server);
+    const bool isFresh = found != m_told.end() && m_clock.now() - found->second.heardAt < idleMemory;
+    return isFresh ? found->second.idle : base::Duration::zero();
+}
+
+void IdleBook::expire()
+{
+    std::erase_if(m_told, [&](const auto &entry) { return m_clock.now() - entry.second.heardAt >= idleMemory; });
+}
+
 }
--- a/src/routing/slotsurvey_test.cpp
+++ b/src/routing/slotsurvey_test.cpp
@@ -192,6 +192,30 @@
     BOOST_TEST(step.lastResort);
 }
 
+// Both have a free slot, and the slower one had no request for a second. Taken never, it would count as unused capacity
+// whose state nobody knows.
+BOOST_AUTO_TEST_CASE(survey_slowerServerWithoutWork_isTaken)
+{
+    SlotSurvey asked = survey(2);
+    next(asked);
+    asked.note(candidates[0].server, {base::ResultCode::Ok, 0ms, 500ms, 0.13, 1s});
+    asked.note(candidates[1].server, {base::ResultCode::Ok, 0ms, 300ms, 0.13, 100ms});
+    const SurveyStep step = next(asked);
+    BOOST_TEST((step.kind == Kind::Take));
+    BOOST_TEST(step.candidate == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(idleness_afterASecond_isForgotten)
+{
+    IdleBook book(clock);
+    const base::BackendServerId server("s1");
+    BOOST_TEST((book.idle(server) == 0ms));
+    book.note(server, 2s);
+    BOOST_TEST((book.idle(server) == 2s));
+    clock.advance(1s);
+    BOOST_TEST((book.idle(server) == 0ms));
+}
+
 BOOST_AUTO_TEST_CASE(survey_noCandidate_refuses)
 {
     SlotSurvey asked = survey(0);
