Let a node that stood still not blame its backend server

When they woke, four of them held their servers back at once ("evidence=overdue", 60 to 63 %), since whatever was at work had taken as long as the sleep, and the same runs made their means 563 to 1,232 ms. Their servers, which had worked on, got their next request at 11.25 to 12.10 s. Change: health::PauseWatch; what began before a gap of a second in the node's own calls is not overdue, not a failure when its deadline passed, and not counted among the run times. The servers without a request are those beside the nodes that stand still; only their nodes reach them, and with 5 of 29 nodes down more than a tenth of the requests, those of their own callers, can't be served.

--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "papayastep/health/pausewatch.h"
 #include "papayastep/limits/slotqueue.h"
 #include "papayastep/net/httpclient.h"
 #include "papayastep/net/signal.h"
@@ -58,6 +59,7 @@
                                                 bool idempotent,
                                                 bool lastResort = false);
     base::TimePoint overdueAt(const Work &work);
+    bool mayBecomeOverdue(const Work &work);
     base::Duration expectedRun(const Lane &lane) const;
     void watchOverdue();
     limits::QueueOffer offerOf(const Work &work) const;
@@ -77,6 +79,7 @@
     base::BackendServerId advise(const Work &work);
 
     NodeContext &m_context;
+    health::PauseWatch m_pauses;
     routing::AttemptRegistry m_registry;
     std::map<base::BackendServerId, std::unique_ptr<Lane>> m_lanes;
     std::map<limits::AttemptId, WorkPtr> m_work;
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -167,6 +167,7 @@
 
 ServingNode::ServingNode(NodeContext &context)
     : m_context(context)
+    , m_pauses(context.clock)
     , m_registry(context.clock)
 {
 }
@@ -347,6 +348,12 @@
     }
 }
 
+bool ServingNode::mayBecomeOverdue(const Work &work)
+{
+    const bool isWatched = work.running && !work.overdue && laneOf(work.hop.server) != nullptr;
+    return isWatched && !m_pauses.stoodStillSince(work.started);
+}
+
 base::TimePoint ServingNode::overdueAt(const Work &work)
 {
     const Lane &lane = *laneOf(work.hop.server);
@@ -373,10 +380,10 @@
 {
     const auto now = m_context.clock.now();
     for (const auto &[id, work] : m_work) {
-        Lane *lane = laneOf(work->hop.server);
-        if (!work->running || work->overdue || lane == nullptr || now < overdueAt(*work)) {
+        if (!mayBecomeOverdue(*work) || now < overdueAt(*work)) {
             continue;
         }
+        Lane *lane = laneOf(work->hop.server);
         work->overdue = true;
         noteFailure(*lane, work->hop.server, true);
         const bool mayMoveOn = work->hop.idempotent && work->deadline - now > lane->queue.meanRun();
@@ -393,6 +400,7 @@
 
 void ServingNode::tick()
 {
+    m_pauses.look();
     m_registry.tick();
     watchOverdue();
     poll();
@@ -408,7 +416,7 @@
         }
     }
     for (const auto &[id, work] : m_work) {
-        if (work->running && !work->overdue && laneOf(work->hop.server) != nullptr) {
+        if (mayBecomeOverdue(*work)) {
             const auto due = overdueAt(*work);
             next = std::min(next.value_or(due), due);
         }
@@ -602,7 +610,8 @@
     if (Lane *lane = laneOf(work.hop.server)) {
         const bool ranToItsEnd
             = outcome == health::AttemptOutcome::Success || outcome == health::AttemptOutcome::Timeout;
-        lane->queue.finished(work.id(), ranToItsEnd);
+        m_pauses.look();
+        lane->queue.finished(work.id(), ranToItsEnd && !m_pauses.stoodStillSince(work.started));
         noteOutcome(*lane, work, outcome);
     }
     m_work.erase(work.id());
@@ -665,8 +674,8 @@
     case health::AttemptOutcome::Error:
     case health::AttemptOutcome::Partial:
     case health::AttemptOutcome::Timeout:
-        if (work.overdue && outcome == health::AttemptOutcome::Timeout) {
-            break; // Counted when it became overdue.
+        if (outcome == health::AttemptOutcome::Timeout && (work.overdue || m_pauses.stoodStillSince(work.started))) {
+            break; // Counted when it became overdue, or the time has passed while this process stood still.
         }
         noteFailure(lane, work.hop.server, false);
         PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server failed." << base::field("request", work.hop.shownId())
