--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -1,6 +1,7 @@
 #include "papayastep/node/servingnode.h"
 
 #include "papayastep/base/log.h"
+#include "papayastep/health/runestimate.h"
 #include "papayastep/node/candidates.h"
 
 namespace papayastep::node {
@@ -22,8 +23,6 @@
     return settings;
 }
 
-/// Mean run times after which an attempt is overdue. See FailureFilterSettings::wellOverdue.
-constexpr int overdueRuns = 3;
 /// Entries that sent nothing for so long have likely lost what they knew of the server anyway.
 constexpr base::Duration entryMemory = std::chrono::seconds(5);
 /// Bounds what a notice costs in a large fleet; the other entries find out by a refusal.
@@ -31,8 +30,6 @@
 
 /// Above it an attempt that hangs is worth running once more elsewhere: of ten repeats, one is for nothing.
 constexpr double suspectAbove = 0.9;
-/// Shorter runs are not watched: scheduling on a shared core takes some tens of milliseconds by itself.
-constexpr base::Duration shortestOverdue = std::chrono::milliseconds(200);
 
 std::int64_t microseconds(base::Duration duration)
 {
@@ -65,6 +62,7 @@
         : server(configured)
         , queue(clock, configured.slots, queueSettings())
         , filter(clock.now())
+        , lastStart(clock.now())
     {
     }
 
@@ -79,6 +77,8 @@
     health::FailureFilter filter;
     std::map<base::VmId, base::TimePoint> entries; ///< That sent attempts lately, and when.
     std::optional<limits::AttemptId> trial; ///< Shows whether the server is out of its spell.
+    base::TimePoint lastStart; ///< Of any attempt.
+    int offers = 0; ///< Made since then. Tells a server that nobody asks from one that is asked and not chosen.
     bool heldBack = false; ///< Was found gray, and has not answered since.
     bool gone = false; ///< No longer configured; kept until its attempts have ended.
 };
@@ -167,6 +167,7 @@
 
 ServingNode::ServingNode(NodeContext &context)
     : m_context(context)
+    , m_pauses(context.clock)
     , m_registry(context.clock)
 {
 }
@@ -236,6 +237,7 @@
         offer.code = number(refused.value_or(ResultCode::HopBackendServerGone));
         return offer;
     }
+    ++lane->offers;
     const auto now = m_context.clock.now();
     limits::QueueOffer wanted;
     wanted.workspace = ask.workspace;
@@ -247,8 +249,9 @@
     const limits::Verdict verdict = lane->queue.quote(wanted);
     offer.code = number(refused.value_or(verdict.code));
     offer.waitMicros = static_cast<std::uint32_t>(microseconds(verdict.retryAfter));
-    offer.runMicros = static_cast<std::uint32_t>(microseconds(lane->queue.meanRun()));
+    offer.runMicros = static_cast<std::uint32_t>(microseconds(expectedRun(*lane)));
     offer.grayPercent = lane->grayPercent(now);
+    offer.idleMs = milliseconds(now - lane->lastStart);
     return offer;
 }
 
@@ -346,10 +349,29 @@
     }
 }
 
+bool ServingNode::mayBecomeOverdue(const Work &work)
+{
+    const bool isWatched = work.running && !work.overdue && laneOf(work.hop.server) != nullptr;
+    return isWatched && !m_pauses.stoodStillSince(work.started);
+}
+
 base::TimePoint ServingNode::overdueAt(const Work &work)
 {
-    const base::Duration usual = laneOf(work.hop.server)->queue.meanRun();
-    return work.started + std::max(overdueRuns * usual, shortestOverdue);
+    const Lane &lane = *laneOf(work.hop.server);
+    const base::Duration usual = m_context.health.usualLatency(lane.server.service);
+    return work.started + health::overdueAfter(lane.queue.meanRun(), lane.queue.runs(), usual);
+}
+
+/// How long the next run will take. Judged by the siblings where this server has not run anything lately.
+base::Duration ServingNode::expectedRun(const Lane &lane) const
+{
+    const base::Duration usual = m_context.health.usualLatency(lane.server.service);
+    if (lane.queue.runs() == 0) {
+        return usual > base::Duration::zero() ? usual : lane.queue.meanRun();
+    }
+    const auto idleSince = lane.queue.idleSince();
+    const base::Duration age = idleSince ? m_context.clock.now() - *idleSince : base::Duration::zero();
+    return health::driftedLatency(lane.queue.meanRun(), usual, age);
 }
 
 /// A server that hangs answers nobody, so no failure is seen until the deadlines pass. The age of what runs shows it
@@ -359,10 +381,10 @@
 {
     const auto now = m_context.clock.now();
     for (const auto &[id, work] : m_work) {
-        Lane *lane = laneOf(work->hop.server);
-        if (!work->running || work->overdue || lane == nullptr || now < overdueAt(*work)) {
+        if (!mayBecomeOverdue(*work) || now < overdueAt(*work)) {
             continue;
         }
+        Lane *lane = laneOf(work->hop.server);
         work->overdue = true;
         noteFailure(*lane, work->hop.server, true);
         const bool mayMoveOn = work->hop.idempotent && work->deadline - now > lane->queue.meanRun();
@@ -379,6 +401,7 @@
 
 void ServingNode::tick()
 {
+    m_pauses.look();
     m_registry.tick();
     watchOverdue();
     poll();
@@ -394,7 +417,7 @@
         }
     }
     for (const auto &[id, work] : m_work) {
-        if (work->running && !work->overdue && laneOf(work->hop.server) != nullptr) {
+        if (mayBecomeOverdue(*work)) {
             const auto due = overdueAt(*work);
             next = std::min(next.value_or(due), due);
         }
@@ -557,7 +580,12 @@
                                     << base::field("waitedMs", milliseconds(work->started - work->arrived))
                                     << base::field("running", lane.queue.running())
                                     << base::field("queued", lane.queue.queued())
-                                    << base::field("grayPercent", int{lane.grayPercent(work->started)});
+                                    << base::field("grayPercent", int{lane.grayPercent(work->started)})
+                                    << base::field("usualMs", milliseconds(lane.queue.meanRun()))
+                                    << base::field("offers", lane.offers)
+                                    << base::field("sinceLastMs", milliseconds(work->started - lane.lastStart));
+    lane.lastStart = work->started;
+    lane.offers = 0;
 
     BackendCall call;
     call.request = work->hop.requestId();
@@ -593,7 +621,8 @@
     if (Lane *lane = laneOf(work.hop.server)) {
         const bool ranToItsEnd
             = outcome == health::AttemptOutcome::Success || outcome == health::AttemptOutcome::Timeout;
-        lane->queue.finished(work.id(), ranToItsEnd);
+        m_pauses.look();
+        lane->queue.finished(work.id(), ranToItsEnd && !m_pauses.stoodStillSince(work.started));
         m_context.metrics.countServed(
             {lane->server.service, health::name(outcome), m_context.clock.now() - work.started});
         noteOutcome(*lane, work, outcome);
@@ -661,8 +690,8 @@
     case health::AttemptOutcome::Error:
     case health::AttemptOutcome::Partial:
     case health::AttemptOutcome::Timeout:
-        if (work.overdue && outcome == health::AttemptOutcome::Timeout) {
-            break; // Counted when it became overdue.
+        if (outcome == health::AttemptOutcome::Timeout && (work.overdue || m_pauses.stoodStillSince(work.started))) {
+            break; // Counted when it became overdue, or the time has passed while this process stood still.
         }
         noteFailure(lane, work.hop.server, false);
         PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server failed." << base::field("request", work.hop.shownId())
