Soak: callers that keep to their node, changes in series, repeats of answered keys, more nodes

Callers: streams with `pause` keep one connection and their node until that does not answer; `repeatAnswered` repeats a call at once through another node when it has its answer. Changes come in series (bursts, rates, a server taken out of the configuration and back, which moves homes of keys).

--- a/scripts/lab/cases/soak.py
+++ b/scripts/lab/cases/soak.py
@@ -1,5 +1,6 @@
 """A randomized soak: series of faults, signals and changes that overlap, checked against what must always hold."""
 import json
+import os
 import random
 import signal
 import sys
@@ -10,7 +11,7 @@
 from .. import faults
 from ..configuration import generated
 from ..fleet import Fleet
-from ..history import History, Violation, Withdrawal, check
+from ..history import History, Violation, Withdrawal, answers_forgotten, check
 from ..processes import wait_until
 
 NODES = 6
@@ -23,6 +24,9 @@
 PATIENCE = 15  # Seconds for a planned stop, which waits for requests in flight.
 HURRY = 0.3  # Seconds, beside other faults: longer would hold up the rest of the series.
 SETTLE_SECONDS = 1.5  # At the end of the load, without new faults.
+PLENTY, LESS = 2000, 1000  # Requests a second of a workspace, both far above the load.
+LEAST_SERVERS = 3
+LATE_SECONDS = 3.0  # An event later than this makes faults last longer than drawn: read violations with that in mind.
 
 # Faults from outside the processes; links have a loopback proxy before them.
 OUTSIDE = sorted(set(faults.HISTORY) - {"node-paused", "node-killed", "node-stopped"})
@@ -37,36 +41,47 @@
     "reloads": [(0, "hup"), (0.1, "hup"), (0.3, "hup")],
 }
 PLANNED = ["rolling-stop", "reloads"]
+# What is published, in the same form. "out" takes the server of a node out of the configuration, which moves homes of
+# idempotency keys; "in" puts it back.
+CHANGES = {
+    "burst": [(0, "publish"), (0.02, "publish"), (0.1, "publish")],
+    "rates": [(0, "rates"), (0.2, "rates"), (0.4, "rates")],
+    "server-out": [(0, "out"), (0.8, "in")],
+    "server-out-and-back": [(0, "out"), (0.05, "in"), (0.1, "out"), (0.15, "in")],
+}
+PLANNED_CHANGES = ["burst", "rates"]
 
 
 @dataclass(frozen=True, order=True)
 class Event:
-    """One step of a run. `what` is a step of SERIES, "begin"/"end" of an outside fault, or "publish"."""
+    """One step of a run. `what` is a step of SERIES or CHANGES, or "begin"/"end" of an outside fault."""
     at: float
     what: str
     index: int = 0
     fault: str = ""
 
 
-def schedule(seed, seconds):
+def schedule(seed, seconds, nodes=NODES):
     """The events of a run, in order of time. Every third seed has planned work alone, which must cost no request."""
     generator = random.Random(seed)
     planned = is_planned(seed)
     events = []
     for _ in range(generator.randint(3, 6)):
         name = generator.choice(PLANNED if planned else sorted(SERIES))
-        first, index = generator.uniform(0.3, seconds), generator.randrange(NODES)
+        first, index = generator.uniform(0.3, seconds), generator.randrange(nodes)
         if planned and any(event.index == index or abs(event.at - first) < 1.5 for event in events):
             continue  # Stops beside each other leave a service without a server.
-        nodes = [index] if planned else sorted({index, generator.randrange(NODES)})
+        struck = [index] if planned else sorted({index, generator.randrange(nodes)})
         events += [Event(first + after + 0.4 * place, what, node)
-                   for place, node in enumerate(nodes) for after, what in SERIES[name]]
+                   for place, node in enumerate(struck) for after, what in SERIES[name]]
     for _ in range(0 if planned else generator.randint(4, 8)):
         begin, length = generator.uniform(0.2, seconds), generator.uniform(0.2, 2.0)
-        index, fault = generator.randrange(NODES), generator.choice(OUTSIDE)
+        index, fault = generator.randrange(nodes), generator.choice(OUTSIDE)
         events += [Event(begin, "begin", index, fault), Event(begin + length, "end", index, fault)]
     for _ in range(generator.randint(1, 5)):
-        events.append(Event(generator.uniform(0.2, seconds), "publish"))
+        begin, index = generator.uniform(0.2, seconds), generator.randrange(nodes)
+        series = CHANGES[generator.choice(PLANNED_CHANGES if planned else sorted(CHANGES))]
+        events += [Event(begin + after, what, index) for after, what in series]
     return sorted(events)
 
 
@@ -74,12 +89,12 @@
     return seed % 3 == 0
 
 
-def run(seed, seconds=6, settings=None):
+def run(seed, seconds=6, settings=None, nodes=NODES):
     """Plays one seed. Returns (violations, history, events)."""
-    events = schedule(seed, seconds)
-    with Fleet(lambda block: generated(block, vms=NODES, deadline=DEADLINE), proxied=True,
+    events = schedule(seed, seconds, nodes)
+    with Fleet(lambda block: generated(block, vms=nodes, deadline=DEADLINE), proxied=True,
                backends=["--service-time-ms", 8], settings=settings or _settings(seed), seed=seed) as fleet:
-        load = fleet.load(_streams(fleet), seconds + SETTLE_SECONDS + 2, timeout=CALL_TIMEOUT)
+        load = fleet.load(_streams(fleet), seconds + SETTLE_SECONDS + 2, timeout=CALL_TIMEOUT, connections=4)
         revisions = []
         _play(fleet, events, revisions, is_planned(seed))
         time.sleep(SETTLE_SECONDS)
@@ -93,7 +108,8 @@
         history = History(attempts, actions, keys_seen, revisions, [withdrawal])
         violations += check(history)
         if is_planned(seed):
-            violations += list(_cut_requests(history))
+            violations += list(_cut_requests(history)) + list(answers_forgotten(history))
+        fleet.keeps_folder = bool(violations)
         return violations, history, events
 
 
@@ -102,7 +118,12 @@
     first, runs = options.seed, options.seeds or 50
     totals = Counter()
     for seed in range(first, first + runs):
-        violations, history, events = run(seed, options.seconds or 6)
+        try:
+            violations, history, events = run(seed, options.seconds or 6, nodes=options.nodes or NODES)
+        except (RuntimeError, TimeoutError) as error:  # A node ended by itself, or did not start.
+            report.note(f"seed {seed}: broke off: {error}")
+            totals["seeds that failed"] += 1
+            continue
         report.note(f"seed {seed}: {len(history.attempts)} attempts, {len(history.actions)} actions, "
                     f"{len(events)} events, {len(violations)} violations")
         for violation in violations[:10]:
@@ -128,7 +149,10 @@
             fleet.stream("vans", 20, "POST", "/refunds"),
             fleet.stream("vans", 5, path="/scans/300000"),
             fleet.stream("shops", 30, "POST", "/refunds", idempotencyKey=True, repeatUnknown=True),
-            fleet.stream("vans", 20, "POST", "/refunds", idempotencyKey=True, repeatAfter=0.3, repeatRatio=0.5)]
+            fleet.stream("vans", 20, "POST", "/refunds", idempotencyKey=True, repeatAfter=0.3, repeatRatio=0.5),
+            fleet.stream("vans", 20, "POST", "/refunds", idempotencyKey=True, repeatAnswered=True),
+            fleet.stream("shops", 0, pause=0.1),
+            fleet.stream("vans", 0, "POST", "/refunds", pause=0.1)]
 
 
 def _play(fleet, events, revisions, planned):
@@ -136,12 +160,15 @@
     undo = {}
     for event in events:
         time.sleep(max(0.0, begun + event.at - time.monotonic()))
+        late = time.monotonic() - begun - event.at
+        if late > LATE_SECONDS and not planned:
+            print(f"  {event.what} of node {event.index + 1} came {late:.1f} s late", file=sys.stderr)
         if event.what == "begin":
             undo.setdefault((event.fault, event.index), faults.HISTORY[event.fault](fleet, event.index))
         elif event.what == "end":
             undo.pop((event.fault, event.index), lambda: None)()
-        elif event.what == "publish":
-            fleet.publish(fleet.configuration.copy())
+        elif event.what in ("publish", "rates", "out", "in"):
+            fleet.publish(_changed(fleet.configuration, event, fleet.servers))
         else:
             _signal(fleet, list(fleet.nodes)[event.index], event.what, PATIENCE if planned else HURRY)
         _note_revisions(fleet, revisions)
@@ -152,6 +179,21 @@
             node.resume()  # Series that cross may leave one paused.
 
 
+def _changed(configuration, event, servers):
+    """The configuration after one step of CHANGES. `servers` are all that there are."""
+    changed = configuration.copy()
+    if event.what == "rates":
+        workspace = changed.workspace("vans")
+        workspace["rate"] = PLENTY + LESS - workspace["rate"]
+    elif event.what in ("out", "in"):
+        kept = {server["id"] for server in changed.servers}
+        concerned = {servers[event.index]["id"]}
+        kept = kept - concerned if event.what == "out" else kept | concerned
+        if len(kept) >= LEAST_SERVERS:
+            changed.servers = [server for server in servers if server["id"] in kept]
+    return changed
+
+
 def _signal(fleet, name, what, patience):
     """A step of a series. One that no longer fits, after another series ended the process, is left out."""
     node = fleet.nodes[name]
@@ -181,8 +223,10 @@
     with open(path, encoding="utf-8") as file:
         settings = json.load(file)
     settings["drainTimeoutMs"] = settings.get("drainTimeoutMs", 8000) + 1000
-    with open(path, "w", encoding="utf-8") as file:
+    # Not in place: the node may read it meanwhile, and on a busy disk that can hold the series up for seconds.
+    with open(f"{path}.new", "w", encoding="utf-8") as file:
         json.dump(settings, file)
+    os.replace(f"{path}.new", path)
 
 
 def _recovery(fleet):
--- a/scripts/lab/faults.py
+++ b/scripts/lab/faults.py
@@ -7,7 +7,7 @@
 def server_fault(kind, **more):
     """A gray backend server."""
     def begin(fleet, index):
-        server = fleet.configuration.servers[index]["id"]
+        server = fleet.servers[index]["id"]
         fleet.server_fault(server, kind, **more)
         return lambda: fleet.server_fault(server, "none")
     return begin
@@ -62,8 +62,8 @@
 
 def slow_zone(fleet, index):
     """Every backend server of a zone is slow tenfold."""
-    zone = fleet.configuration.servers[index]["zone"]
-    servers = [server["id"] for server in fleet.configuration.servers if server["zone"] == zone]
+    zone = fleet.servers[index]["zone"]
+    servers = [server["id"] for server in fleet.servers if server["zone"] == zone]
     for server in servers:
         fleet.server_fault(server, "slow", factor=10)
 
--- a/scripts/lab/fleet.py
+++ b/scripts/lab/fleet.py
@@ -54,10 +54,12 @@
         self._others = []
         self._settings = settings or {}
         self._proxied = proxied
+        self.keeps_folder = False  # Set by a run that found something: its logs stay.
         self._loads = 0
         self._real_ports = {server["id"]: server["port"] for server in self.configuration.servers}
         if proxied:
             self._put_links_into_configuration()
+        self.servers = list(self.configuration.servers)  # All that run, also those that a later revision leaves out.
         try:
             self._start_stand_ins(list(backends))
             self._start_nodes()
@@ -77,7 +79,7 @@
             if process.is_running():
                 process.kill()
         self.block.close()
-        if keep_folder:
+        if keep_folder or self.keeps_folder:
             print(f"logs are in {self.folder}", file=sys.stderr)
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
--- a/scripts/lab/history.py
+++ b/scripts/lab/history.py
@@ -127,6 +127,20 @@
         yield f"{name} was accepted but no backend server ran it"
 
 
+def answers_forgotten(history):
+    """Repeats with an Idempotency-Key, sent after a caller had the answer, that are told that it may be unknown. For
+    runs where no node loses its memory and no link breaks."""
+    answered = {}
+    for attempt in history.attempts:
+        if attempt["idempotency_key"] and attempt["status"] == 200:
+            answered[attempt["action"]] = min(attempt["end"], answered.get(attempt["action"], attempt["end"]))
+    for attempt in history.attempts:
+        was_answered = attempt["sent"] > answered.get(attempt["action"], attempt["sent"])
+        if was_answered and attempt["outcome"] == "unknown":
+            yield Violation("answers_forgotten", f"{attempt['action']} had its answer, and its repeat through "
+                                                 f"{attempt['target']} was told {attempt['code']}")
+
+
 def _hanging_calls(history):
     """The load client waits several times the routes' deadline, so a timeout there is an answer held back or lost."""
     for attempt in history.attempts:
--- a/src/include/papayastep/testing/loadclient.h
+++ b/src/include/papayastep/testing/loadclient.h
@@ -36,6 +36,10 @@
     double repeatAfter = 0; ///< Seconds after which a share of the calls is repeated through another node. 0: never.
     double repeatRatio = 1;
     bool repeatUnknown = false; ///< Repeat calls whose outcome the caller does not know.
+    bool repeatAnswered = false; ///< Repeat calls that were answered with 200, at once and through another node.
+    /// Closed loop only: seconds between an answer and the worker's next call. Not 0: each worker keeps one connection,
+    /// and keeps to its node until that does not answer any more.
+    double pause = 0;
     double start = 0; ///< Seconds into the run.
     double stop = 1e9;
 };
@@ -62,6 +66,7 @@
     using Clock = std::chrono::steady_clock;
 
     struct Connection;
+    using ConnectionPtr = std::unique_ptr<Connection>;
     struct Call;
     struct Attempt;
     struct Tally
@@ -77,13 +82,19 @@
 
     boost::asio::awaitable<void> runOpenLoop(const LoadStream &stream);
     boost::asio::awaitable<void> runClosedLoop(const LoadStream &stream);
+    boost::asio::awaitable<void> runFaithful(const LoadStream &stream);
     boost::asio::awaitable<void> makeCall(std::shared_ptr<const Call> call);
     boost::asio::awaitable<void> repeatLater(std::shared_ptr<const Call> call, std::size_t firstTarget);
-    boost::asio::awaitable<Attempt> attempt(std::shared_ptr<const Call> call, int number, std::size_t target);
-    boost::asio::awaitable<void> exchange(const Call &call, Attempt &attempt, std::size_t target);
+    /// `kept` is the connection of a worker that has its own: used if it is open, and given back if it can be used on.
+    boost::asio::awaitable<Attempt> attempt(std::shared_ptr<const Call> call,
+                                            int number,
+                                            std::size_t target,
+                                            ConnectionPtr *kept = nullptr);
+    boost::asio::awaitable<void> exchange(const Call &call, Attempt &attempt, std::size_t target, ConnectionPtr *kept);
 
     std::shared_ptr<const Call> nextCall(const LoadStream &stream, Clock::time_point due);
-    std::unique_ptr<Connection> idleConnection(std::size_t target);
+    ConnectionPtr idleConnection(std::size_t target);
+    static bool isUsable(Connection &connection);
     Request requestOf(const Call &call) const;
     static void judge(const Call &call, const Response &response, Attempt &attempt);
     void note(const Call &call, const Attempt &attempt, int number);
@@ -96,7 +107,7 @@
     LoadSettings m_settings;
     std::vector<LoadStream> m_streams;
     std::vector<boost::asio::ip::tcp::endpoint> m_targets;
-    std::vector<std::vector<std::unique_ptr<Connection>>> m_idle;
+    std::vector<std::vector<ConnectionPtr>> m_idle;
     std::ofstream m_output;
     std::map<std::string, Tally> m_tallies;
     std::mt19937_64 m_random;
--- a/src/testing/loadclient.cpp
+++ b/src/testing/loadclient.cpp
@@ -27,6 +27,8 @@
                                                 repeatAfter,
                                                 repeatRatio,
                                                 repeatUnknown,
+                                                repeatAnswered,
+                                                pause,
                                                 start,
                                                 stop)
 
@@ -34,6 +36,7 @@
 
 constexpr std::uint64_t maxBodyBytes = 64'000'000;
 constexpr int maxAttempts = 3;
+constexpr unsigned answered = 200;
 constexpr std::chrono::seconds maxIdle(5);
 
 tcp::endpoint endpointOf(const std::string &text)
@@ -138,7 +141,7 @@
         }
         for (int worker = 0; worker < settings.connections; ++worker) {
             begin();
-            asio::co_spawn(context, runClosedLoop(stream), asio::detached);
+            asio::co_spawn(context, stream.pause > 0 ? runFaithful(stream) : runClosedLoop(stream), asio::detached);
         }
     }
 }
@@ -210,6 +213,22 @@
     end();
 }
 
+asio::awaitable<void> LoadClient::runFaithful(const LoadStream &stream)
+{
+    std::size_t target = randomTarget();
+    ConnectionPtr connection;
+    asio::steady_timer timer(m_context);
+    while (!isOver()) {
+        const Attempt result = co_await attempt(nextCall(stream, Clock::now()), 0, target, &connection);
+        if (result.status == 0) {
+            target = (target + 1) % m_targets.size();
+        }
+        timer.expires_after(seconds(stream.pause));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    end();
+}
+
 asio::awaitable<void> LoadClient::makeCall(std::shared_ptr<const Call> call)
 {
     const LoadStream &stream = call->stream;
@@ -220,6 +239,9 @@
     }
     for (int number = 0; number < maxAttempts; ++number) {
         const Attempt result = co_await attempt(call, number, target);
+        if (stream.repeatAnswered && result.status == answered) {
+            co_await attempt(call, maxAttempts, (target + 1) % m_targets.size());
+        }
         if (!stream.repeatUnknown || !result.leavesOutcomeOpen()) {
             break;
         }
@@ -238,14 +260,15 @@
 
 asio::awaitable<LoadClient::Attempt> LoadClient::attempt(std::shared_ptr<const Call> call,
                                                          int number,
-                                                         std::size_t target)
+                                                         std::size_t target,
+                                                         ConnectionPtr *kept)
 {
     Attempt result;
     result.target = m_settings.targets[target];
     result.sentUnix = unixTime();
     const Clock::time_point from = number == 0 ? call->due : Clock::now();
     try {
-        co_await exchange(*call, result, target);
+        co_await exchange(*call, result, target, kept);
     } catch (const boost::system::system_error &error) {
         result.error = error.code().message();
     }
@@ -255,9 +278,12 @@
     co_return result;
 }
 
-asio::awaitable<void> LoadClient::exchange(const Call &call, Attempt &attempt, std::size_t target)
+asio::awaitable<void> LoadClient::exchange(const Call &call, Attempt &attempt, std::size_t target, ConnectionPtr *kept)
 {
-    std::unique_ptr<Connection> connection = idleConnection(target);
+    ConnectionPtr connection = kept == nullptr ? idleConnection(target) : std::move(*kept);
+    if (connection && !isUsable(*connection)) {
+        connection.reset();
+    }
     const auto limit = seconds(m_settings.timeoutSeconds);
     if (!connection) {
         connection = std::make_unique<Connection>(m_context);
@@ -275,7 +301,12 @@
     const Response response = parser.release();
     judge(call, response, attempt);
     connection->stream.expires_never();
-    if (response.keep_alive()) {
+    if (!response.keep_alive()) {
+        co_return;
+    }
+    if (kept != nullptr) {
+        *kept = std::move(connection);
+    } else {
         connection->idleSince = Clock::now();
         m_idle[target].push_back(std::move(connection));
     }
@@ -293,25 +324,30 @@
     return std::make_shared<const Call>(Call{stream, action, path, due, unixTime()});
 }
 
-std::unique_ptr<LoadClient::Connection> LoadClient::idleConnection(std::size_t target)
+LoadClient::ConnectionPtr LoadClient::idleConnection(std::size_t target)
 {
     auto &idle = m_idle[target];
     while (!idle.empty()) {
-        std::unique_ptr<Connection> connection = std::move(idle.back());
+        ConnectionPtr connection = std::move(idle.back());
         idle.pop_back();
-        // A connection that the server closed meanwhile would look like a cut request; it is not one.
-        boost::system::error_code error;
-        tcp::socket &socket = connection->stream.socket();
-        socket.non_blocking(true, error);
-        std::array<char, 1> byte{};
-        socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
-        if (error == asio::error::would_block && Clock::now() - connection->idleSince < maxIdle) {
+        if (isUsable(*connection) && Clock::now() - connection->idleSince < maxIdle) {
             return connection;
         }
     }
     return nullptr;
 }
 
+/// A connection that the server closed meanwhile would look like a cut request; it is not one.
+bool LoadClient::isUsable(Connection &connection)
+{
+    boost::system::error_code error;
+    tcp::socket &socket = connection.stream.socket();
+    socket.non_blocking(true, error);
+    std::array<char, 1> byte{};
+    socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
 Request LoadClient::requestOf(const Call &call) const
 {
     const LoadStream &stream = call.stream;
--- a/testsuite/history-checker/run.py
+++ b/testsuite/history-checker/run.py
@@ -2,7 +2,7 @@
 """The history checker itself: a clean history passes, and each planted violation is caught by its rule alone."""
 import unittest
 
-from lab.history import CLIENT_TIMEOUT, History, Withdrawal, check
+from lab.history import CLIENT_TIMEOUT, History, Withdrawal, answers_forgotten, check
 
 
 def attempt(action="a-1", **changes):
@@ -35,6 +35,14 @@
     def test_check_ofARepeatRefusedAsNotRunWhileTheFirstRan_findsNothing(self):
         self.expect(History(attempts=[attempt(), refused(request_id="r-repeat")], actions=[action()]))
 
+    def test_answersForgotten_ofARepeatToldToWaitAfterTheAnswer_findsIt(self):
+        # The repeat overtook the report that the first run had ended. A repeat sent before the answer may be told so.
+        first = attempt(idempotency_key=True)
+        early = attempt(idempotency_key=True, status=409, outcome="unknown", sent=100.05, code="3022")
+        late = attempt(idempotency_key=True, status=409, outcome="unknown", sent=100.2, code="3022")
+        found = [violation.rule for violation in answers_forgotten(History(attempts=[first, early, late], actions=[]))]
+        self.assertEqual(found, ["answers_forgotten"])
+
     def test_check_ofAnActionRunOnTwoServers_findsTheDuplicate(self):
         # The first node fell silent after the refund was paid, the caller repeated it, and it was paid again.
         self.expect(History(attempts=[attempt(status=0), attempt(request_id="r-2")],
