Take "never started" only from a process that was there when the attempt was sent

Change: the entry notes since when it knows the present process on each VM (ProcessTable). A "never started" of a process that it first heard after it sent the attempt, or in that very message, is no promise; the outcome is then unknown. Weighed: the serving node compares its age with that of the attempt; not taken, as a cancel may wait in a queue while the node restarts, and a new process can't tell that delay.

Unit test of ProcessTable.

--- a/src/include/papayastep/node/entryhandler.h
+++ b/src/include/papayastep/node/entryhandler.h
@@ -4,6 +4,7 @@
 #include "papayastep/node/nodecontext.h"
 #include "papayastep/node/servingnode.h"
 
+#include <functional>
 #include <unordered_map>
 
 namespace papayastep::node {
@@ -24,7 +25,9 @@
     void deliver(const routing::LedgerDecision &decision);
     /// The ledger's home has the end of this request.
     void deliver(const base::RequestId &recorded);
-    void deliver(const wire::CancelResult &result);
+    /// `proven` says what an answer of the sending process proves about an attempt that was sent at the time given.
+    using Proof = std::function<routing::CancelAnswer(routing::CancelAnswer answer, base::TimePoint sentAt)>;
+    void deliver(const wire::CancelResult &result, const Proof &proven);
     void deliver(const wire::SlotOffer &offer);
 
     std::size_t open() const;
--- a/src/include/papayastep/node/node.h
+++ b/src/include/papayastep/node/node.h
@@ -12,6 +12,7 @@
 #include "papayastep/node/prober.h"
 #include "papayastep/node/servingnode.h"
 #include "papayastep/node/settingskeeper.h"
+#include "papayastep/routing/processtable.h"
 
 #include <boost/asio/thread_pool.hpp>
 
@@ -76,6 +77,7 @@
     SettingsKeeper m_settingsKeeper;
     NodeContext m_context;
     membership::VmDirectory m_directory;
+    routing::ProcessTable m_processes;
     membership::ConfigSpread m_spread;
     membership::ServerDirectory m_servers; ///< Empty without a source of servers.
     membership::VmRoster m_roster;
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -111,10 +111,10 @@
     m_choice.slotOffered(offer);
 }
 
-void EntryRequest::cancelAnswered(int attempt, routing::CancelAnswer answer)
+void EntryRequest::cancelAnswered(int attempt, routing::CancelAnswer answer, const EntryHandler::Proof &proven)
 {
     if (m_watch.attempt() != nullptr && static_cast<int>(m_watch.attempt()->hop().attempt) == attempt) {
-        m_watch.attempt()->cancelAnswered(answer);
+        m_watch.attempt()->cancelAnswered(proven(answer, m_watch.attempt()->startedAt()));
     }
 }
 
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -29,7 +29,7 @@
     void admissionDecided(const limits::Admission &admission);
     void ledgerDecided(const routing::ClaimAnswer &answer);
     void ledgerRecorded();
-    void cancelAnswered(int attempt, routing::CancelAnswer answer);
+    void cancelAnswered(int attempt, routing::CancelAnswer answer, const EntryHandler::Proof &proven);
     void slotOffered(const wire::SlotOffer &offer);
 
 private:
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -81,6 +81,7 @@
     , m_settingsKeeper(std::move(settingsKeeper))
     , m_context(io, clock, std::move(settings), std::move(interfaces), seed)
     , m_directory(clock)
+    , m_processes(clock)
     , m_spread({m_context.settings.vm, m_context.settings.zone, m_context.incarnation},
                m_directory,
                clock,
@@ -189,6 +190,7 @@
 
 void Node::dispatch(const wire::Envelope &envelope)
 {
+    m_processes.noteHeard(envelope.sender, envelope.incarnation);
     const bool stranger = !m_directory.isListed(envelope.sender);
     if (!stranger) {
         m_directory.noteHeard(envelope.sender, envelope.incarnation);
@@ -230,7 +232,10 @@
 void Node::handleCancel(const wire::Envelope &envelope)
 {
     if (envelope.kind == wire::MessageKind::CancelResult) {
-        m_entry.deliver(wire::decode<wire::CancelResult>(envelope.payload));
+        const auto result = wire::decode<wire::CancelResult>(envelope.payload);
+        m_entry.deliver(result, [&](routing::CancelAnswer answer, base::TimePoint sentAt) {
+            return m_processes.proven(envelope.sender, envelope.incarnation, answer, sentAt);
+        });
         return;
     }
     const auto cancel = wire::decode<wire::CancelAttempt>(envelope.payload);
--- /dev/null
+++ b/src/routing/processtable_test.cpp
@@ -0,0 +1,47 @@
+#include "papayastep/routing/processtable.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace papayastep;
+using namespace papayastep::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct ProcessFixture
+{
+    base::ManualClock clock;
+    ProcessTable processes{clock};
+    const base::VmId vm{"vm1"};
+
+    bool isProof(base::Incarnation incarnation,
+                 base::TimePoint sentAt,
+                 CancelAnswer answer = CancelAnswer::NeverStarted)
+    {
+        return processes.proven(vm, incarnation, answer, sentAt) == answer;
+    }
+};
+
+}
+
+// The serving node crashes while a refund is at work. Its next process knows nothing of it and says that it never
+// started; the refund would be paid again through another server.
+BOOST_FIXTURE_TEST_CASE(processTable_withServingNodeRestarted_takesItsWordForNothingBefore, ProcessFixture)
+{
+    processes.noteHeard(vm, 1);
+    clock.advance(1s);
+    const auto sentAt = clock.now();
+    BOOST_TEST(isProof(1, sentAt));
+    clock.advance(100ms);
+    processes.noteHeard(vm, 2);
+    BOOST_TEST(!isProof(2, sentAt));
+    BOOST_TEST(!isProof(1, sentAt)); // A late message: which process sent it last is not known any more.
+    BOOST_TEST(isProof(2, clock.now()));
+    BOOST_TEST(isProof(2, sentAt, CancelAnswer::Started));
+}
+
+// An entry that has just started never heard the serving node before it sent the attempt.
+BOOST_FIXTURE_TEST_CASE(processTable_withUnknownProcess_takesNoProof, ProcessFixture)
+{
+    BOOST_TEST(!isProof(1, clock.now()));
+}
