Serve the first connection after a shortage of descriptors

Cause: the accept loop waits for the next connection while it has no descriptor, and closed that one even where descriptors had come free in the meantime, so the first caller after a shortage was refused for nothing. Change: it first tries to take the connection; the spare descriptor is given up only where that fails.

--- a/src/include/papayastep/net/httpserver.h
+++ b/src/include/papayastep/net/httpserver.h
@@ -95,7 +95,8 @@
     friend class ServerConnection;
     using ConnectionSet = std::set<ServerConnection *>;
     Awaitable<void> acceptLoop();
-    Awaitable<void> refuseForWantOfDescriptors();
+    Awaitable<void> waitForConnection();
+    bool takeOrRefuse(tcp::socket &socket);
     Awaitable<void> pauseAfterFailure();
     void noteRefusal(std::string_view cause);
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -35,6 +35,11 @@
     return base::ResultCode::RequestMalformed;
 }
 
+bool isOutOfDescriptors(const beast::error_code &error)
+{
+    return error == asio::error::no_descriptors || error == beast::errc::too_many_files_open_in_system;
+}
+
 bool peerHasClosed(tcp::socket &socket)
 {
     char byte = 0;
@@ -504,13 +509,13 @@
         if (error == asio::error::operation_aborted || !m_acceptor.is_open()) {
             co_return;
         }
-        const bool outOfDescriptors
-            = error == asio::error::no_descriptors || error == beast::errc::too_many_files_open_in_system;
-        if (error && outOfDescriptors) {
-            co_await refuseForWantOfDescriptors();
-            continue;
-        }
-        if (error) {
+        if (isOutOfDescriptors(error)) {
+            co_await waitForConnection();
+            const bool taken = !m_stopping && takeOrRefuse(socket);
+            if (!taken) {
+                continue;
+            }
+        } else if (error) {
             co_await pauseAfterFailure();
             continue;
         }
@@ -523,29 +528,36 @@
     }
 }
 
-/// accept() fails without a free descriptor even when nobody waits, so to call it again at once would spin; and a
-/// caller that is left in the queue hears nothing. So the next one is waited for, taken with the spare descriptor and
-/// closed.
-Awaitable<void> HttpServer::refuseForWantOfDescriptors()
+/// accept() fails without a free descriptor even when nobody waits, so to call it again at once would spin.
+Awaitable<void> HttpServer::waitForConnection()
 {
-    if (!m_spare.takeBack()) {
+    beast::error_code error;
+    if (m_spare.takeBack()) {
+        co_await m_acceptor.async_wait(tcp::acceptor::wait_read, into(error));
+    } else {
         co_await pauseAfterFailure();
-        co_return;
     }
+}
+
+/// Takes a connection that waits, if there is a descriptor for it by now. If not, it is closed by means of the spare
+/// one: a caller that is left in the queue hears nothing until its own timeout. Returns whether `socket` is to be
+/// served.
+bool HttpServer::takeOrRefuse(tcp::socket &socket)
+{
     beast::error_code error;
-    co_await m_acceptor.async_wait(tcp::acceptor::wait_read, into(error));
-    if (error || m_stopping) {
-        co_return;
-    }
     m_acceptor.non_blocking(true, error);
+    m_acceptor.accept(socket, error);
+    if (!isOutOfDescriptors(error)) {
+        return !error;
+    }
     m_spare.giveUp();
-    tcp::socket socket(m_context);
     m_acceptor.accept(socket, error);
     if (!error) {
         noteRefusal("descriptors");
     }
     socket.close(error);
     m_spare.takeBack();
+    return false;
 }
 
 Awaitable<void> HttpServer::pauseAfterFailure()
--- a/src/net/httpserver_test.cpp
+++ b/src/net/httpserver_test.cpp
@@ -3,7 +3,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <fcntl.h>
 #include <optional>
+#include <sys/resource.h>
+#include <unistd.h>
 
 using namespace papayastep;
 
@@ -65,6 +68,17 @@
         }
     }
 
+    /// Lets the server work until `condition` holds. Returns whether it came to hold.
+    template<typename Condition>
+    bool workUntil(const Condition &condition)
+    {
+        const auto patience = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (!condition() && std::chrono::steady_clock::now() < patience) {
+            context.run_one_for(std::chrono::milliseconds(100));
+        }
+        return condition();
+    }
+
     net::asio::io_context context;
     AnswersAll handler;
     net::HttpServer server;
@@ -72,6 +86,31 @@
     net::asio::ip::tcp::socket caller{callerContext};
 };
 
+/// Leaves this process no file descriptor to open, for its lifetime.
+class NoDescriptorLeft
+{
+public:
+    NoDescriptorLeft()
+    {
+        ::getrlimit(RLIMIT_NOFILE, &m_before);
+        rlimit lowered = m_before;
+        // Descriptors are given out from the lowest free one up.
+        const int lowestFree = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+        ::close(lowestFree);
+        lowered.rlim_cur = static_cast<rlim_t>(lowestFree);
+        ::setrlimit(RLIMIT_NOFILE, &lowered);
+    }
+    ~NoDescriptorLeft()
+    {
+        ::setrlimit(RLIMIT_NOFILE, &m_before);
+    }
+    NoDescriptorLeft(const NoDescriptorLeft &) = delete;
+    NoDescriptorLeft &operator=(const NoDescriptorLeft &) = delete;
+
+private:
+    rlimit m_before = {};
+};
+
 }
 
 BOOST_AUTO_TEST_SUITE(httpServer)
@@ -107,6 +146,27 @@
     BOOST_TEST(open.server.inFlight() == 0U);
 }
 
+// A process has used up its file descriptors. Callers that connect then lay in its queue until their own timeouts; now
+// each is closed at once and can go to another node, and when descriptors come free, callers are served again.
+BOOST_AUTO_TEST_CASE(connect_noDescriptorLeft_isClosedUntilThereIsOne)
+{
+    OpenConnectionFixture open;
+    net::tcp::socket second(open.callerContext, net::tcp::v4());
+    net::tcp::socket third(open.callerContext, net::tcp::v4());
+    const net::tcp::endpoint listener{net::asio::ip::make_address("127.0.0.1"), port};
+    {
+        const NoDescriptorLeft shortage;
+        second.connect(listener);
+        BOOST_TEST(open.workUntil([&] { return open.server.refusedConnections() == 1U; }));
+    }
+    char byte = 0;
+    net::beast::error_code error;
+    second.read_some(net::asio::buffer(&byte, 1), error);
+    BOOST_TEST((error == net::asio::error::eof || error == net::asio::error::connection_reset));
+    third.connect(listener);
+    BOOST_TEST(open.workUntil([&] { return open.server.connections() == 2U; }));
+}
+
 // Where longer headers are allowed, one caller sends a field of more than 64 KiB, which the HTTP library can't hold.
 // Its exception left the loop, and one request ended the node with the requests of all other callers.
 BOOST_AUTO_TEST_CASE(request_fieldLongerThanTheLibraryHolds_isRefused)
