Hold signals back at the end too, and let no flood of reloads keep a stop waiting

Seen by operators: a node that has answered everything and gets one more signal ends with 128 plus its number, as if it had crashed; a stop sent amid a flood of reloads waits until the flood is over, and then ends in SIGKILL with callers' requests. Cause: the event loop's registrations end before the process does, and the default actions hold again; and one set of signals is handed out by the signals' numbers, of which SIGHUP has the smallest. Ruled out: signalfd, which would merge equal signals in the kernel too: whether it is there on the operators' platform isn't known. Change: the destructor holds the signals back again; stops have a set of their own. Left: more than 16,384 reloads that come while the loop doesn't read fill its pipe, and a stop among them is lost.

--- a/src/include/papayastep/node/processsignals.h
+++ b/src/include/papayastep/node/processsignals.h
@@ -33,13 +33,22 @@
     /// Registers for the signals and lets through what was held back.
     explicit ProcessSignals(net::asio::io_context &io);
 
+    /// Holds the signals back again: a second one during the end would turn a planned stop into a crash.
+    ~ProcessSignals();
+
+    ProcessSignals(const ProcessSignals &) = delete;
+    ProcessSignals &operator=(const ProcessSignals &) = delete;
+
     /// Calls `handler` in the event loop for each signal, until the loop ends. Call it once.
     void watch(Handler handler);
 
 private:
-    void waitForNext();
+    void waitForNext(net::asio::signal_set &signals);
 
-    net::asio::signal_set m_signals;
+    // A set hands out what has come by the signals' numbers, and SIGHUP has the smallest: in one set, a flood of
+    // reloads would keep a stop waiting until it is over.
+    net::asio::signal_set m_stops;
+    net::asio::signal_set m_others;
     Handler m_handler;
 };
 
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -540,8 +540,8 @@
         m_context.tokens.giveBack(*m_token);
     }
     m_token.reset();
-    // A refusal doesn't wait for its record as an answer does: what was given up must not be held back by a home that is
-    // away. A repeat that overtakes the report is told to come again.
+    // A refusal doesn't wait for its record as an answer does: what was given up must not be held back by a home that
+    // is away. A repeat that overtakes the report is told to come again.
     reportToLedger(refusal);
     m_context.schedulePump();
     countEnd(routing::name(refusal.outcome), refusal.code);
--- a/src/node/processsignals.cpp
+++ b/src/node/processsignals.cpp
@@ -46,13 +46,14 @@
 }
 
 ProcessSignals::ProcessSignals(net::asio::io_context &io)
-    : m_signals(io, SIGHUP)
+    : m_stops(io)
+    , m_others(io, SIGHUP)
 {
     for (const int signal : stopSignals) {
-        m_signals.add(signal);
+        m_stops.add(signal);
     }
     for (const int signal : idleSignals) {
-        m_signals.add(signal);
+        m_others.add(signal);
     }
     // Also undoes a mask that was inherited: a supervisor that holds these signals back for itself and hands its mask
     // on would leave a node that no signal reaches.
@@ -60,20 +61,26 @@
     sigprocmask(SIG_UNBLOCK, &set, nullptr);
 }
 
+ProcessSignals::~ProcessSignals()
+{
+    holdBackSignals();
+}
+
 void ProcessSignals::watch(Handler handler)
 {
     m_handler = std::move(handler);
-    waitForNext();
+    waitForNext(m_stops);
+    waitForNext(m_others);
 }
 
-void ProcessSignals::waitForNext()
+void ProcessSignals::waitForNext(net::asio::signal_set &signals)
 {
-    m_signals.async_wait([this](const net::beast::error_code &error, int signal) {
+    signals.async_wait([this, &signals](const net::beast::error_code &error, int signal) {
         if (error) {
             return;
         }
         // The next wait comes first: a handler that throws must not leave the node deaf to the next signal.
-        waitForNext();
+        waitForNext(signals);
         m_handler(requestOf(signal), signal);
     });
 }
--- a/testsuite/signals-to-a-node/run.py
+++ b/testsuite/signals-to-a-node/run.py
@@ -10,18 +10,28 @@
 from lab.fleet import Fleet
 from lab.processes import Process, wait_until
 
-SERVICE_MS = 1000
+SERVICE_MS = 3000
 
 
-def signalled_at_start(fleet, name, number):
-    """Starts a stopped node anew such that it gets the signal just as it opens its settings file.
+def at_settings(fleet, name):
+    """The call that opens the settings file."""
+    return "openat", ["-P", fleet.path(f"{name}.json")]
+
+
+def at_first_disposition(fleet, name):
+    """The first call that sets what a signal does: after the libraries' initialisation, before all else."""
+    return "rt_sigaction", []
+
+
+def signalled_at_start(fleet, name, number, moment=at_settings):
+    """Starts a stopped node anew such that it gets the signal from inside a certain system call.
 
     strace sends the signal from inside that call, so the moment is the same on a fast and on a slow machine. With -D
     the node stays our own child, and its process id and exit status are the node's.
     """
-    settings = fleet.path(f"{name}.json")
-    tracing = ["strace", "-D", "-qq", "-o", fleet.path(f"{name}.strace"), "-P", settings, "-e", "trace=openat", "-e",
-               f"inject=openat:signal={signal.Signals(number).name}:when=1"]
+    call, path = moment(fleet, name)
+    tracing = ["strace", "-D", "-qq", "-o", fleet.path(f"{name}.strace"), *path, "-e", f"trace={call}", "-e",
+               f"inject={call}:signal={signal.Signals(number).name}:when=1"]
     old = fleet.nodes[name]
     fleet.nodes[name] = Process(name, tracing + old.arguments, old.log_path)
     return fleet.nodes[name]
@@ -43,6 +53,13 @@
         self.assertTrue(node.is_running())
         self.assertIn("Asked to reload.", node.log())
 
+    # The same before any line of the node's own has run; the libraries' initialisation alone takes milliseconds.
+    def test_reload_beforeTheFirstDisposition_isTaken(self):
+        node = signalled_at_start(self.fleet, self.name, signal.SIGHUP, at_first_disposition)
+        self.fleet.wait_serving(self.name)
+        self.assertTrue(node.is_running())
+        self.assertIn("Asked to reload.", node.log())
+
     # An operator takes a start back at once. The process must end as after any planned stop, not as one that crashed,
     # or whoever watches over it raises an alarm and starts it again.
     def test_stop_whileSettingsAreRead_endsAsPlanned(self):
@@ -72,13 +89,14 @@
         return sum(record["started"] for record in self.fleet.server_records().values())
 
     def expect_all_answered(self, numbers, reaction):
-        """Sends the signals to every node while each has refunds at work as their entry and beside their server."""
+        """Sends the signals to every node while each is the entry of a refund that is at work at a server."""
         before = self.started()
-        count = 3 * len(self.names)
+        count = len(self.names)
         refunds = [threading.Thread(target=self.refund, args=(number,)) for number in range(count)]
         for refund in refunds:
             refund.start()
         wait_until(lambda: self.started() == before + count, 10, "every refund to be in flight")
+        self.assertEqual(self.answers, [])  # Each is at work while the signals come.
         for number in numbers:
             for node in self.fleet.nodes.values():
                 node.send(number)
