--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -19,7 +19,8 @@
 
 namespace {
 
-// The libraries' own initialisation takes most of a start, and it runs before main(). Only here it can be preceded.
+// The libraries' own initialisation runs before main(), and a signal that comes in it would end the process. Only here
+// it can be preceded.
 [[gnu::section(".preinit_array"), gnu::used]] void (*const holdBackBeforeInitialisation)()
     = papayastep::node::holdBackSignals;
 
