Wait in operators-platform until both nodes have heard of a removal

Cause: the case waited for the first node's line alone and then asked the second one, which may hear of it milliseconds later, well within the time that the operators allow. Ruled out: a node that keeps a removed server: its line came in each run.

--- a/testsuite/operators-platform/run.py
+++ b/testsuite/operators-platform/run.py
@@ -106,8 +106,9 @@
             self.assertEqual(self.refund(address)[0], 200)
         self.store.away = False
         self.store.put("servers/i-1", None)
-        wait_until(lambda: "A backend server did not come back" in self.nodes[0].log()
-                   or "A backend server is gone" in self.nodes[0].log(), 20, "the removal")
+        for node in self.nodes:
+            wait_until(lambda node=node: "A backend server did not come back" in node.log()
+                       or "A backend server is gone" in node.log(), 20, f"{node.name} to hear of the removal")
         for address in ADDRESSES:
             self.assertEqual(self.refund(address)[2], b"i-0")
 
