Keep the tests of net off the kernel's ports for outgoing connections

Ruled out: two tests on one port: 38472 is named once. Change: the one listens on a port of the kernel's choice, the other below that range and beside the lab's blocks.

--- a/src/net/httpclient_test.cpp
+++ b/src/net/httpclient_test.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::uint16_t port = 38472;
-
 /// An exchange with a server that answers it with bytes of the test.
 struct ExchangeFixture
 {
@@ -42,9 +40,9 @@
     const base::SystemClock clock;
     net::asio::io_context context{1};
     net::asio::io_context serverContext;
-    net::tcp::acceptor acceptor{serverContext, {net::asio::ip::make_address("127.0.0.1"), port}};
+    net::tcp::acceptor acceptor{serverContext, {net::asio::ip::make_address("127.0.0.1"), 0}};
     net::HttpPool pool{context, clock, {}};
-    net::HttpExchange exchange{context, pool, {"127.0.0.1", port}};
+    net::HttpExchange exchange{context, pool, {"127.0.0.1", acceptor.local_endpoint().port()}};
     net::tcp::socket server{serverContext};
     bool ended = false;
 };
--- a/src/net/httpserver_test.cpp
+++ b/src/net/httpserver_test.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr std::uint16_t port = 38471;
+// Below the ports that the kernel gives to outgoing connections, of which one may stand in the way.
+constexpr std::uint16_t port = 18471;
 constexpr std::string_view requestText = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
 
 class AnswersAll final : public net::RequestHandler
