Answer requests that are still open when a planned stop runs out of patience

Cause: Node::drain closed the connections of requests in flight at the end of drainTimeoutMs, so a caller could not tell whether its refund ran.

Ruled out: a refusal not-run, which would be false; a longer wait, which the one who stops the node does not grant.

Change: the open requests' deadlines are moved to now, and each ends as one whose deadline has passed (504, unknown). 200 ms are left to write the answers, within the rest that stopWithinS already keeps.

Test: graceful-stop, a node stopped with 300 ms of patience while six refunds take 1.5 s.

--- a/src/include/papayastep/node/entryhandler.h
+++ b/src/include/papayastep/node/entryhandler.h
@@ -30,6 +30,9 @@
     void deliver(const wire::CancelResult &result, const Proof &proven);
     void deliver(const wire::SlotOffer &offer);
 
+    /// Ends all open requests as if their deadlines had passed, so that each caller gets an answer.
+    void expireAll();
+
     std::size_t open() const;
 
 private:
--- a/src/include/papayastep/node/node.h
+++ b/src/include/papayastep/node/node.h
@@ -69,6 +69,7 @@
     net::Awaitable<void> tickLoop();
     net::Awaitable<void> drain();
     net::Awaitable<void> finishRequests();
+    net::Awaitable<void> answerOpenRequests();
     void endDuties();
     bool isIdle() const;
 
--- a/src/node/attemptwatch.cpp
+++ b/src/node/attemptwatch.cpp
@@ -36,7 +36,7 @@
     m_attempt->start(std::move(request), [this] { m_changed.notify(); });
 }
 
-net::Awaitable<routing::AttemptResult> AttemptWatch::next(base::TimePoint deadline, const bool &callerGone)
+net::Awaitable<routing::AttemptResult> AttemptWatch::next(const base::TimePoint &deadline, const bool &callerGone)
 {
     for (;;) {
         // Taken once: an attempt that ended without proof goes on to a cancel, and stays ended while that is asked for.
--- a/src/node/attemptwatch.h
+++ b/src/node/attemptwatch.h
@@ -24,8 +24,9 @@
     /// Begins with `attempt`; the one before is abandoned.
     void begin(AttemptPtr attempt, const routing::AttemptTimeouts &timeouts, net::ClientRequest request);
 
-    /// Waits for the next event. The caller of the request has gone when `callerGone` says so.
-    net::Awaitable<routing::AttemptResult> next(base::TimePoint deadline, const bool &callerGone);
+    /// Waits for the next event. `deadline` may be moved meanwhile. The caller of the request has gone when
+    /// `callerGone` says so.
+    net::Awaitable<routing::AttemptResult> next(const base::TimePoint &deadline, const bool &callerGone);
 
     /// Asks the serving node to cancel, until it answers or the timeout for cancels has passed. With `stop`, also to
     /// stop the attempt if it runs.
--- a/src/node/entryhandler.cpp
+++ b/src/node/entryhandler.cpp
@@ -72,6 +72,13 @@
     }
 }
 
+void EntryHandler::expireAll()
+{
+    for (const auto &[id, request] : m_open) {
+        request->expire();
+    }
+}
+
 std::size_t EntryHandler::open() const
 {
     return m_open.size();
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -90,6 +90,12 @@
     co_await runAttempts();
 }
 
+void EntryRequest::expire()
+{
+    m_progress.deadline = std::min(m_progress.deadline, m_context.clock.now());
+    m_changed.notify();
+}
+
 void EntryRequest::admissionDecided(const limits::Admission &admission)
 {
     m_admission = admission;
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -26,6 +26,9 @@
 
     net::Awaitable<void> run();
 
+    /// Moves the deadline to now.
+    void expire();
+
     void admissionDecided(const limits::Admission &admission);
     void ledgerDecided(const routing::ClaimAnswer &answer);
     void ledgerRecorded();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -21,6 +21,8 @@
 constexpr base::Duration longestSettling = std::chrono::seconds(12);
 constexpr base::Duration sweepEvery = std::chrono::seconds(5);
 constexpr base::Duration drainPoll = std::chrono::milliseconds(20);
+/// For writing the answers to requests that are still open when a planned stop runs out of patience.
+constexpr base::Duration lastAnswers = std::chrono::milliseconds(200);
 
 // After an outage a change must be in force some five seconds later; nodes that ask once a second at least see it in
 // time.
@@ -552,6 +554,24 @@
         tick();
         net::runStep(m_context.io, "pump", [this] { pump(); });
     }
+    co_await answerOpenRequests();
+}
+
+/// Callers whose requests are still open when patience ends are told that the outcome is unknown. A connection that
+/// closes without an answer would not tell them whether to ask again.
+net::Awaitable<void> Node::answerOpenRequests()
+{
+    if (m_entry.open() == 0) {
+        co_return;
+    }
+    m_entry.expireAll();
+    net::asio::steady_timer timer(m_context.io);
+    net::beast::error_code ignored;
+    const auto patience = m_context.clock.now() + lastAnswers;
+    while (m_callerServer.inFlight() > 0 && m_context.clock.now() < patience) {
+        timer.expires_after(drainPoll);
+        co_await timer.async_wait(net::into(ignored));
+    }
 }
 
 void Node::endDuties()
--- a/testsuite/graceful-stop/run.py
+++ b/testsuite/graceful-stop/run.py
@@ -41,6 +41,26 @@
             self.assertEqual(after.status, 200)
             self.assertNotEqual(after.server, "counter-2")
 
+    def test_node_stoppedWithLittlePatience_answersOpenRequestsAsUnknown(self):
+        # Refunds take longer than the stop waits. A connection that closes without an answer leaves each clerk in doubt.
+        settings = {"announceFirstMs": 100, "drainTimeoutMs": 300}
+        with Fleet(backends=["--service-time-ms", SERVICE_MS, "--sigma", 0], settings=settings) as fleet:
+            answers = []
+            before = self.started(fleet)
+
+            def refund(number):
+                answers.append(http.call_with_key(fleet.caller_port("vm-02"), fleet.configuration.keys["shops"],
+                                                  "POST", "/refunds", json.dumps({"action": f"refund-{number}"})))
+            threads = [threading.Thread(target=refund, args=(number,)) for number in range(6)]
+            for thread in threads:
+                thread.start()
+            wait_until(lambda: self.started(fleet) == before + 6, 10, "every request to be in flight")
+            fleet.nodes["vm-02"].terminate()
+            for thread in threads:
+                thread.join()
+            self.assertEqual([(answer.status, answer.outcome) for answer in answers], 6 * [(504, "unknown")])
+            self.assertEqual(fleet.nodes["vm-02"].wait(20), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
