Take no evidence from runs that fail because a call of theirs did

Cause: a backend server answers 500 when a call that its run needs fails, and each such 500 counted as a failure of that server.

Change: health::RunCalls beside the servers of a VM.

--- a/src/health/healthmonitor.cpp
+++ b/src/health/healthmonitor.cpp
@@ -791,6 +791,8 @@
         return "success";
     case AttemptOutcome::Error:
         return "error";
+    case AttemptOutcome::CallFailed:
+        return "call-failed";
     case AttemptOutcome::Partial:
         return "partial";
     case AttemptOutcome::Timeout:
--- a/src/health/serverevidence.cpp
+++ b/src/health/serverevidence.cpp
@@ -79,6 +79,9 @@
         noteTimeout(attempt, latency, usual);
         return;
     }
+    if (outcome == AttemptOutcome::CallFailed) {
+        return;
+    }
     const bool failed = isFailure(outcome);
     const FailureModel failures(usual.failureShare);
     addEvidence(FailureTest, failed ? failures.failed : failures.good, attempt.inTrial);
--- a/src/include/papayastep/health/attempt.h
+++ b/src/include/papayastep/health/attempt.h
@@ -22,6 +22,7 @@
 enum class AttemptOutcome {
     Success, ///< A whole answer that is no server error. Its latency counts.
     Error, ///< A whole answer of class 5xx, other than a shed request.
+    CallFailed, ///< As Error, because a call of the run failed. Says nothing about the server.
     Partial, ///< The answer broke off.
     Timeout, ///< No whole answer before the deadline.
     ConnectionRefused, ///< The backend server took no connection. Load, unless it lasts.
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayastep/health/pausewatch.h"
+#include "papayastep/health/runcalls.h"
 #include "papayastep/limits/slotqueue.h"
 #include "papayastep/net/httpclient.h"
 #include "papayastep/net/signal.h"
@@ -56,6 +57,9 @@
     /// The entry that waits for this attempt is gone, so an idempotent one need not go on.
     void entryGone(const base::RequestId &request, int attempt);
 
+    /// Runs at the backend servers of this VM, which may make calls.
+    health::RunCalls &runCalls();
+
     void applyConfiguration();
 
     /// Starts and drops queued attempts that are due.
@@ -93,6 +97,7 @@
     void noteFailure(Lane &lane, const base::BackendServerId &server, bool overdue);
     void noteOutcome(Lane &lane, const Work &work, health::AttemptOutcome outcome);
     ServedAnswer answerOf(const WorkPtr &work);
+    health::AttemptOutcome outcomeOf(const Work &work, net::http::status status);
     ServedAnswer refusedByServer(const WorkPtr &work);
     ServedAnswer refusalOf(const Work &work, base::ResultCode code, base::Duration retryAfter);
     void logRefusal(const Work &work, const wire::HopReply &reply) const;
@@ -101,6 +106,7 @@
 
     NodeContext &m_context;
     health::PauseWatch m_pauses;
+    health::RunCalls m_runCalls;
     routing::AttemptRegistry m_registry;
     std::map<base::BackendServerId, std::unique_ptr<Lane>> m_lanes;
     std::map<limits::AttemptId, WorkPtr> m_work;
--- a/src/include/papayastep/wire/hop.h
+++ b/src/include/papayastep/wire/hop.h
@@ -89,6 +89,7 @@
     std::uint32_t serverMicros = 0;
     std::string report; ///< State of the server and its siblings (package health), encoded there.
     std::uint8_t grayPercent = 0; ///< How likely the server is in a spell of gray failure.
+    bool callFailed = false; ///< The server answered with a failure because a call of its own failed.
 
     base::RequestId requestId() const
     {
@@ -108,7 +109,8 @@
                    queueMicros,
                    serverMicros,
                    report,
-                   grayPercent)
+                   grayPercent,
+                   callFailed)
 };
 
 /// Kind CancelAttempt, entry to serving node: don't start the attempt, and say whether it has started.
--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -273,7 +273,8 @@
     }
     switch (m_answer.outcome()) {
     case wire::HopOutcome::Answered:
-        endHop(hopOutcomeOfStatus(m_answer.head.result_int()));
+        endHop(m_answer.reply.callFailed ? health::HopOutcome::Refused
+                                         : hopOutcomeOfStatus(m_answer.head.result_int()));
         break;
     case wire::HopOutcome::NotRun:
         endHop(health::HopOutcome::Refused);
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -133,6 +133,7 @@
     Step refused;
     try {
         m_caller = m_context.callers().read(m_exchange.head());
+        m_isCall = mayBeCall();
         refused = identify();
     } catch (const base::Error &error) {
         refused = notRun(error.code());
@@ -146,6 +147,20 @@
     co_return refused;
 }
 
+/// A backend server of this VM sends its calls here, like any caller, and without a key.
+bool EntryRequest::mayBeCall() const
+{
+    return m_caller.key.empty() && m_caller.patience
+        && m_handler.m_serving.runCalls().mayBeCall(m_arrived + *m_caller.patience);
+}
+
+void EntryRequest::noteFailedCall()
+{
+    if (m_isCall) {
+        m_handler.m_serving.runCalls().callFailed(m_arrived + *m_caller.patience);
+    }
+}
+
 EntryRequest::Step EntryRequest::identify()
 {
     if (!m_inForce.configuration) {
@@ -516,6 +531,9 @@
     head.result(answer.head.result_int());
     net::copyEndToEnd(answer.head, head);
     m_context.callers().annotate(head, shownId(), answer.reply.server);
+    if (net::http::to_status_class(head.result_int()) != net::http::status_class::successful) {
+        noteFailedCall();
+    }
     logAnswer(answer.head.result_int(), answer.reply.server);
     if (answer.rest) {
         co_await passLargeAnswer(answer, std::move(head));
@@ -542,6 +560,7 @@
     const bool notRun = refusal.outcome == routing::Outcome::NotRun;
     m_machine.handle(notRun ? RequestEvent::Refuse : RequestEvent::LoseTrack);
     m_watch.abandon();
+    noteFailedCall();
     if (notRun && m_token) {
         m_context.tokens.giveBack(*m_token);
     }
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -40,6 +40,8 @@
     using Step = std::optional<routing::Refusal>;
 
     net::Awaitable<Step> prepare();
+    bool mayBeCall() const;
+    void noteFailedCall();
     Step identify();
     Step identifyWorkspace();
     void takeRoute(const routing::RouteMatch &match);
@@ -92,6 +94,7 @@
     std::string m_fingerprint;
     base::WorkspaceId m_workspace; ///< Empty on a public route.
     const config::Route *m_route = nullptr;
+    bool m_isCall = false; ///< May be a call of a backend server of this VM.
     int m_priority = 0;
     std::string m_body;
 
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -41,7 +41,7 @@
     return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(duration).count());
 }
 
-health::AttemptOutcome outcomeOf(AnswerVerdict verdict, net::http::status status)
+health::AttemptOutcome outcomeOfAnswer(AnswerVerdict verdict, net::http::status status)
 {
     if (verdict == AnswerVerdict::OtherServer) {
         return health::AttemptOutcome::CancelledByUs;
@@ -168,6 +168,7 @@
 ServingNode::ServingNode(NodeContext &context)
     : m_context(context)
     , m_pauses(context.clock)
+    , m_runCalls(context.clock)
     , m_registry(context.clock)
 {
 }
@@ -305,6 +306,11 @@
     }
 }
 
+health::RunCalls &ServingNode::runCalls()
+{
+    return m_runCalls;
+}
+
 void ServingNode::applyConfiguration()
 {
     const auto &configuration = *m_context.inForce.configuration;
@@ -570,6 +576,7 @@
     work->exchange = std::make_shared<net::HttpExchange>(m_context.io, m_context.backendPool, endpoint);
     m_context.metrics.observeQueueWait(server.service, work->started - work->arrived);
     m_context.health.attemptStarted(work->hop.server, work->healthKey(), work->hop.route);
+    m_runCalls.started(work->healthKey(), work->deadline);
     Lane &lane = *laneOf(work->hop.server);
     if (lane.filter.isOnTrial(work->started)) {
         lane.trial = work->id();
@@ -616,6 +623,7 @@
 void ServingNode::finishWork(Work &work, health::AttemptOutcome outcome)
 {
     work.running = false;
+    m_runCalls.ended(work.healthKey());
     m_context.health.attemptFinished(work.hop.server, work.healthKey(), outcome, m_context.clock.now() - work.started);
     m_registry.finish({work.hop.requestId(), static_cast<int>(work.hop.attempt)});
     if (Lane *lane = laneOf(work.hop.server)) {
@@ -700,10 +708,11 @@
                                         << base::field("runMs", milliseconds(now - work.started))
                                         << base::field("grayPercent", int{lane.grayPercent(now)});
         break;
+    case health::AttemptOutcome::CallFailed:
     case health::AttemptOutcome::ConnectionRefused:
     case health::AttemptOutcome::Shed:
     case health::AttemptOutcome::CancelledByUs:
-        break; // Load, or our own doing.
+        break; // Load, or not its own doing.
     }
 }
 
@@ -719,12 +728,14 @@
         }
         answer.head = exchange.head();
         answer.body = std::move(work->exchange->body());
+        const auto outcome = outcomeOf(*work, exchange.head().result());
         if (exchange.progress() == net::ExchangeProgress::Complete) {
-            finishWork(*work, outcomeOf(work->verdict, exchange.head().result()));
+            finishWork(*work, outcome);
         } else {
             answer.rest = std::make_unique<BackendBody>(*this, work);
         }
         answer.reply = replyOf(*work);
+        answer.reply.callFailed = outcome == health::AttemptOutcome::CallFailed;
         return answer;
     }
 
@@ -752,11 +763,23 @@
     return answer;
 }
 
+health::AttemptOutcome ServingNode::outcomeOf(const Work &work, net::http::status status)
+{
+    const auto outcome = outcomeOfAnswer(work.verdict, status);
+    if (outcome != health::AttemptOutcome::Error || !m_runCalls.explainsFailure(work.healthKey())) {
+        return outcome;
+    }
+    PAPAYASTEP_LOG(INFO, logPrefix) << "A run failed because its call did."
+                                    << base::field("request", work.hop.shownId())
+                                    << base::field("server", work.hop.server);
+    return health::AttemptOutcome::CallFailed;
+}
+
 /// The backend server itself says that it did not run the attempt, which is proof.
 ServedAnswer ServingNode::refusedByServer(const WorkPtr &work)
 {
     const bool otherServer = work->verdict == AnswerVerdict::OtherServer;
-    finishWork(*work, outcomeOf(work->verdict, work->exchange->head().result()));
+    finishWork(*work, outcomeOfAnswer(work->verdict, work->exchange->head().result()));
     return refusalOf(*work, otherServer ? ResultCode::HopBackendServerReplaced : ResultCode::HopBackendServerShed, {});
 }
 
