Weigh held servers by what a request can expect there, and use all that have room

The node beside a held server did not even say whether it had room.

Change: SlotOffer says "held" beside the verdict of the queue. If no other server answers in time, the survey takes the cheapest held one with room, if routing::DoubtfulServerPolicy expects more from it than from a refusal: always for what may be repeated, for the rest while an answer is likelier than not. A booking is no longer handed to a server that most likely fails it.

Two tests replaced the way they state that a server is held (a flag beside the verdict, as on the wire now); what they check stays. New: all held and the least gray full; all surely gray, by kind.

--- a/src/include/papayastep/routing/slotsurvey.h
+++ b/src/include/papayastep/routing/slotsurvey.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayastep/base/resultcode.h"
+#include "papayastep/routing/doubtfulserver.h"
 #include "papayastep/routing/placement.h"
 
 #include <iosfwd>
@@ -17,6 +18,7 @@
     base::Duration run{0}; ///< How long runs take there.
     double failureRisk = 0; ///< How likely its server is in a gray spell.
     base::Duration idle{0}; ///< Since the last request was started there.
+    bool held = false; ///< The server is held back as gray, so that only a last resort is taken.
 
     auto operator<=>(const SlotQuote &) const = default;
 };
@@ -40,8 +42,6 @@
     /// it the fastest servers of a zone get all work at light load; three of eight well ones got nothing for two
     /// seconds, and what an entry believes of them grows old. Less than the way to another zone costs.
     double worthExploring = 0.04;
-    /// With all others full, a server is tried that is held back as gray but is more likely well than not.
-    double worthTrying = 0.6;
     /// Cost that another server of the wave must be able to save for its answer to be waited for. Half of a hop to
     /// another zone.
     double worthWaiting = 0.025;
@@ -76,7 +76,7 @@
     std::vector<std::size_t> ask;
     base::TimePoint until;
     std::size_t candidate = 0;
-    bool lastResort = false; ///< With Take: all that answered hold their servers back as gray.
+    bool lastResort = false; ///< With Take: the server is held back as gray, and all others are full.
     base::ResultCode code = base::ResultCode::Ok; ///< With Refuse: why the soonest of them would refuse.
     base::Duration retryAfter{0}; ///< With Refuse: when the soonest could take it.
 
@@ -92,7 +92,8 @@
 /// a request that can't be repeated is handed to it.
 ///
 /// If nobody has a free slot, the request goes to the server with the least expected cost of waiting, and if it could
-/// not be answered in time anywhere, it is refused at once.
+/// not be answered in time anywhere, it goes to a server that is held back as gray, if that is worth trying, or is
+/// refused at once.
 class SlotSurvey
 {
 public:
@@ -117,7 +118,7 @@
     std::optional<std::size_t> alikeTo(std::size_t best, std::mt19937_64 &random) const;
     void open(std::size_t index, base::TimePoint now, std::vector<std::size_t> &wave);
     std::vector<std::size_t> nextWave(base::TimePoint now, std::mt19937_64 &random);
-    std::optional<std::size_t> best(base::Duration longestWait) const;
+    std::optional<std::size_t> best(base::Duration longestWait, bool held = false) const;
     std::optional<std::size_t> atOnce() const;
     double costOf(std::size_t index) const;
     SurveyStep take(std::size_t index, bool lastResort = false) const;
@@ -127,6 +128,7 @@
     std::vector<Candidate> m_candidates;
     PlacementRequest m_request;
     SlotSurveySettings m_settings;
+    DoubtfulServerPolicy m_doubtful;
     std::vector<std::optional<SlotQuote>> m_quotes;
     std::map<std::size_t, base::TimePoint> m_open; ///< Asked, no answer yet, and since when.
     std::size_t m_asked = 0;
--- a/src/include/papayastep/wire/slotask.h
+++ b/src/include/papayastep/wire/slotask.h
@@ -33,9 +33,10 @@
     std::uint32_t runMicros = 0; ///< How long runs take there.
     std::uint8_t grayPercent = 0; ///< As in HopReply.
     std::uint32_t idleMs = 0; ///< Since the last request was started there.
+    bool held = false; ///< The server is held back as gray: only a last resort is taken.
 
     auto operator<=>(const SlotOffer &) const = default;
-    MSGPACK_DEFINE(requestHigh, requestLow, server, code, waitMicros, runMicros, grayPercent, idleMs)
+    MSGPACK_DEFINE(requestHigh, requestLow, server, code, waitMicros, runMicros, grayPercent, idleMs, held)
 };
 
 }
--- a/src/node/serverchoice.cpp
+++ b/src/node/serverchoice.cpp
@@ -24,6 +24,7 @@
     quote.run = std::chrono::microseconds(offer.runMicros);
     quote.failureRisk = std::min<int>(offer.grayPercent, 100) / 100.0;
     quote.idle = std::chrono::milliseconds(offer.idleMs);
+    quote.held = offer.held;
     return quote;
 }
 
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -248,7 +248,8 @@
         wanted.wanted = now + base::Duration(ask.wantedIn);
     }
     const limits::Verdict verdict = lane->queue.quote(wanted);
-    offer.code = number(refused.value_or(verdict.code));
+    offer.code = number(verdict.code);
+    offer.held = refused.has_value();
     offer.waitMicros = static_cast<std::uint32_t>(microseconds(verdict.retryAfter));
     offer.runMicros = static_cast<std::uint32_t>(microseconds(expectedRun(*lane)));
     offer.grayPercent = lane->grayPercent(now);
--- a/src/routing/slotsurvey.cpp
+++ b/src/routing/slotsurvey.cpp
@@ -138,7 +138,7 @@
         if (!quote) {
             continue;
         }
-        if (quote->code == ResultCode::HopBackendServerEjected) {
+        if (quote->held) {
             ++tally.held;
             continue;
         }
@@ -198,14 +198,18 @@
     return alike[std::uniform_int_distribution<std::size_t>(0, alike.size() - 1)(random)];
 }
 
-/// The cheapest of the servers that would take the request after at most `longestWait`.
-std::optional<std::size_t> SlotSurvey::best(base::Duration longestWait) const
+/// The cheapest of the servers that would take the request after at most `longestWait`. `held`: only of those that are
+/// held back and worth trying.
+std::optional<std::size_t> SlotSurvey::best(base::Duration longestWait, bool held) const
 {
     std::optional<std::size_t> found;
     double leastCost = std::numeric_limits<double>::max();
     for (std::size_t index = 0; index < m_quotes.size(); ++index) {
         const auto &quote = m_quotes[index];
-        if (!quote || quote->code != ResultCode::Ok || quote->wait > longestWait) {
+        if (!quote || quote->held != held || quote->code != ResultCode::Ok || quote->wait > longestWait) {
+            continue;
+        }
+        if (held && !m_doubtful.isWorthTrying(quote->failureRisk, m_request.idempotent)) {
             continue;
         }
         const double cost = costOf(index);
@@ -249,30 +253,25 @@
 /// full one would only make the request late.
 SurveyStep SlotSurvey::giveUp() const
 {
-    std::optional<std::size_t> leastGray;
+    if (const auto held = best(base::Duration::max(), true)) {
+        return take(*held, true);
+    }
     SurveyStep refusal;
     refusal.kind = SurveyStep::Kind::Refuse;
     refusal.code = m_asked > 0 ? ResultCode::HopUnacknowledged : ResultCode::NoBackendServer;
     base::Duration soonest = base::Duration::max();
-    for (std::size_t index = 0; index < m_quotes.size(); ++index) {
-        const auto &quote = m_quotes[index];
+    for (const auto &quote : m_quotes) {
         if (!quote) {
             continue;
         }
-        const bool isGray = quote->code == ResultCode::HopBackendServerEjected;
-        if (isGray && (!leastGray || quote->failureRisk < m_quotes[*leastGray]->failureRisk)) {
-            leastGray = index;
-        }
-        if (isFull(*quote) && quote->wait < soonest) {
+        if (quote->held && soonest == base::Duration::max()) {
+            refusal.code = ResultCode::HopBackendServerEjected;
+        } else if (!quote->held && isFull(*quote) && quote->wait < soonest) {
             soonest = quote->wait;
             refusal.code = quote->code;
             refusal.retryAfter = quote->wait;
         }
     }
-    const bool onlyGray = soonest == base::Duration::max();
-    if (leastGray && (onlyGray || m_quotes[*leastGray]->failureRisk <= m_settings.worthTrying)) {
-        return take(*leastGray, true);
-    }
     return refusal;
 }
 
--- a/src/routing/slotsurvey_test.cpp
+++ b/src/routing/slotsurvey_test.cpp
@@ -49,6 +49,14 @@
     {
         survey.note(candidates[index].server, {code, wait, 300ms, risk});
     }
+    void hold(SlotSurvey &survey,
+              std::size_t index,
+              double risk,
+              base::Duration wait = 0ms,
+              base::ResultCode code = base::ResultCode::Ok)
+    {
+        survey.note(candidates[index].server, {code, wait, 300ms, risk, 0ms, true});
+    }
 
     base::ManualClock clock;
     std::mt19937_64 random{7};
@@ -154,14 +162,43 @@
 {
     SlotSurvey asked = survey(2);
     next(asked);
-    refuse(asked, 0, base::ResultCode::HopBackendServerEjected, 0ms, 0.9);
-    refuse(asked, 1, base::ResultCode::HopBackendServerEjected, 0ms, 0.6);
+    hold(asked, 0, 0.9);
+    hold(asked, 1, 0.6);
     const SurveyStep step = next(asked);
     BOOST_TEST((step.kind == Kind::Take));
     BOOST_TEST(step.candidate == 1U);
     BOOST_TEST(step.lastResort);
 }
 
+// Guards against all entries sending all work to the least gray server, where it finds no room, while others that are
+// held back stand idle.
+BOOST_AUTO_TEST_CASE(survey_allGrayAndTheLeastGrayFull_takesOneWithRoom)
+{
+    request.idempotent = true;
+    SlotSurvey asked = survey(2);
+    next(asked);
+    hold(asked, 0, 0.9);
+    hold(asked, 1, 0.6, 900ms, base::ResultCode::HopQueueTimeout);
+    const SurveyStep step = next(asked);
+    BOOST_TEST((step.kind == Kind::Take));
+    BOOST_TEST(step.candidate == 0U);
+    BOOST_TEST(step.lastResort);
+}
+
+// Guards against handing a booking to a server that will most likely fail it: nobody could say whether it ran.
+BOOST_AUTO_TEST_CASE(survey_allSurelyGray_takesOnlyWhatMayBeRepeated)
+{
+    for (const bool idempotent : {true, false}) {
+        request.idempotent = idempotent;
+        SlotSurvey asked = survey(2);
+        next(asked);
+        hold(asked, 0, 0.95);
+        hold(asked, 1, 0.9);
+        const SurveyStep step = next(asked);
+        BOOST_TEST((step.kind == (idempotent ? Kind::Take : Kind::Refuse)));
+    }
+}
+
 // One server of the zone is a little slower than the others. Always asked after them, it would get nothing at light
 // load, and nobody would know how it is when it is needed.
 BOOST_AUTO_TEST_CASE(survey_slowerServerOfTheZone_isAskedNowAndThen)
@@ -187,7 +224,7 @@
     SlotSurvey asked = survey(2);
     next(asked);
     refuse(asked, 0, base::ResultCode::HopQueueTimeout, 800ms);
-    refuse(asked, 1, base::ResultCode::HopBackendServerEjected, 0ms, 0.45);
+    hold(asked, 1, 0.45);
     const SurveyStep step = next(asked);
     BOOST_TEST((step.kind == Kind::Take));
     BOOST_TEST(step.candidate == 1U);
@@ -204,7 +241,7 @@
     refuse(asked, first[1], base::ResultCode::HopQueueTimeout, 700ms);
     const std::vector<std::size_t> second = next(asked).ask;
     BOOST_REQUIRE_EQUAL(second.size(), 2U);
-    refuse(asked, second[0], base::ResultCode::HopBackendServerEjected, 0ms, 0.9);
+    hold(asked, second[0], 0.9);
     clock.advance(28ms);
     BOOST_TEST((next(asked).kind == Kind::Refuse));
     BOOST_TEST((asked.tally() == SurveyTally{4, 0, 2, 1, 1, 700ms}));
