--- a/src/include/papayastep/routing/slotsurvey.h
+++ b/src/include/papayastep/routing/slotsurvey.h
@@ -86,10 +86,9 @@
 /// Finds the server for one request by asking the nodes beside some of them, in waves, what they would do with it.
 ///
 /// An entry knows a server's queue only from its own last answer there, which in a fleet of many entries is seconds
-/// old. Placed by that, a request in an overload wandered from one full server to the next: 4.1 attempts a request, 48
-/// MB between zones in 47 s and half of its time gone before it was refused (heaviest measured load of Caribrite's
-/// counter, 22 nodes). The node beside a server knows its slots exactly. It also shows that the way there works before
-/// a request that can't be repeated is handed to it.
+/// old. Placed by that, a request in an overload wanders from one full server to the next until much of its time is
+/// gone. The node beside a server knows its slots exactly. It also shows that the way there works before a request that
+/// can't be repeated is handed to it.
 ///
 /// If nobody has a free slot, the request goes to the server with the least expected cost of waiting, and if it could
 /// not be answered in time anywhere, it goes to a server that is held back as gray, if that is worth trying, or is
