Judge run times by route

Cause: one mean run time stood for all that a server runs. Where calls of 130 ms and requests of 1.3 s share slots, the mean made a call look too long for its deadline, so it was refused, and an ordinary long request look as if it hung, which counted as a failure of its server.

Change: limits::RunTimes keeps a mean for each route beside the mean of all; the queue, its quotes and the watch for overdue runs go by the route. The wait in the queue is still judged by the mean of all. How a server compares with its siblings still grows old while it runs nothing. SlotAsk carries the route.

--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -3,6 +3,7 @@
 #include "papayastep/base/clock.h"
 #include "papayastep/base/identifiers.h"
 #include "papayastep/base/resultcode.h"
+#include "papayastep/limits/runtimes.h"
 
 #include <cstddef>
 #include <deque>
@@ -55,6 +56,7 @@
     base::TimePoint deadline;
     int priority = 0; ///< 0 is the most urgent.
     std::optional<base::TimePoint> wanted; ///< An answer after it is worth less to the caller.
+    base::RouteId route{}; ///< By which its run time is judged.
 };
 
 /// The answer to an offer. An accepted attempt gets a decision from poll(), perhaps at once.
@@ -120,10 +122,8 @@
     /// How long an attempt offered now would wait for its slot, judged by recent run times.
     base::Duration expectedWait(const base::WorkspaceId &workspace, int priority = 0) const;
 
-    /// The mean of recent runs, or a guess before the first.
-    base::Duration meanRun() const;
-    /// How many runs have told how long they take.
-    std::size_t runs() const;
+    /// How long recent runs took.
+    const RunTimes &runTimes() const;
     /// When the last run ended, if none is at work.
     std::optional<base::TimePoint> idleSince() const;
 
@@ -132,6 +132,12 @@
     {
         AttemptId attempt;
         base::TimePoint latestStart;
+        base::RouteId route;
+    };
+    struct Running
+    {
+        base::TimePoint since;
+        base::RouteId route;
     };
     struct Lane
     {
@@ -173,10 +179,9 @@
     double m_pass = 0; ///< Of the tier that went last; a tier that comes begins there.
     std::map<AttemptId, Place> m_queued;
     std::set<std::pair<base::TimePoint, AttemptId>> m_deadlines; ///< Latest starts.
-    std::map<AttemptId, base::TimePoint> m_running; ///< Attempt -> when it started.
+    std::map<AttemptId, Running> m_running;
     std::vector<QueueDecision> m_evicted; ///< Pushed out by an offer, to be told by the next poll().
-    base::Duration m_meanRun;
-    std::size_t m_runs = 0; ///< That m_meanRun is made of.
+    RunTimes m_runTimes;
     std::optional<base::TimePoint> m_lastEnd;
 };
 
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -85,7 +85,7 @@
                                                 bool lastResort = false);
     base::TimePoint overdueAt(const Work &work);
     bool mayBecomeOverdue(const Work &work);
-    base::Duration expectedRun(const Lane &lane) const;
+    base::Duration expectedRun(const Lane &lane, const base::RouteId &route) const;
     void watchOverdue();
     limits::QueueOffer offerOf(const Work &work) const;
     bool isHeldBack(const Lane &lane, bool idempotent) const;
--- a/src/include/papayastep/wire/slotask.h
+++ b/src/include/papayastep/wire/slotask.h
@@ -17,9 +17,10 @@
     bool idempotent = false;
     std::int64_t remaining = 0; ///< As in HopRequest.
     std::int64_t wantedIn = 0; ///< As in HopRequest.
+    base::RouteId route;
 
     auto operator<=>(const SlotAsk &) const = default;
-    MSGPACK_DEFINE(requestHigh, requestLow, server, workspace, priority, idempotent, remaining, wantedIn)
+    MSGPACK_DEFINE(requestHigh, requestLow, server, workspace, priority, idempotent, remaining, wantedIn, route)
 };
 
 /// Kind SlotOffer, the answer to a SlotAsk. It promises nothing: the slot may be taken when the request comes.
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::size_t runMemory = 8; ///< The mean run time follows about this many attempts.
 constexpr base::Duration shortestRetryAfter = std::chrono::milliseconds(1);
 constexpr int leastUrgent = 8; ///< Less urgent tiers share its weight, which is next to nothing already.
 
@@ -23,13 +22,13 @@
     : m_clock(clock)
     , m_settings(settings)
     , m_slots(std::max(0, slots))
-    , m_meanRun(settings.expectedRun)
+    , m_runTimes(settings.expectedRun)
 {
 }
 
 Verdict SlotQueue::offer(const AttemptId &attempt, const base::WorkspaceId &workspace, base::TimePoint deadline)
 {
-    return offer(QueueOffer{attempt, workspace, deadline, 0, std::nullopt});
+    return offer(QueueOffer{attempt, workspace, deadline, 0, std::nullopt, {}});
 }
 
 Verdict SlotQueue::offer(const QueueOffer &offer)
@@ -90,11 +89,8 @@
         return;
     }
     m_lastEnd = m_clock.now();
-    const base::Duration run = *m_lastEnd - found->second;
     if (usual) {
-        // The first runs weigh alike: a guess that is far too short would else stay in the mean for a dozen of them.
-        ++m_runs;
-        m_meanRun += (run - m_meanRun) / static_cast<std::int64_t>(std::min(m_runs, runMemory));
+        m_runTimes.note(found->second.route, *m_lastEnd - found->second.since);
     }
     m_running.erase(found);
 }
@@ -127,14 +123,9 @@
     return m_queued.size();
 }
 
-base::Duration SlotQueue::meanRun() const
+const RunTimes &SlotQueue::runTimes() const
 {
-    return m_meanRun;
-}
-
-std::size_t SlotQueue::runs() const
-{
-    return m_runs;
+    return m_runTimes;
 }
 
 std::optional<base::TimePoint> SlotQueue::idleSince() const
@@ -195,7 +186,7 @@
 /// After it a usual run would not end before the deadline.
 base::TimePoint SlotQueue::latestStart(const QueueOffer &offer) const
 {
-    return offer.deadline - part(m_meanRun, m_settings.roomForRun);
+    return offer.deadline - part(m_runTimes.mean(offer.route), m_settings.roomForRun);
 }
 
 /// Whether an answer can be expected soon enough for the caller.
@@ -210,16 +201,16 @@
     if (start >= latestStart(offer)) {
         return false;
     }
-    const bool canBeWanted = offer.wanted && *offer.wanted > now + m_meanRun;
-    const base::Duration slack
-        = (canBeWanted ? std::min(*offer.wanted, offer.deadline) : offer.deadline) - now - m_meanRun;
+    const base::Duration run = m_runTimes.mean(offer.route);
+    const bool canBeWanted = offer.wanted && *offer.wanted > now + run;
+    const base::Duration slack = (canBeWanted ? std::min(*offer.wanted, offer.deadline) : offer.deadline) - now - run;
     if (m_settings.slackForWaiting < 1 && wait > part(slack, m_settings.slackForWaiting)) {
         return false;
     }
     if (!offer.wanted || *offer.wanted >= offer.deadline) {
         return true;
     }
-    return start + m_meanRun <= *offer.wanted + part(offer.deadline - *offer.wanted, m_settings.lateness);
+    return start + run <= *offer.wanted + part(offer.deadline - *offer.wanted, m_settings.lateness);
 }
 
 /// Whether one more attempt fits. In a full queue the longest workspace queue of the least urgent tier gives up its
@@ -262,7 +253,7 @@
         lane = std::prev(tier.lanes.end());
     }
     const base::TimePoint latest = latestStart(offer);
-    lane->attempts.push_back(Queued{offer.attempt, latest});
+    lane->attempts.push_back(Queued{offer.attempt, latest, offer.route});
     ++tier.size;
     m_queued.emplace(offer.attempt, Place{offer.priority, offer.workspace});
     m_deadlines.emplace(latest, offer.attempt);
@@ -286,12 +277,12 @@
         Tier &tier = place->second;
         m_pass = tier.pass;
         tier.pass += 1 / weight(place->first);
-        const AttemptId attempt = tier.lanes.front().attempts.front().attempt;
+        const Queued next = tier.lanes.front().attempts.front();
         // The workspace has had its turn and goes to the back, before it may vanish as empty.
         tier.lanes.splice(tier.lanes.end(), tier.lanes, tier.lanes.begin());
-        removeQueued(attempt);
-        m_running.emplace(attempt, m_clock.now());
-        decisions.push_back(QueueDecision{attempt, true, base::ResultCode::Ok, {}});
+        removeQueued(next.attempt);
+        m_running.emplace(next.attempt, Running{m_clock.now(), next.route});
+        decisions.push_back(QueueDecision{next.attempt, true, base::ResultCode::Ok, {}});
     }
 }
 
@@ -336,7 +327,7 @@
     }
     // With no slot at all nothing can be told; one is the least that lets the sum be finite.
     const auto turns = static_cast<std::int64_t>(busy - slots + 1);
-    return m_meanRun * turns / static_cast<std::int64_t>(std::max<std::size_t>(1, slots));
+    return m_runTimes.mean() * turns / static_cast<std::int64_t>(std::max<std::size_t>(1, slots));
 }
 
 }
--- a/src/limits/slotqueue_test.cpp
+++ b/src/limits/slotqueue_test.cpp
@@ -150,32 +150,62 @@
     BOOST_TEST(!offerAt(4));
 }
 
-// A server in a gray spell fails at once. By its run times it would look fast, and the queue before it short.
 // The guess of run times is far too short for this service. While it stays in the mean, ordinary runs look as if they
 // hung, and those who wait are promised an answer that can't come in time.
 BOOST_FIXTURE_TEST_CASE(runTimes_ofTheFirstRuns_replaceTheGuess, TwoSlots)
 {
-    BOOST_TEST(queue.runs() == 0U);
+    BOOST_TEST(queue.runTimes().runs() == 0U);
     offer(1, quietWorkspace);
     offer(2, quietWorkspace);
     startNow();
     BOOST_TEST(!queue.idleSince().has_value());
     clock.advance(300ms);
     queue.finished(attempt(1));
-    BOOST_TEST((queue.meanRun() == 300ms));
+    BOOST_TEST((queue.runTimes().mean() == 300ms));
     clock.advance(200ms);
     queue.finished(attempt(2));
-    BOOST_TEST((queue.meanRun() == 400ms));
-    BOOST_TEST(queue.runs() == 2U);
+    BOOST_TEST((queue.runTimes().mean() == 400ms));
+    BOOST_TEST(queue.runTimes().runs() == 2U);
     BOOST_TEST((queue.idleSince() == clock.now()));
 }
 
+// A server in a gray spell fails at once. By its run times it would look fast, and the queue before it short.
 BOOST_FIXTURE_TEST_CASE(runTimes_ofFailedRuns_doNotCount, TwoSlots)
 {
     offer(1, quietWorkspace);
     startNow();
     queue.finished(attempt(1), false);
-    BOOST_TEST((queue.meanRun() == 50ms));
+    BOOST_TEST((queue.runTimes().mean() == 50ms));
+}
+
+// A server serves requests of 1.3 s and calls of 130 ms. Guards against refusing a call that would be answered well
+// before its deadline, because runs take longer than that on average.
+BOOST_FIXTURE_TEST_CASE(shortCall_betweenLongRuns_isJudgedByItsOwnRoute, TwoSlots)
+{
+    const base::RouteId history("history");
+    const base::RouteId yard("yard");
+    SlotQueueSettings settings;
+    settings.roomForRun = 0.7;
+    settings.lateness = 0.3;
+    SlotQueue mixed(clock, 5, settings);
+    std::uint64_t number = 0;
+    const auto offerRun = [&](const base::RouteId &route, base::Duration wanted, base::Duration deadline) {
+        const auto now = clock.now();
+        return mixed.offer({attempt(++number), quietWorkspace, now + deadline, 1, now + wanted, route}).accepted;
+    };
+    for (int i = 0; i < 20; ++i) {
+        const bool isCall = i % 2 == 0;
+        offerRun(isCall ? yard : history, 10s, 20s);
+        mixed.poll();
+        clock.advance(isCall ? 130ms : 1300ms);
+        mixed.finished(attempt(number));
+    }
+    for (int i = 0; i < 5; ++i) {
+        offerRun(history, 3s, 6s);
+    }
+    mixed.poll();
+    BOOST_TEST(offerRun(yard, 500ms, 1400ms));
+    BOOST_TEST(!offerRun(history, 500ms, 1400ms));
 }
 
 BOOST_FIXTURE_TEST_CASE(cancel_inEachState_tellsTheTruth, TwoSlots)
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -390,6 +390,7 @@
     ServerNeed need;
     need.service = m_progress.service;
     need.workspace = m_workspace;
+    need.route = m_route->id;
     need.priority = m_priority;
     need.idempotent = m_progress.idempotent;
     need.deadline = m_progress.deadline;
--- a/src/node/serverchoice.cpp
+++ b/src/node/serverchoice.cpp
@@ -151,6 +151,7 @@
     question.requestLow = m_request.low;
     question.server = candidate.server;
     question.workspace = need.workspace;
+    question.route = need.route;
     question.priority = static_cast<std::uint8_t>(need.priority);
     question.idempotent = need.idempotent;
     question.remaining = (need.deadline - now).count();
--- a/src/node/serverchoice.h
+++ b/src/node/serverchoice.h
@@ -14,6 +14,7 @@
 {
     base::ServiceId service;
     base::WorkspaceId workspace;
+    base::RouteId route;
     int priority = 0; ///< 0 is the most urgent.
     bool idempotent = false;
     base::TimePoint deadline;
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -4,6 +4,8 @@
 #include "papayastep/health/runestimate.h"
 #include "papayastep/node/candidates.h"
 
+#include <algorithm>
+
 namespace papayastep::node {
 
 namespace {
@@ -31,6 +33,9 @@
 /// Above it an attempt that hangs is worth running once more elsewhere: of ten repeats, one is for nothing.
 constexpr double suspectAbove = 0.9;
 
+/// Bounds the ratio of two run times where runs take next to nothing.
+constexpr base::Duration shortestMean = std::chrono::microseconds(1);
+
 std::int64_t microseconds(base::Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
@@ -242,6 +247,7 @@
     const auto now = m_context.clock.now();
     limits::QueueOffer wanted;
     wanted.workspace = ask.workspace;
+    wanted.route = ask.route;
     wanted.priority = ask.priority;
     wanted.deadline = now + base::Duration(ask.remaining);
     if (ask.wantedIn > 0) {
@@ -251,7 +257,7 @@
     offer.code = number(verdict.code);
     offer.held = refused.has_value();
     offer.waitMicros = static_cast<std::uint32_t>(microseconds(verdict.retryAfter));
-    offer.runMicros = static_cast<std::uint32_t>(microseconds(expectedRun(*lane)));
+    offer.runMicros = static_cast<std::uint32_t>(microseconds(expectedRun(*lane, ask.route)));
     offer.grayPercent = lane->grayPercent(now);
     offer.idleMs = milliseconds(now - lane->lastStart);
     return offer;
@@ -366,19 +372,24 @@
 {
     const Lane &lane = *laneOf(work.hop.server);
     const base::Duration usual = m_context.health.usualLatency(lane.server.service);
-    return work.started + health::overdueAfter(lane.queue.meanRun(), lane.queue.runs(), usual);
+    const limits::RunTimes &runs = lane.queue.runTimes();
+    return work.started + health::overdueAfter(runs.mean(work.hop.route), runs.runs(work.hop.route), usual);
 }
 
-/// How long the next run will take. Judged by the siblings where this server has not run anything lately.
-base::Duration ServingNode::expectedRun(const Lane &lane) const
+/// How long the next run of the route will take. How the server compares with its siblings grows old while it runs
+/// nothing.
+base::Duration ServingNode::expectedRun(const Lane &lane, const base::RouteId &route) const
 {
+    const limits::RunTimes &runs = lane.queue.runTimes();
     const base::Duration usual = m_context.health.usualLatency(lane.server.service);
-    if (lane.queue.runs() == 0) {
-        return usual > base::Duration::zero() ? usual : lane.queue.meanRun();
+    if (runs.runs() == 0) {
+        return usual > base::Duration::zero() ? usual : runs.mean();
     }
     const auto idleSince = lane.queue.idleSince();
     const base::Duration age = idleSince ? m_context.clock.now() - *idleSince : base::Duration::zero();
-    return health::driftedLatency(lane.queue.meanRun(), usual, age);
+    const std::chrono::duration<double> drifted = health::driftedLatency(runs.mean(), usual, age);
+    const double slowness = drifted / std::max(runs.mean(), shortestMean);
+    return std::chrono::duration_cast<base::Duration>(runs.mean(route) * slowness);
 }
 
 /// A server that hangs answers nobody, so no failure is seen until the deadlines pass. The age of what runs shows it
@@ -394,11 +405,11 @@
         Lane *lane = laneOf(work->hop.server);
         work->overdue = true;
         noteFailure(*lane, work->hop.server, true);
-        const bool mayMoveOn = work->hop.idempotent && work->deadline - now > lane->queue.meanRun();
+        const bool mayMoveOn = work->hop.idempotent && work->deadline - now > lane->queue.runTimes().mean(work->hop.route);
         PAPAYASTEP_LOG(INFO, logPrefix) << "An attempt is overdue." << base::field("request", work->hop.shownId())
                                         << base::field("server", work->hop.server)
                                         << base::field("runMs", milliseconds(now - work->started))
-                                        << base::field("usualMs", milliseconds(lane->queue.meanRun()))
+                                        << base::field("usualMs", milliseconds(lane->queue.runTimes().mean(work->hop.route)))
                                         << base::field("grayPercent", int{lane->grayPercent(now)});
         if (mayMoveOn && lane->filter.grayProbability(now) > suspectAbove) {
             work->suspect();
@@ -553,6 +564,7 @@
     limits::QueueOffer offer;
     offer.attempt = work.id();
     offer.workspace = work.hop.workspace;
+    offer.route = work.hop.route;
     offer.deadline = work.deadline;
     offer.priority = work.hop.priority;
     if (work.hop.wantedIn > 0) {
@@ -589,7 +601,7 @@
                                     << base::field("running", lane.queue.running())
                                     << base::field("queued", lane.queue.queued())
                                     << base::field("grayPercent", int{lane.grayPercent(work->started)})
-                                    << base::field("usualMs", milliseconds(lane.queue.meanRun()))
+                                    << base::field("usualMs", milliseconds(lane.queue.runTimes().mean(work->hop.route)))
                                     << base::field("offers", lane.offers)
                                     << base::field("sinceLastMs", milliseconds(work->started - lane.lastStart));
     lane.lastStart = work->started;
