Let calls of runs go first and wait until their deadline

Cause: a call was queued like any new request: in the tier of its route, refused when its answer would come after the target or when the wait took more than a quarter of its slack. Refused, it takes with it what its run has done, and the run's slot stays taken until then.

Change: a request that health::RunCalls takes for a call of a run at work (keyless, ends no later than the run) is marked in SlotAsk and HopRequest; the queue puts such attempts into a tier before all priorities and accepts them while they can end before their deadline.

Answers this load: a service that others call is full of new requests.

--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -57,6 +57,9 @@
     int priority = 0; ///< 0 is the most urgent.
     std::optional<base::TimePoint> wanted; ///< An answer after it is worth less to the caller.
     base::RouteId route{}; ///< By which its run time is judged.
+    /// A call of a run that is at work elsewhere. It goes first and may wait until its deadline: refused, it takes with
+    /// it what the run has done, and the run holds a slot until the call has its answer.
+    bool isCall = false;
 };
 
 /// The answer to an offer. An accepted attempt gets a decision from poll(), perhaps at once.
@@ -84,7 +87,7 @@
 
 /// The queue in front of one backend server.
 ///
-/// Attempts wait in tiers by priority. While several tiers wait, each gets a fixed part of what the next more urgent
+/// Attempts wait in tiers by priority, calls of runs before all others. While several tiers wait, each gets a fixed part of what the next more urgent
 /// one gets. Within a tier slots go to workspaces in turn (deficit round robin with a quantum of one request), so a
 /// workspace that floods the queue delays itself, not the others. When the queue is full, the newest attempt of the
 /// longest workspace queue of the least urgent tier makes room. An attempt that can't be answered in time is refused or
@@ -120,7 +123,7 @@
     std::size_t queued() const;
 
     /// How long an attempt offered now would wait for its slot, judged by recent run times.
-    base::Duration expectedWait(const base::WorkspaceId &workspace, int priority = 0) const;
+    base::Duration expectedWait(const base::WorkspaceId &workspace, int tier = 0) const;
 
     /// How long recent runs took.
     const RunTimes &runTimes() const;
--- a/src/include/papayastep/wire/hop.h
+++ b/src/include/papayastep/wire/hop.h
@@ -32,6 +32,7 @@
     std::uint8_t priority = 0; ///< 0 is the most urgent.
     std::int64_t wantedIn = 0; ///< Nanoseconds after which an answer is worth less, as `remaining`; 0: not stated.
     bool lastResort = false; ///< All servers were found ejected, so this one is to try whatever it thinks of itself.
+    bool isCall = false; ///< Made by a backend server beside the entry in a run that is at work.
 
     base::RequestId requestId() const
     {
@@ -63,7 +64,8 @@
                    callerId,
                    priority,
                    wantedIn,
-                   lastResort)
+                   lastResort,
+                   isCall)
 };
 
 /// How an attempt ended, as the serving node knows it.
--- a/src/include/papayastep/wire/slotask.h
+++ b/src/include/papayastep/wire/slotask.h
@@ -18,9 +18,10 @@
     std::int64_t remaining = 0; ///< As in HopRequest.
     std::int64_t wantedIn = 0; ///< As in HopRequest.
     base::RouteId route;
+    bool isCall = false; ///< As in HopRequest.
 
     auto operator<=>(const SlotAsk &) const = default;
-    MSGPACK_DEFINE(requestHigh, requestLow, server, workspace, priority, idempotent, remaining, wantedIn, route)
+    MSGPACK_DEFINE(requestHigh, requestLow, server, workspace, priority, idempotent, remaining, wantedIn, route, isCall)
 };
 
 /// Kind SlotOffer, the answer to a SlotAsk. It promises nothing: the slot may be taken when the request comes.
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -10,6 +10,12 @@
 
 constexpr base::Duration shortestRetryAfter = std::chrono::milliseconds(1);
 constexpr int leastUrgent = 8; ///< Less urgent tiers share its weight, which is next to nothing already.
+constexpr int callTier = -1; ///< Before the most urgent priority.
+
+int tierOf(const QueueOffer &offer)
+{
+    return offer.isCall ? callTier : offer.priority;
+}
 
 base::Duration part(base::Duration duration, double share)
 {
@@ -28,20 +34,20 @@
 
 Verdict SlotQueue::offer(const AttemptId &attempt, const base::WorkspaceId &workspace, base::TimePoint deadline)
 {
-    return offer(QueueOffer{attempt, workspace, deadline, 0, std::nullopt, {}});
+    return offer(QueueOffer{attempt, workspace, deadline, 0, std::nullopt, {}, false});
 }
 
 Verdict SlotQueue::offer(const QueueOffer &offer)
 {
     if (m_queued.contains(offer.attempt) || m_running.contains(offer.attempt)) {
-        return refusal(base::ResultCode::HopReplayed, offer.workspace, offer.priority);
+        return refusal(base::ResultCode::HopReplayed, offer.workspace, tierOf(offer));
     }
     // An attempt that would wait past its deadline is refused now: later its caller could do nothing any more.
     if (!comesInTime(offer)) {
-        return refusal(base::ResultCode::HopQueueTimeout, offer.workspace, offer.priority);
+        return refusal(base::ResultCode::HopQueueTimeout, offer.workspace, tierOf(offer));
     }
-    if (!makeRoom(offer.workspace, offer.priority)) {
-        return refusal(base::ResultCode::HopQueueFull, offer.workspace, offer.priority);
+    if (!makeRoom(offer.workspace, tierOf(offer))) {
+        return refusal(base::ResultCode::HopQueueFull, offer.workspace, tierOf(offer));
     }
     enqueue(offer);
     return Verdict{true, base::ResultCode::Ok, {}};
@@ -49,12 +55,12 @@
 
 Verdict SlotQueue::quote(const QueueOffer &offer) const
 {
-    const base::Duration wait = expectedWait(offer.workspace, offer.priority);
+    const base::Duration wait = expectedWait(offer.workspace, tierOf(offer));
     if (!comesInTime(offer)) {
         return Verdict{false, base::ResultCode::HopQueueTimeout, std::max(shortestRetryAfter, wait)};
     }
     const bool full = m_queued.size() >= m_settings.maxQueued
-        || queuedOf(offer.workspace, offer.priority) >= m_settings.maxQueuedPerWorkspace;
+        || queuedOf(offer.workspace, tierOf(offer)) >= m_settings.maxQueuedPerWorkspace;
     if (full) {
         return Verdict{false, base::ResultCode::HopQueueFull, std::max(shortestRetryAfter, wait)};
     }
@@ -174,7 +180,7 @@
 
 double SlotQueue::weight(int priority) const
 {
-    return std::pow(m_settings.nextTierShare, std::clamp(priority, 0, leastUrgent));
+    return std::pow(m_settings.nextTierShare, std::clamp(priority, callTier, leastUrgent));
 }
 
 Verdict SlotQueue::refusal(base::ResultCode code, const base::WorkspaceId &workspace, int priority) const
@@ -193,7 +199,7 @@
 bool SlotQueue::comesInTime(const QueueOffer &offer) const
 {
     const base::TimePoint now = m_clock.now();
-    const base::Duration wait = expectedWait(offer.workspace, offer.priority);
+    const base::Duration wait = expectedWait(offer.workspace, tierOf(offer));
     if (wait == base::Duration::zero()) {
         return now < offer.deadline;
     }
@@ -201,6 +207,9 @@
     if (start >= latestStart(offer)) {
         return false;
     }
+    if (offer.isCall) {
+        return true;
+    }
     const base::Duration run = m_runTimes.mean(offer.route);
     const bool canBeWanted = offer.wanted && *offer.wanted > now + run;
     const base::Duration slack = (canBeWanted ? std::min(*offer.wanted, offer.deadline) : offer.deadline) - now - run;
@@ -242,7 +251,7 @@
 
 void SlotQueue::enqueue(const QueueOffer &offer)
 {
-    const auto [place, isNew] = m_tiers.try_emplace(offer.priority);
+    const auto [place, isNew] = m_tiers.try_emplace(tierOf(offer));
     Tier &tier = place->second;
     if (isNew) {
         tier.pass = m_pass;
@@ -255,7 +264,7 @@
     const base::TimePoint latest = latestStart(offer);
     lane->attempts.push_back(Queued{offer.attempt, latest, offer.route});
     ++tier.size;
-    m_queued.emplace(offer.attempt, Place{offer.priority, offer.workspace});
+    m_queued.emplace(offer.attempt, Place{tierOf(offer), offer.workspace});
     m_deadlines.emplace(latest, offer.attempt);
 }
 
--- a/src/limits/slotqueue_test.cpp
+++ b/src/limits/slotqueue_test.cpp
@@ -208,6 +208,34 @@
     BOOST_TEST(!offerRun(history, 500ms, 1400ms));
 }
 
+// A server is full and new requests wait for it. Guards against losing the work of a run whose call is refused, or
+// waits behind requests for which nothing has been done yet.
+BOOST_FIXTURE_TEST_CASE(call_atAFullServer_waitsUntilItsDeadlineAndGoesFirst, TwoSlots)
+{
+    SlotQueueSettings settings{100, 100, 400ms};
+    settings.roomForRun = 0.7;
+    settings.lateness = 0.3;
+    settings.slackForWaiting = 0.25;
+    SlotQueue crowded(clock, 1, settings);
+    const auto offerWith = [&](std::uint64_t number, base::Duration deadline, bool isCall) {
+        const auto now = clock.now();
+        return crowded
+            .offer({attempt(number), quietWorkspace, now + deadline, 0, now + deadline / 3, base::RouteId(), isCall})
+            .accepted;
+    };
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        BOOST_TEST(offerWith(number, 20s, false));
+        crowded.poll();
+    }
+    BOOST_TEST(!offerWith(10, 1400ms, false));
+    BOOST_TEST(offerWith(11, 1400ms, true));
+    BOOST_TEST(!offerWith(12, 300ms, true));
+    crowded.finished(attempt(1));
+    const auto decisions = crowded.poll();
+    BOOST_REQUIRE(decisions.size() == 1U);
+    BOOST_TEST((decisions[0].attempt == attempt(11)));
+}
+
 BOOST_FIXTURE_TEST_CASE(cancel_inEachState_tellsTheTruth, TwoSlots)
 {
     for (std::uint64_t number = 1; number <= 3; ++number) {
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -394,6 +394,7 @@
     need.priority = m_priority;
     need.idempotent = m_progress.idempotent;
     need.deadline = m_progress.deadline;
+    need.isCall = m_isCall;
     if (m_route->targetLatency > base::Duration::zero()) {
         need.wanted = m_arrived + m_route->targetLatency;
     }
@@ -426,6 +427,7 @@
         hop.wantedIn = std::max<std::int64_t>(1, (m_arrived + m_route->targetLatency - now).count());
     }
     hop.lastResort = chosen.lastResort;
+    hop.isCall = m_isCall;
     const config::VmEntry *vm = m_context.vms.find(server.vm);
     if (server.vm == m_context.settings.vm || vm == nullptr) {
         return std::make_shared<LocalAttempt>(m_context, std::move(hop), m_handler.m_serving);
--- a/src/node/serverchoice.cpp
+++ b/src/node/serverchoice.cpp
@@ -154,6 +154,7 @@
     question.route = need.route;
     question.priority = static_cast<std::uint8_t>(need.priority);
     question.idempotent = need.idempotent;
+    question.isCall = need.isCall;
     question.remaining = (need.deadline - now).count();
     if (need.wanted) {
         question.wantedIn = std::max<std::int64_t>(1, (*need.wanted - now).count());
--- a/src/node/serverchoice.h
+++ b/src/node/serverchoice.h
@@ -17,6 +17,7 @@
     base::RouteId route;
     int priority = 0; ///< 0 is the most urgent.
     bool idempotent = false;
+    bool isCall = false; ///< Of a run at a backend server of this VM.
     base::TimePoint deadline;
     std::optional<base::TimePoint> wanted; ///< An answer after it is worth less to the caller.
 };
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -248,6 +248,7 @@
     limits::QueueOffer wanted;
     wanted.workspace = ask.workspace;
     wanted.route = ask.route;
+    wanted.isCall = ask.isCall;
     wanted.priority = ask.priority;
     wanted.deadline = now + base::Duration(ask.remaining);
     if (ask.wantedIn > 0) {
@@ -565,6 +566,7 @@
     offer.attempt = work.id();
     offer.workspace = work.hop.workspace;
     offer.route = work.hop.route;
+    offer.isCall = work.hop.isCall;
     offer.deadline = work.deadline;
     offer.priority = work.hop.priority;
     if (work.hop.wantedIn > 0) {
