Take the decision to hold a server back out of the serving node

health::ServerHold joins the filter, the scout on its way and the state "held back", takes the ends of attempts and says what changed. The serving node logs it and tells the entries.

--- /dev/null
+++ b/src/health/serverhold.cpp
@@ -0,0 +1,91 @@
+#include "papayastep/health/serverhold.h"
+
+#include <utility>
+
+namespace papayastep::health {
+
+namespace {
+
+/// What the end of an attempt says about its server; nothing where the cause is load, or not with the server.
+std::optional<RunEnd> evidenceOf(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Success:
+        return RunEnd::Answered;
+    case AttemptOutcome::Error:
+        return RunEnd::Error;
+    case AttemptOutcome::Partial:
+    case AttemptOutcome::Timeout:
+        return RunEnd::Broken;
+    case AttemptOutcome::CallFailed:
+    case AttemptOutcome::ConnectionRefused:
+    case AttemptOutcome::Shed:
+    case AttemptOutcome::CancelledByUs:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+}
+
+ServerHold::ServerHold(base::TimePoint now)
+    : m_filter(now)
+{
+}
+
+bool ServerHold::admits(bool idempotent, base::TimePoint now) const
+{
+    return m_filter.admits(idempotent, m_scout.has_value(), now);
+}
+
+void ServerHold::started(const AttemptKey &attempt, base::TimePoint now)
+{
+    if (!m_scout && m_filter.wantsScout(now)) {
+        m_scout = attempt;
+    }
+}
+
+HoldChange ServerHold::ended(const AttemptKey &attempt, AttemptOutcome outcome, base::TimePoint now)
+{
+    if (m_scout == attempt) {
+        m_scout.reset();
+    }
+    const auto end = evidenceOf(outcome);
+    if (!end) {
+        return HoldChange::None;
+    }
+    const bool wasHeld = m_filter.isHeld(now);
+    m_filter.noteEnd(*end, now);
+    if (*end != RunEnd::Answered) {
+        return noteFailure(wasHeld, now);
+    }
+    return std::exchange(m_heldBack, false) ? HoldChange::Returned : HoldChange::None;
+}
+
+HoldChange ServerHold::noteOverdue(base::TimePoint now)
+{
+    const bool wasHeld = m_filter.isHeld(now);
+    m_filter.noteOverdue(now);
+    return noteFailure(wasHeld, now);
+}
+
+HoldChange ServerHold::noteFailure(bool wasHeld, base::TimePoint now)
+{
+    if (wasHeld || !m_filter.isHeld(now)) {
+        return HoldChange::None;
+    }
+    m_heldBack = true;
+    return HoldChange::Held;
+}
+
+double ServerHold::grayProbability(base::TimePoint now) const
+{
+    return m_filter.grayProbability(now);
+}
+
+bool ServerHold::isHeldBack() const
+{
+    return m_heldBack;
+}
+
+}
--- /dev/null
+++ b/src/health/serverhold_test.cpp
@@ -0,0 +1,84 @@
+#include "papayastep/health/serverhold.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace papayastep;
+using namespace papayastep::health;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A server that has answered a few requests.
+struct AnsweringServer
+{
+    AnsweringServer()
+    {
+        for (int i = 0; i < 5; ++i) {
+            run(AttemptOutcome::Success);
+        }
+    }
+    HoldChange run(AttemptOutcome outcome)
+    {
+        const AttemptKey attempt{base::RequestId{1, ++number}, 1};
+        hold.started(attempt, clock.now());
+        clock.advance(100ms);
+        return hold.ended(attempt, outcome, clock.now());
+    }
+
+    base::ManualClock clock;
+    ServerHold hold{clock.now()};
+    std::uint64_t number = 0;
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(serverHold, AnsweringServer)
+
+BOOST_AUTO_TEST_CASE(server_thatBreaksOffAndAnswersAgain_isHeldAndReturns)
+{
+    BOOST_TEST((run(AttemptOutcome::Partial) == HoldChange::Held));
+    BOOST_TEST(hold.isHeldBack());
+    BOOST_TEST((run(AttemptOutcome::Partial) == HoldChange::None));
+    BOOST_TEST((run(AttemptOutcome::Success) == HoldChange::Returned));
+    BOOST_TEST(!hold.isHeldBack());
+    BOOST_TEST((run(AttemptOutcome::Success) == HoldChange::None));
+}
+
+// Guards against many requests meeting the spell at once when the first scout is let through.
+BOOST_AUTO_TEST_CASE(heldServer_withAScoutOnItsWay_admitsNoOther)
+{
+    run(AttemptOutcome::Partial);
+    clock.advance(1s);
+    BOOST_TEST(hold.admits(true, clock.now()));
+    BOOST_TEST(!hold.admits(false, clock.now()));
+    const AttemptKey scout{base::RequestId{2, 1}, 1};
+    hold.started(scout, clock.now());
+    BOOST_TEST(!hold.admits(true, clock.now()));
+    hold.ended(scout, AttemptOutcome::CancelledByUs, clock.now());
+    BOOST_TEST(hold.admits(true, clock.now()));
+}
+
+// Guards against holding a server back for load, or for what others did.
+BOOST_AUTO_TEST_CASE(server_whoseRunsEndForOtherReasons_isNotHeld)
+{
+    for (const auto outcome : {AttemptOutcome::CallFailed,
+                               AttemptOutcome::Shed,
+                               AttemptOutcome::ConnectionRefused,
+                               AttemptOutcome::CancelledByUs}) {
+        BOOST_TEST((run(outcome) == HoldChange::None));
+        BOOST_TEST(hold.admits(false, clock.now()));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(server_withOverdueRuns_isHeld)
+{
+    BOOST_TEST((hold.noteOverdue(clock.now()) == HoldChange::None));
+    int held = 0;
+    for (int i = 0; i < 3; ++i) {
+        held += hold.noteOverdue(clock.now()) == HoldChange::Held ? 1 : 0;
+    }
+    BOOST_TEST(held == 1);
+    BOOST_TEST(!hold.admits(true, clock.now()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -87,11 +87,11 @@
 
 /// The queue in front of one backend server.
 ///
-/// Attempts wait in tiers by priority, calls of runs before all others. While several tiers wait, each gets a fixed part of what the next more urgent
-/// one gets. Within a tier slots go to workspaces in turn (deficit round robin with a quantum of one request), so a
-/// workspace that floods the queue delays itself, not the others. When the queue is full, the newest attempt of the
-/// longest workspace queue of the least urgent tier makes room. An attempt that can't be answered in time is refused or
-/// dropped at once, so that it can still be refused as not run while its caller waits.
+/// Attempts wait in tiers by priority, calls of runs before all others. While several tiers wait, each gets a fixed
+/// part of what the next more urgent one gets. Within a tier slots go to workspaces in turn (deficit round robin with a
+/// quantum of one request), so a workspace that floods the queue delays itself, not the others. When the queue is full,
+/// the newest attempt of the longest workspace queue of the least urgent tier makes room. An attempt that can't be
+/// answered in time is refused or dropped at once, so that it can still be refused as not run while its caller waits.
 class SlotQueue
 {
 public:
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "papayastep/health/failurefilter.h"
 #include "papayastep/health/pausewatch.h"
 #include "papayastep/health/runcalls.h"
+#include "papayastep/health/serverhold.h"
 #include "papayastep/limits/slotqueue.h"
 #include "papayastep/net/httpclient.h"
 #include "papayastep/net/signal.h"
@@ -95,10 +95,7 @@
     net::Awaitable<void> runOnBackend(WorkPtr work, net::ClientRequest request);
     void finishWork(Work &work, health::AttemptOutcome outcome);
     void noteEntry(Lane &lane, const base::VmId &entry);
-    void noteFailure(Lane &lane,
-                     const base::BackendServerId &server,
-                     bool overdue,
-                     health::RunEnd end = health::RunEnd::Broken);
+    void tellHeld(const Lane &lane, std::string_view evidence);
     void noteOutcome(Lane &lane, const Work &work, health::AttemptOutcome outcome);
     ServedAnswer answerOf(const WorkPtr &work);
     health::AttemptOutcome outcomeOf(const Work &work, net::http::status status);
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -58,6 +58,12 @@
     return static_cast<unsigned>(status) >= 500 ? health::AttemptOutcome::Error : health::AttemptOutcome::Success;
 }
 
+bool isFailure(health::AttemptOutcome outcome)
+{
+    return outcome == health::AttemptOutcome::Error || outcome == health::AttemptOutcome::Partial
+        || outcome == health::AttemptOutcome::Timeout;
+}
+
 }
 
 /// A backend server of this VM with its queue.
@@ -66,7 +72,7 @@
     Lane(const base::Clock &clock, const config::BackendServer &configured)
         : server(configured)
         , queue(clock, configured.slots, queueSettings())
-        , filter(clock.now())
+        , hold(clock.now())
         , lastStart(clock.now())
     {
     }
@@ -74,17 +80,15 @@
     /// How likely the server is in a gray spell, in percent.
     std::uint8_t grayPercent(base::TimePoint now) const
     {
-        return static_cast<std::uint8_t>(100 * filter.grayProbability(now));
+        return static_cast<std::uint8_t>(100 * hold.grayProbability(now));
     }
 
     config::BackendServer server;
     limits::SlotQueue queue;
-    health::FailureFilter filter;
+    health::ServerHold hold;
     std::map<base::VmId, base::TimePoint> entries; ///< That sent attempts lately, and when.
-    std::optional<limits::AttemptId> trial; ///< Shows whether the server is out of its spell.
     base::TimePoint lastStart; ///< Of any attempt.
     int offers = 0; ///< Made since then. Tells a server that nobody asks from one that is asked and not chosen.
-    bool heldBack = false; ///< Was found gray, and has not answered since.
     bool gone = false; ///< No longer configured; kept until its attempts have ended.
 };
 
@@ -405,14 +409,18 @@
         }
         Lane *lane = laneOf(work->hop.server);
         work->overdue = true;
-        noteFailure(*lane, work->hop.server, true);
-        const bool mayMoveOn = work->hop.idempotent && work->deadline - now > lane->queue.runTimes().mean(work->hop.route);
+        if (lane->hold.noteOverdue(now) == health::HoldChange::Held) {
+            tellHeld(*lane, "overdue");
+        }
+        const bool mayMoveOn
+            = work->hop.idempotent && work->deadline - now > lane->queue.runTimes().mean(work->hop.route);
         PAPAYASTEP_LOG(INFO, logPrefix) << "An attempt is overdue." << base::field("request", work->hop.shownId())
                                         << base::field("server", work->hop.server)
                                         << base::field("runMs", milliseconds(now - work->started))
-                                        << base::field("usualMs", milliseconds(lane->queue.runTimes().mean(work->hop.route)))
+                                        << base::field("usualMs",
+                                                       milliseconds(lane->queue.runTimes().mean(work->hop.route)))
                                         << base::field("grayPercent", int{lane->grayPercent(now)});
-        if (mayMoveOn && lane->filter.grayProbability(now) > suspectAbove) {
+        if (mayMoveOn && lane->hold.grayProbability(now) > suspectAbove) {
             work->suspect();
         }
     }
@@ -454,7 +462,7 @@
     std::map<base::ServiceId, SlotUse> result;
     for (const auto &[id, lane] : m_lanes) {
         result[lane->server.service]
-            += {lane->queue.slots(), lane->queue.running(), lane->queue.queued(), lane->heldBack ? 1U : 0U};
+            += {lane->queue.slots(), lane->queue.running(), lane->queue.queued(), lane->hold.isHeldBack() ? 1U : 0U};
     }
     return result;
 }
@@ -532,7 +540,7 @@
 /// one request that shows how the server is should be one that may fail.
 bool ServingNode::isHeldBack(const Lane &lane, bool idempotent) const
 {
-    return !lane.filter.admits(idempotent, lane.trial.has_value(), m_context.clock.now());
+    return !lane.hold.admits(idempotent, m_context.clock.now());
 }
 
 std::optional<ResultCode> ServingNode::beginWork(Work &work)
@@ -589,9 +597,7 @@
     m_context.health.attemptStarted(work->hop.server, work->healthKey(), work->hop.route);
     m_runCalls.started(work->healthKey(), work->deadline);
     Lane &lane = *laneOf(work->hop.server);
-    if (!lane.trial && lane.filter.wantsScout(work->started)) {
-        lane.trial = work->id();
-    }
+    lane.hold.started(work->healthKey(), work->started);
     PAPAYASTEP_LOG(INFO, logPrefix) << "Started an attempt." << base::field("request", work->hop.shownId())
                                     << base::field("attempt", work->hop.attempt)
                                     << base::field("entry", work->hop.entry) << base::field("server", work->hop.server)
@@ -661,22 +667,12 @@
     }
 }
 
-/// Weighs evidence of a failure, and tells the entries if it begins a spell.
-void ServingNode::noteFailure(Lane &lane, const base::BackendServerId &server, bool overdue, health::RunEnd end)
+/// Tells the entries that lately used the server, so that each need not find out by a refusal.
+void ServingNode::tellHeld(const Lane &lane, std::string_view evidence)
 {
     const auto now = m_context.clock.now();
-    const bool wasHeld = lane.filter.isHeld(now);
-    if (overdue) {
-        lane.filter.noteOverdue(now);
-    } else {
-        lane.filter.noteEnd(end, now);
-    }
-    if (wasHeld || !lane.filter.isHeld(now)) {
-        return;
-    }
-    m_context.gray.note(server, lane.filter.grayProbability(now));
-    lane.heldBack = true;
-    const std::string_view evidence = overdue ? "overdue" : "failed";
+    const base::BackendServerId &server = lane.server.id;
+    m_context.gray.note(server, lane.hold.grayProbability(now));
     m_context.metrics.countHold(lane.server.service, evidence);
     PAPAYASTEP_LOG(INFO, logPrefix) << "Holds a backend server back." << base::field("server", server)
                                     << base::field("evidence", evidence)
@@ -691,42 +687,33 @@
 
 void ServingNode::noteOutcome(Lane &lane, const Work &work, health::AttemptOutcome outcome)
 {
-    if (lane.trial == work.id()) {
-        lane.trial.reset();
-    }
     const auto now = m_context.clock.now();
-    switch (outcome) {
-    case health::AttemptOutcome::Success:
-        lane.filter.noteEnd(health::RunEnd::Answered, now);
-        if (std::exchange(lane.heldBack, false)) {
-            m_context.metrics.countReturn(lane.server.service);
-            PAPAYASTEP_LOG(INFO, logPrefix)
-                << "A backend server answers again." << base::field("request", work.hop.shownId())
-                << base::field("server", work.hop.server);
-        }
-        m_context.gray.note(work.hop.server, lane.filter.grayProbability(now));
+    const bool timedOut = outcome == health::AttemptOutcome::Timeout;
+    if (timedOut && (work.overdue || m_pauses.stoodStillSince(work.started))) {
+        // Counted when it became overdue, or the time has passed while this process stood still.
+        outcome = health::AttemptOutcome::CancelledByUs;
+    }
+    switch (lane.hold.ended(work.healthKey(), outcome, now)) {
+    case health::HoldChange::Held:
+        tellHeld(lane, "failed");
         break;
-    case health::AttemptOutcome::Error:
-    case health::AttemptOutcome::Partial:
-    case health::AttemptOutcome::Timeout:
-        if (outcome == health::AttemptOutcome::Timeout && (work.overdue || m_pauses.stoodStillSince(work.started))) {
-            break; // Counted when it became overdue, or the time has passed while this process stood still.
-        }
-        noteFailure(lane,
-                    work.hop.server,
-                    false,
-                    outcome == health::AttemptOutcome::Error ? health::RunEnd::Error : health::RunEnd::Broken);
+    case health::HoldChange::Returned:
+        m_context.metrics.countReturn(lane.server.service);
+        PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server answers again."
+                                        << base::field("request", work.hop.shownId())
+                                        << base::field("server", work.hop.server);
+        break;
+    case health::HoldChange::None:
+        break;
+    }
+    if (outcome == health::AttemptOutcome::Success) {
+        m_context.gray.note(work.hop.server, lane.hold.grayProbability(now));
+    } else if (isFailure(outcome)) {
         PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server failed." << base::field("request", work.hop.shownId())
                                         << base::field("server", work.hop.server)
                                         << base::field("how", health::name(outcome))
                                         << base::field("runMs", milliseconds(now - work.started))
                                         << base::field("grayPercent", int{lane.grayPercent(now)});
-        break;
-    case health::AttemptOutcome::CallFailed:
-    case health::AttemptOutcome::ConnectionRefused:
-    case health::AttemptOutcome::Shed:
-    case health::AttemptOutcome::CancelledByUs:
-        break; // Load, or not its own doing.
     }
 }
 
