Tell the entry of a hang again

Cause: since no belief in a spell exceeds 0.9, the comparison "above 0.9" that lets a serving node tell the entry of an attempt that hangs was never true. Found by reading the diff; no test of the decision code covers it, since the two constants stand in two packages.

Change: suspicion begins at 0.85, and a static assertion keeps it below FailureFilterSettings::surest.

Kept because a caller of a lookup at a server that hangs waits for nothing without it.

--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -30,8 +30,10 @@
 /// Bounds what a notice costs in a large fleet; the other entries find out by a refusal.
 constexpr std::size_t mostNotified = 32;
 
-/// Above it an attempt that hangs is worth running once more elsewhere: of ten repeats, one is for nothing.
-constexpr double suspectAbove = 0.9;
+/// Above it an attempt that hangs is worth running once more elsewhere. Below FailureFilterSettings::surest, which no
+/// belief exceeds.
+constexpr double suspectAbove = 0.85;
+static_assert(suspectAbove < health::FailureFilterSettings().surest);
 
 /// Bounds the ratio of two run times where runs take next to nothing.
 constexpr base::Duration shortestMean = std::chrono::microseconds(1);
