State the share of failures in a gray spell once

DoubtfulServerSettings repeated the figure of health::FailureFilterSettings; a change of one would have left the other behind. Found by reading the whole change once more. The value is the same, so no decision changes.

--- a/src/include/papayastep/routing/doubtfulserver.h
+++ b/src/include/papayastep/routing/doubtfulserver.h
@@ -1,12 +1,14 @@
 #pragma once
 
+#include "papayastep/health/failurefilter.h"
+
 namespace papayastep::routing {
 
 /// Costs are parts of what an answer is worth to the caller.
 struct DoubtfulServerSettings
 {
     /// Share of the requests that a server fails while it is in a gray spell.
-    double grayFailures = 0.8;
+    double grayFailures = health::FailureFilterSettings().grayFailures;
     /// A failed request that can be repeated: the work and the time of the repeat.
     double repeatCost = 0.15;
     /// A failed request that cannot be repeated: its caller has to find out whether it ran.
