--- a/src/include/papayastep/membership/configspread.h
+++ b/src/include/papayastep/membership/configspread.h
@@ -4,17 +4,19 @@
 #include "papayastep/base/error.h"
 #include "papayastep/config/configstore.h"
 #include "papayastep/membership/buildqueue.h"
+#include "papayastep/membership/leavingannouncements.h"
 #include "papayastep/membership/messages.h"
+#include "papayastep/membership/noticeplan.h"
 #include "papayastep/membership/peerrepair.h"
 #include "papayastep/membership/platformschedule.h"
+#include "papayastep/membership/pushtree.h"
 #include "papayastep/membership/transfer.h"
+#include "papayastep/membership/transferanswers.h"
 #include "papayastep/membership/vmdirectory.h"
 #include "papayastep/wire/message.h"
 
-#include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -151,14 +153,6 @@
     SpreadStatus status() const;
 
 private:
-    /// An encoded answer to a request, kept since many nodes ask for the same after a large change.
-    struct CachedAnswer
-    {
-        std::string baseDigest;
-        std::uint64_t version = 0;
-        std::vector<std::string> parts;
-    };
-
     void adopt(Build build);
     /// Whether there is no point in asking for `revision`: overtaken, being built, or rejected before.
     bool isSettled(base::Revision revision) const;
@@ -166,25 +160,19 @@
     void spreadConfiguration(const config::ConfigStore &older);
     void spreadVmList(const config::VmList &older);
     void push(TransferContent content, std::uint64_t version, const std::string &bytes);
-    void sendParts(const std::vector<base::VmId> &peers, wire::MessageKind kind, const std::vector<std::string> &parts);
+    void sendAll(std::vector<wire::Outgoing> messages);
 
     void receiveNotice(const base::VmId &from, const RevisionNotice &notice);
     void receiveRequest(const base::VmId &from, const ConfigurationRequest &request);
     void receivePart(const base::VmId &from, wire::MessageKind kind, std::string_view payload);
     void receiveLeaving(const VmLeaving &leaving);
-    void forward(const CompletedTransfer &transfer, wire::MessageKind kind);
     void completeConfiguration(const base::VmId &from, const CompletedTransfer &transfer);
     void completeVmList(const base::VmId &from, const CompletedTransfer &transfer);
-    void answerConfiguration(const base::VmId &to, const config::FileListing &have);
-    void answerVmList(const base::VmId &to);
 
     void request(const base::VmId &peer, TransferContent content);
     void sendNotice(const base::VmId &peer);
-    void sendNoticesToSome(int count);
-    bool mayNotify(const base::VmId &peer);
-    bool mayAnswer();
+    void sendNotices(const std::vector<base::VmId> &peers);
     base::Duration startSpread(std::size_t files);
-    std::vector<base::VmId> otherPeers() const;
 
     Self m_self;
     VmDirectory &m_directory;
@@ -205,13 +193,10 @@
     PeerRepair m_configurationRepair;
     PeerRepair m_vmListRepair;
     TransferAssembler m_assembler;
-    std::optional<CachedAnswer> m_configurationAnswer;
-    std::optional<CachedAnswer> m_vmListAnswer;
-    std::map<base::VmId, base::TimePoint> m_notified;
-    std::set<VmLeaving> m_leavingSeen;
-    base::TimePoint m_nextNotice{};
-    base::TimePoint m_answerWindow{};
-    std::size_t m_answers = 0;
+    TransferAnswers m_answers;
+    PushTree m_tree;
+    NoticePlan m_notices;
+    LeavingAnnouncements m_leaving;
     std::vector<wire::Outgoing> m_messages;
 };
 
--- /dev/null
+++ b/src/include/papayastep/membership/pushtree.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "papayastep/membership/spreadtree.h"
+#include "papayastep/membership/transfer.h"
+#include "papayastep/wire/message.h"
+
+#include <string>
+#include <vector>
+
+namespace papayastep::membership {
+
+struct SpreadSettings;
+
+/// To whom a node pushes something new, and to whom it passes on what was pushed: down a tree over the own availability
+/// zone, and to the readers of the other zones, which do the same there.
+class PushTree
+{
+public:
+    /// `directory` and `settings` must outlive this.
+    PushTree(base::VmId self, base::ZoneId zone, const VmDirectory &directory, const SpreadSettings &settings);
+
+    std::vector<wire::Outgoing> push(wire::MessageKind kind,
+                                     TransferContent content,
+                                     std::uint64_t version,
+                                     const std::string &bytes) const;
+    std::vector<wire::Outgoing> forward(wire::MessageKind kind, const CompletedTransfer &transfer) const;
+
+private:
+    std::vector<base::VmId> children(const base::VmId &root, std::uint64_t version) const;
+
+    const base::VmId m_self;
+    const base::ZoneId m_zone;
+    const VmDirectory &m_directory;
+    const SpreadSettings &m_settings;
+};
+
+/// Every part for every peer.
+std::vector<wire::Outgoing> partsTo(const std::vector<base::VmId> &peers,
+                                    wire::MessageKind kind,
+                                    const std::vector<std::string> &parts);
+
+}
--- /dev/null
+++ b/src/include/papayastep/membership/transferanswers.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "papayastep/base/clock.h"
+#include "papayastep/config/configstore.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace papayastep::membership {
+
+struct SpreadSettings;
+
+/// The transfers that answer requests of other nodes, and how many of them a node sends. Not thread-safe.
+class TransferAnswers
+{
+public:
+    using Parts = std::vector<std::string>; ///< Encoded TransferParts.
+
+    /// `clock` and `settings` must outlive this.
+    TransferAnswers(const base::Clock &clock, const SpreadSettings &settings);
+
+    /// What turns the files `have` into those of `store`; `previous` is the revision before it. Nothing where this
+    /// second's answers are used up.
+    std::optional<Parts> configuration(const config::FileListing &have,
+                                       const config::ConfigStore &store,
+                                       const config::ConfigStore &previous);
+    std::optional<Parts> vmList(const config::VmList &list);
+
+    /// Requests without an answer since the start.
+    std::uint64_t withheld() const;
+
+private:
+    /// Kept, since many nodes ask for the same after a large change.
+    struct CachedAnswer
+    {
+        std::string baseDigest;
+        std::uint64_t version = 0;
+        Parts parts;
+    };
+
+    bool mayAnswer();
+
+    const base::Clock &m_clock;
+    const SpreadSettings &m_settings;
+    std::optional<CachedAnswer> m_configuration;
+    std::optional<CachedAnswer> m_vmList;
+    base::TimePoint m_window{};
+    std::size_t m_answers = 0;
+    std::uint64_t m_withheld = 0;
+};
+
+}
--- a/src/membership/configspread.cpp
+++ b/src/membership/configspread.cpp
@@ -13,9 +13,6 @@
 
 constexpr std::string_view logPrefix = "membership";
 constexpr std::size_t maxFiles = 2000;
-constexpr base::Duration notifyOnceEvery = std::chrono::milliseconds(500);
-constexpr std::uint64_t leavingTrees = 2;
-constexpr std::size_t rememberedLeaving = 4096;
 
 std::uint64_t milliseconds(base::Duration duration)
 {
@@ -36,6 +33,10 @@
     , m_configurationRepair(m_settings)
     , m_vmListRepair(m_settings)
     , m_assembler(clock, m_settings.largestTransfer)
+    , m_answers(clock, m_settings)
+    , m_tree(m_self.vm, m_self.zone, directory, m_settings)
+    , m_notices(m_self.vm, directory, clock, m_settings, m_random)
+    , m_leaving(m_self.vm, directory, m_settings.treeFanOut)
 {
 }
 
@@ -211,7 +212,7 @@
     if (isReader() || build.confirmed) {
         spreadConfiguration(m_previous);
     }
-    sendNoticesToSome(m_settings.noticeFanOut);
+    sendNotices(m_notices.randomPeers(m_settings.noticeFanOut));
 }
 
 bool ConfigSpread::adoptVmList(config::VmList list, bool fromPlatform)
@@ -228,7 +229,7 @@
     if (isReader() || fromPlatform) {
         spreadVmList(older);
     }
-    sendNoticesToSome(m_settings.noticeFanOut);
+    sendNotices(m_notices.randomPeers(m_settings.noticeFanOut));
     return true;
 }
 
@@ -236,7 +237,7 @@
 {
     if (older.revision() == 0) {
         // Just started: most nodes hold this already, and a push would carry all files to all of them.
-        sendNoticesToSome(m_settings.treeFanOut);
+        sendNotices(m_notices.randomPeers(m_settings.treeFanOut));
         return;
     }
     const std::string bytes = wire::encode(m_store.patchFor(older.listing(), older));
@@ -246,42 +247,22 @@
 void ConfigSpread::spreadVmList(const config::VmList &older)
 {
     if (older.version == 0) {
-        sendNoticesToSome(m_settings.treeFanOut);
+        sendNotices(m_notices.randomPeers(m_settings.treeFanOut));
         return;
     }
     const std::string bytes = wire::encode(updateBetween(older, m_directory.list()));
     push(TransferContent::VmList, m_directory.list().version, bytes);
 }
 
-/// Sends `bytes` down a tree over the own zone and to the readers of the other zones, which do the same there.
 void ConfigSpread::push(TransferContent content, std::uint64_t version, const std::string &bytes)
 {
     if (bytes.size() > m_settings.largestPush) {
-        sendNoticesToSome(m_settings.treeFanOut);
+        sendNotices(m_notices.randomPeers(m_settings.treeFanOut));
         return;
     }
     const wire::MessageKind kind = content == TransferContent::Configuration ? wire::MessageKind::ConfigurationDelta
                                                                              : wire::MessageKind::VmListNotice;
-    const auto children
-        = treeChildren(m_directory.presentInZone(m_self.zone), m_self.vm, version, m_self.vm, m_settings.treeFanOut);
-    sendParts(children, kind, splitTransfer(content, version, m_self.vm, bytes, m_settings.partBytes));
-    const std::vector<std::string> parts = splitTransfer(content, version, base::VmId(), bytes, m_settings.partBytes);
-    for (const base::ZoneId &zone : m_directory.zones()) {
-        if (zone != m_self.zone) {
-            sendParts(readersOfZone(m_directory, zone, m_settings.readersPerZone), kind, parts);
-        }
-    }
-}
-
-void ConfigSpread::sendParts(const std::vector<base::VmId> &peers,
-                             wire::MessageKind kind,
-                             const std::vector<std::string> &parts)
-{
-    for (const base::VmId &peer : peers) {
-        for (const std::string &part : parts) {
-            m_messages.push_back({peer, kind, part});
-        }
-    }
+    sendAll(m_tree.push(kind, content, version, bytes));
 }
 
 // Other nodes.
@@ -318,7 +299,7 @@
 {
     if (!isSettled(revision) && m_directory.isListed(from)) {
         m_configurationRepair.noteAhead(from, revision, m_clock.now());
-    } else if (revision < m_store.revision() && mayNotify(from)) {
+    } else if (revision < m_store.revision() && m_notices.mayReply(from)) {
         sendNotice(from);
     }
 }
@@ -334,7 +315,7 @@
     if (notice.vmListVersion > listVersion) {
         m_vmListRepair.noteAhead(from, notice.vmListVersion, now);
     }
-    if (notice.vmListVersion < listVersion && notice.revision >= m_store.revision() && mayNotify(from)) {
+    if (notice.vmListVersion < listVersion && notice.revision >= m_store.revision() && m_notices.mayReply(from)) {
         sendNotice(from);
     }
     noteRevision(from, notice.revision);
@@ -345,41 +326,16 @@
     if (request.have.files.size() > maxFiles) {
         throw base::Error(base::ResultCode::MessageMalformed, "a request names too many files");
     }
-    if (request.wantConfiguration && request.have.revision < m_store.revision() && mayAnswer()) {
-        answerConfiguration(from, request.have);
-    }
-    if (request.wantVmList && request.vmListVersion < m_directory.list().version && mayAnswer()) {
-        answerVmList(from);
-    }
-}
-
-void ConfigSpread::answerConfiguration(const base::VmId &to, const config::FileListing &have)
-{
-    const std::string baseDigest = have.digest();
-    const bool isCached = m_configurationAnswer && m_configurationAnswer->version == m_store.revision()
-        && m_configurationAnswer->baseDigest == baseDigest;
-    if (!isCached) {
-        const std::string bytes = wire::encode(m_store.patchFor(have, m_previous));
-        m_configurationAnswer = CachedAnswer{
-            baseDigest,
-            m_store.revision(),
-            splitTransfer(
-                TransferContent::Configuration, m_store.revision(), base::VmId(), bytes, m_settings.partBytes)};
+    if (request.wantConfiguration && request.have.revision < m_store.revision()) {
+        if (const auto parts = m_answers.configuration(request.have, m_store, m_previous)) {
+            sendAll(partsTo({from}, wire::MessageKind::ConfigurationPart, *parts));
+        }
     }
-    sendParts({to}, wire::MessageKind::ConfigurationPart, m_configurationAnswer->parts);
-}
-
-void ConfigSpread::answerVmList(const base::VmId &to)
-{
-    const config::VmList &list = m_directory.list();
-    if (!m_vmListAnswer || m_vmListAnswer->version != list.version) {
-        const std::string bytes = wire::encode(updateBetween({}, list));
-        m_vmListAnswer = CachedAnswer{
-            {},
-            list.version,
-            splitTransfer(TransferContent::VmList, list.version, base::VmId(), bytes, m_settings.partBytes)};
+    if (request.wantVmList && request.vmListVersion < m_directory.list().version) {
+        if (const auto parts = m_answers.vmList(m_directory.list())) {
+            sendAll(partsTo({from}, wire::MessageKind::VmListNotice, *parts));
+        }
     }
-    sendParts({to}, wire::MessageKind::VmListNotice, m_vmListAnswer->parts);
 }
 
 void ConfigSpread::receivePart(const base::VmId &from, wire::MessageKind kind, std::string_view payload)
@@ -401,7 +357,7 @@
         if (!transfer) {
             return;
         }
-        forward(*transfer, kind);
+        sendAll(m_tree.forward(kind, *transfer));
         if (isVmList) {
             completeVmList(from, *transfer);
         } else {
@@ -413,20 +369,6 @@
     }
 }
 
-void ConfigSpread::forward(const CompletedTransfer &transfer, wire::MessageKind kind)
-{
-    if (transfer.treeRoot.empty() || transfer.treeRoot == m_self.vm) {
-        return;
-    }
-    sendParts(treeChildren(m_directory.presentInZone(m_self.zone),
-                           transfer.treeRoot,
-                           transfer.version,
-                           m_self.vm,
-                           m_settings.treeFanOut),
-              kind,
-              transfer.payloads);
-}
-
 void ConfigSpread::completeConfiguration(const base::VmId &from, const CompletedTransfer &transfer)
 {
     if (isSettled(transfer.version)) {
@@ -465,31 +407,22 @@
 void ConfigSpread::announceLeaving()
 {
     PAPAYASTEP_LOG(INFO, logPrefix) << "Announcing that this VM is leaving." << base::field("vm", m_self.vm);
-    for (std::uint64_t tree = 0; tree < leavingTrees; ++tree) {
-        const VmLeaving leaving{m_self.vm, m_self.incarnation, tree};
-        for (const base::VmId &child :
-             treeChildren(m_directory.present(), m_self.vm, tree, m_self.vm, m_settings.treeFanOut)) {
-            m_messages.push_back(wire::outgoing(child, wire::MessageKind::VmLeaving, leaving));
-        }
-    }
+    sendAll(m_leaving.announce(m_self.incarnation));
 }
 
 void ConfigSpread::receiveLeaving(const VmLeaving &leaving)
 {
-    if (m_leavingSeen.size() >= rememberedLeaving) {
-        m_leavingSeen.clear();
-    }
-    if (leaving.vm == m_self.vm || leaving.tree >= leavingTrees || !m_leavingSeen.insert(leaving).second) {
-        return;
-    }
-    if (m_directory.noteLeaving(leaving.vm, leaving.incarnation)) {
+    LeavingAnnouncements::Received received = m_leaving.receive(leaving);
+    if (received.isNews) {
         m_vmListChanged = true;
         PAPAYASTEP_LOG(INFO, logPrefix) << "A VM is leaving." << base::field("vm", leaving.vm);
     }
-    for (const base::VmId &child :
-         treeChildren(m_directory.present(), leaving.vm, leaving.tree, m_self.vm, m_settings.treeFanOut)) {
-        m_messages.push_back(wire::outgoing(child, wire::MessageKind::VmLeaving, leaving));
-    }
+    sendAll(std::move(received.forwarded));
+}
+
+void ConfigSpread::sendAll(std::vector<wire::Outgoing> messages)
+{
+    std::move(messages.begin(), messages.end(), std::back_inserter(m_messages));
 }
 
 // Repair.
@@ -515,48 +448,13 @@
     m_messages.push_back(wire::outgoing(peer, wire::MessageKind::RevisionNotice, notice));
 }
 
-void ConfigSpread::sendNoticesToSome(int count)
+void ConfigSpread::sendNotices(const std::vector<base::VmId> &peers)
 {
-    const std::vector<base::VmId> peers = otherPeers();
-    std::vector<base::VmId> chosen;
-    std::sample(peers.begin(), peers.end(), std::back_inserter(chosen), count, m_random);
-    for (const base::VmId &peer : chosen) {
+    for (const base::VmId &peer : peers) {
         sendNotice(peer);
     }
 }
 
-std::vector<base::VmId> ConfigSpread::otherPeers() const
-{
-    std::vector<base::VmId> peers = m_directory.present();
-    std::erase(peers, m_self.vm);
-    return peers;
-}
-
-/// A notice answers a notice, so without this limit two nodes could talk to each other without end.
-bool ConfigSpread::mayNotify(const base::VmId &peer)
-{
-    if (!m_directory.isListed(peer)) {
-        return false;
-    }
-    const base::TimePoint now = m_clock.now();
-    const auto [entry, isNew] = m_notified.emplace(peer, now);
-    if (!isNew && now - entry->second < notifyOnceEvery) {
-        return false;
-    }
-    entry->second = now;
-    return true;
-}
-
-bool ConfigSpread::mayAnswer()
-{
-    const base::TimePoint now = m_clock.now();
-    if (now - m_answerWindow >= std::chrono::seconds(1)) {
-        m_answerWindow = now;
-        m_answers = 0;
-    }
-    return ++m_answers <= m_settings.answersPerSecond;
-}
-
 // Time.
 
 void ConfigSpread::tick()
@@ -569,19 +467,12 @@
     if (const auto peer = m_vmListRepair.due(now)) {
         request(*peer, TransferContent::VmList);
     }
-    if (now >= m_nextNotice) {
-        const bool isStarting = m_store.revision() == 0;
-        sendNoticesToSome(isStarting ? m_settings.startPeers : 1);
-        const base::Duration interval = isStarting ? m_settings.pullTimeout : m_settings.noticeInterval;
-        std::uniform_int_distribution<base::Duration::rep> jitter(interval.count() / 2, interval.count() * 3 / 2);
-        m_nextNotice = now + base::Duration(jitter(m_random));
-        std::erase_if(m_notified, [this](const auto &entry) { return !m_directory.isListed(entry.first); });
-    }
+    sendNotices(m_notices.due(m_store.revision() == 0));
 }
 
 base::TimePoint ConfigSpread::nextTick() const
 {
-    base::TimePoint next = m_nextNotice;
+    base::TimePoint next = m_notices.nextDue();
     for (const PeerRepair *repair : {&m_configurationRepair, &m_vmListRepair}) {
         if (const auto due = repair->nextDue()) {
             next = std::min(next, *due);
--- /dev/null
+++ b/src/membership/leavingannouncements.cpp
@@ -0,0 +1,55 @@
+#include "papayastep/membership/leavingannouncements.h"
+
+#include "papayastep/membership/spreadtree.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace papayastep::membership {
+
+namespace {
+
+constexpr std::uint64_t trees = 2;
+constexpr std::size_t rememberedSeen = 4096;
+
+}
+
+LeavingAnnouncements::LeavingAnnouncements(base::VmId self, VmDirectory &directory, int fanOut)
+    : m_self(std::move(self))
+    , m_directory(directory)
+    , m_fanOut(fanOut)
+{
+}
+
+std::vector<wire::Outgoing> LeavingAnnouncements::announce(base::Incarnation incarnation) const
+{
+    std::vector<wire::Outgoing> messages;
+    for (std::uint64_t tree = 0; tree < trees; ++tree) {
+        std::vector<wire::Outgoing> some = toChildren({m_self, incarnation, tree});
+        std::move(some.begin(), some.end(), std::back_inserter(messages));
+    }
+    return messages;
+}
+
+LeavingAnnouncements::Received LeavingAnnouncements::receive(const VmLeaving &leaving)
+{
+    if (m_seen.size() >= rememberedSeen) {
+        m_seen.clear();
+    }
+    if (leaving.vm == m_self || leaving.tree >= trees || !m_seen.insert(leaving).second) {
+        return {};
+    }
+    const bool isNews = m_directory.noteLeaving(leaving.vm, leaving.incarnation);
+    return {isNews, toChildren(leaving)};
+}
+
+std::vector<wire::Outgoing> LeavingAnnouncements::toChildren(const VmLeaving &leaving) const
+{
+    std::vector<wire::Outgoing> messages;
+    for (const base::VmId &child : treeChildren(m_directory.present(), leaving.vm, leaving.tree, m_self, m_fanOut)) {
+        messages.push_back(wire::outgoing(child, wire::MessageKind::VmLeaving, leaving));
+    }
+    return messages;
+}
+
+}
--- /dev/null
+++ b/src/membership/noticeplan.cpp
@@ -0,0 +1,71 @@
+#include "papayastep/membership/noticeplan.h"
+
+#include "papayastep/membership/configspread.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace papayastep::membership {
+
+namespace {
+
+constexpr base::Duration replyOnceEvery = std::chrono::milliseconds(500);
+
+}
+
+NoticePlan::NoticePlan(base::VmId self,
+                       const VmDirectory &directory,
+                       const base::Clock &clock,
+                       const SpreadSettings &settings,
+                       std::mt19937_64 &random)
+    : m_self(std::move(self))
+    , m_directory(directory)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_random(random)
+{
+}
+
+std::vector<base::VmId> NoticePlan::randomPeers(int count)
+{
+    std::vector<base::VmId> peers = m_directory.present();
+    std::erase(peers, m_self);
+    std::vector<base::VmId> chosen;
+    std::sample(peers.begin(), peers.end(), std::back_inserter(chosen), count, m_random);
+    return chosen;
+}
+
+bool NoticePlan::mayReply(const base::VmId &peer)
+{
+    if (!m_directory.isListed(peer)) {
+        return false;
+    }
+    const base::TimePoint now = m_clock.now();
+    const auto [entry, isNew] = m_replied.emplace(peer, now);
+    if (!isNew && now - entry->second < replyOnceEvery) {
+        return false;
+    }
+    entry->second = now;
+    return true;
+}
+
+std::vector<base::VmId> NoticePlan::due(bool isStarting)
+{
+    const base::TimePoint now = m_clock.now();
+    if (now < m_nextDue) {
+        return {};
+    }
+    std::vector<base::VmId> peers = randomPeers(isStarting ? m_settings.startPeers : 1);
+    const base::Duration interval = isStarting ? m_settings.pullTimeout : m_settings.noticeInterval;
+    std::uniform_int_distribution<base::Duration::rep> jitter(interval.count() / 2, interval.count() * 3 / 2);
+    m_nextDue = now + base::Duration(jitter(m_random));
+    std::erase_if(m_replied, [this](const auto &entry) { return !m_directory.isListed(entry.first); });
+    return peers;
+}
+
+base::TimePoint NoticePlan::nextDue() const
+{
+    return m_nextDue;
+}
+
+}
--- /dev/null
+++ b/src/membership/transferanswers.cpp
@@ -0,0 +1,65 @@
+#include "papayastep/membership/transferanswers.h"
+#include "vmlistupdate.h"
+
+#include "papayastep/membership/configspread.h"
+
+namespace papayastep::membership {
+
+TransferAnswers::TransferAnswers(const base::Clock &clock, const SpreadSettings &settings)
+    : m_clock(clock)
+    , m_settings(settings)
+{
+}
+
+std::optional<TransferAnswers::Parts> TransferAnswers::configuration(const config::FileListing &have,
+                                                                     const config::ConfigStore &store,
+                                                                     const config::ConfigStore &previous)
+{
+    if (!mayAnswer()) {
+        return std::nullopt;
+    }
+    const std::string baseDigest = have.digest();
+    const std::uint64_t revision = store.revision();
+    if (!m_configuration || m_configuration->version != revision || m_configuration->baseDigest != baseDigest) {
+        const std::string bytes = wire::encode(store.patchFor(have, previous));
+        m_configuration = CachedAnswer{
+            baseDigest,
+            revision,
+            splitTransfer(TransferContent::Configuration, revision, base::VmId(), bytes, m_settings.partBytes)};
+    }
+    return m_configuration->parts;
+}
+
+std::optional<TransferAnswers::Parts> TransferAnswers::vmList(const config::VmList &list)
+{
+    if (!mayAnswer()) {
+        return std::nullopt;
+    }
+    if (!m_vmList || m_vmList->version != list.version) {
+        const std::string bytes = wire::encode(updateBetween({}, list));
+        m_vmList = CachedAnswer{
+            {},
+            list.version,
+            splitTransfer(TransferContent::VmList, list.version, base::VmId(), bytes, m_settings.partBytes)};
+    }
+    return m_vmList->parts;
+}
+
+std::uint64_t TransferAnswers::withheld() const
+{
+    return m_withheld;
+}
+
+bool TransferAnswers::mayAnswer()
+{
+    const base::TimePoint now = m_clock.now();
+    if (now - m_window >= std::chrono::seconds(1)) {
+        m_window = now;
+        m_answers = 0;
+    }
+    const bool may = ++m_answers <= m_settings.answersPerSecond;
+    m_withheld += may ? 0 : 1;
+    return may;
+}
+
+}
