--- a/src/include/papayastep/membership/configspread.h
+++ b/src/include/papayastep/membership/configspread.h
@@ -88,6 +88,9 @@
     std::uint64_t built = 0; ///< Configurations parsed; one per new revision.
     std::uint64_t rejected = 0; ///< Revisions that were whole but not valid.
     std::string rejection; ///< Why the last one was.
+    std::uint64_t peersAsked = 0; ///< For a newer revision.
+    std::uint64_t peersSilent = 0; ///< Of those, how many did not answer in time.
+    std::uint64_t answersWithheld = 0; ///< Requests of peers left unanswered, since too many came.
     std::uint64_t transfersRefused = 0; ///< Parts from strangers, too large, or broken.
 };
 
--- a/src/include/papayastep/membership/peerrepair.h
+++ b/src/include/papayastep/membership/peerrepair.h
@@ -34,10 +34,18 @@
     /// When due() may have an answer, if ever.
     std::optional<base::TimePoint> nextDue() const;
 
+    struct Counts
+    {
+        std::uint64_t asked = 0;
+        std::uint64_t unanswered = 0; ///< Of those, how many peers did not answer in time.
+    };
+    const Counts &counts() const;
+
 private:
     struct Pull
     {
         base::VmId peer;
+        base::TimePoint askedAt{};
         base::TimePoint deadline{};
     };
     static constexpr std::size_t maxPeers = 8;
@@ -46,6 +54,7 @@
     std::map<base::VmId, std::uint64_t> m_ahead;
     base::TimePoint m_notBefore{};
     std::optional<Pull> m_pull;
+    Counts m_counts;
 };
 
 }
--- a/src/membership/configspread.cpp
+++ b/src/membership/configspread.cpp
@@ -329,6 +329,10 @@
     if (request.wantConfiguration && request.have.revision < m_store.revision()) {
         if (const auto parts = m_answers.configuration(request.have, m_store, m_previous)) {
             sendAll(partsTo({from}, wire::MessageKind::ConfigurationPart, *parts));
+        } else {
+            PAPAYASTEP_LOG(WARNING, logPrefix)
+                << "Left a request for a newer revision without an answer; too many came within a second."
+                << base::field("vm", from) << base::field("withheld", m_answers.withheld());
         }
     }
     if (request.wantVmList && request.vmListVersion < m_directory.list().version) {
@@ -435,6 +439,8 @@
     request.wantVmList = content == TransferContent::VmList;
     if (request.wantConfiguration) {
         request.have = m_store.listing();
+        PAPAYASTEP_LOG(INFO, logPrefix) << "Asked a peer for a newer revision." << base::field("vm", peer)
+                                        << base::field("revision", m_store.revision());
     }
     m_messages.push_back(wire::outgoing(peer, wire::MessageKind::ConfigurationRequest, request));
 }
@@ -520,6 +526,9 @@
     status.built = m_builds.finished();
     status.rejected = m_builds.rejected();
     status.rejection = m_builds.rejection();
+    status.peersAsked = m_configurationRepair.counts().asked;
+    status.peersSilent = m_configurationRepair.counts().unanswered;
+    status.answersWithheld = m_answers.withheld();
     status.revision = m_store.revision();
     status.reader = isReader();
     status.vmListVersion = m_directory.list().version;
--- a/src/membership/peerrepair.cpp
+++ b/src/membership/peerrepair.cpp
@@ -1,11 +1,23 @@
 #include "papayastep/membership/peerrepair.h"
 
+#include "papayastep/base/log.h"
 #include "papayastep/membership/configspread.h"
 
 #include <algorithm>
 
 namespace papayastep::membership {
 
+namespace {
+
+constexpr std::string_view logPrefix = "membership";
+
+std::int64_t milliseconds(base::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}
+
 PeerRepair::PeerRepair(const SpreadSettings &settings)
     : m_settings(settings)
 {
@@ -38,6 +50,10 @@
 std::optional<base::VmId> PeerRepair::due(base::TimePoint now)
 {
     if (m_pull && now >= m_pull->deadline) {
+        ++m_counts.unanswered;
+        PAPAYASTEP_LOG(WARNING, logPrefix)
+            << "A peer did not answer what it was asked for." << base::field("vm", m_pull->peer)
+            << base::field("waitedMs", milliseconds(now - m_pull->askedAt));
         m_ahead.erase(m_pull->peer);
         m_pull.reset();
     }
@@ -46,7 +62,8 @@
     }
     const auto best = std::max_element(
         m_ahead.begin(), m_ahead.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
-    m_pull = Pull{best->first, now + m_settings.pullTimeout};
+    ++m_counts.asked;
+    m_pull = Pull{best->first, now, now + m_settings.pullTimeout};
     return best->first;
 }
 
@@ -58,4 +75,9 @@
     return m_ahead.empty() ? std::nullopt : std::optional(m_notBefore);
 }
 
+const PeerRepair::Counts &PeerRepair::counts() const
+{
+    return m_counts;
+}
+
 }
--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -39,6 +39,9 @@
     metrics.set("configuration_revision", real(m_published ? m_published->revision() : 0));
     metrics.set("configuration_news_age_seconds", ageSeconds(spread.newsAge));
     metrics.setTotal("configurations_rejected", real(spread.rejected));
+    metrics.setTotal("configuration_peers_asked", real(spread.peersAsked));
+    metrics.setTotal("configuration_peers_silent", real(spread.peersSilent));
+    metrics.setTotal("configuration_answers_withheld", real(spread.answersWithheld));
     metrics.set("configuration_store_bytes", real(spread.storeBytes));
     metrics.set("platform_stale", spread.platformStale ? 1 : 0);
     metrics.set("vm_list_version", real(spread.vmListVersion));
--- a/src/node/directorykeeper.cpp
+++ b/src/node/directorykeeper.cpp
@@ -159,6 +159,9 @@
     const auto &configuration = m_context.inForce.configuration;
     const bool isBehind = !configuration || configuration->revision() < m_heardRevision;
     if (isBehind && m_context.clock.now() - m_heardRevisionAt >= revisionPatience) {
+        PAPAYASTEP_LOG(WARNING, logPrefix) << "No peer brought a revision in time; reading it from the platform."
+                                           << base::field("heard", m_heardRevision)
+                                           << base::field("revision", configuration ? configuration->revision() : 0);
         m_answered(m_heardRevision, false);
     }
 }
