--- a/src/include/papayastep/node/directorykeeper.h
+++ b/src/include/papayastep/node/directorykeeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayastep/membership/directoryrelay.h"
+#include "papayastep/membership/revisionpatience.h"
 #include "papayastep/membership/serverdirectory.h"
 #include "papayastep/net/serversource.h"
 #include "papayastep/node/nodecontext.h"
@@ -45,8 +46,7 @@
     std::function<void(base::Revision, bool)> m_answered;
     membership::DirectoryRelay m_relay;
     base::TimePoint m_askedAt;
-    base::Revision m_heardRevision = 0; ///< The newest that a reader told of.
-    base::TimePoint m_heardRevisionAt;
+    membership::RevisionPatience m_revisionPatience; ///< With what readers tell of.
     int m_failures = 0; ///< In a row.
     bool m_historyGone = false;
     bool m_stopped = false;
--- a/src/node/directorykeeper.cpp
+++ b/src/node/directorykeeper.cpp
@@ -44,6 +44,7 @@
     , m_directory(directory)
     , m_source(source)
     , m_relay(context.settings.vm, context.clock)
+    , m_revisionPatience(revisionPatience)
 {
 }
 
@@ -126,10 +127,7 @@
         return;
     }
     m_askedAt = m_context.clock.now() - std::chrono::milliseconds(message.answeredAgoMs);
-    if (news->publishedRevision > m_heardRevision) {
-        m_heardRevision = news->publishedRevision;
-        m_heardRevisionAt = m_context.clock.now();
-    }
+    m_revisionPatience.noteHeard(news->publishedRevision, m_context.clock.now());
     if (m_directory.apply(*news)) {
         m_answered(0, true);
     }
@@ -157,13 +155,14 @@
 void DirectoryKeeper::askForRevision()
 {
     const auto &configuration = m_context.inForce.configuration;
-    const bool isBehind = !configuration || configuration->revision() < m_heardRevision;
-    if (isBehind && m_context.clock.now() - m_heardRevisionAt >= revisionPatience) {
-        PAPAYASTEP_LOG(WARNING, logPrefix) << "No peer brought a revision in time; reading it from the platform."
-                                           << base::field("heard", m_heardRevision)
-                                           << base::field("revision", configuration ? configuration->revision() : 0);
-        m_answered(m_heardRevision, false);
+    const base::Revision inForce = configuration ? configuration->revision() : 0;
+    if (!m_revisionPatience.isOver(inForce, m_context.clock.now())) {
+        return;
     }
+    const base::Revision heard = m_revisionPatience.newestHeard();
+    PAPAYASTEP_LOG(WARNING, logPrefix) << "No peer brought a revision in time; reading it from the platform."
+                                       << base::field("heard", heard) << base::field("revision", inForce);
+    m_answered(heard, false);
 }
 
 net::Awaitable<void> DirectoryKeeper::pause(base::Duration duration)
