--- /dev/null
+++ b/src/membership/configurationstream_test.cpp
@@ -0,0 +1,217 @@
+#include "testfleet.h"
+
+#include "papayastep/base/log.h"
+#include "papayastep/membership/configspread.h"
+#include "papayastep/membership/revisionpatience.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace papayastep;
+using namespace papayastep::membership;
+using papayastep::membership::testing::TestFleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Between two revisions of a stream.
+constexpr std::chrono::milliseconds streamGap{80};
+
+/// One node that is a revision behind, and peers that the test speaks for.
+struct NodeBehindFixture
+{
+    base::ManualClock clock;
+    VmDirectory directory{clock};
+    ConfigSpread spread{{TestFleet::vm(0), base::ZoneId("a"), 77}, directory, clock, 5};
+    config::ConfigStore first{1, TestFleet::filesWithRate(1)};
+
+    NodeBehindFixture()
+    {
+        FLAGS_minloglevel = google::GLOG_FATAL;
+        config::VmList list;
+        list.version = 1;
+        for (int node = 0; node < 4; ++node) {
+            list.vms.push_back({TestFleet::vm(node), base::ZoneId("a"), "127.0.0.1", 1, 2, 3, 4, false});
+        }
+        directory.accept(list);
+        spread.platformFiles(first.listing(), first.files());
+        spread.takeMessages();
+    }
+
+    /// Tells that `peer` holds `revision`.
+    void hear(int peer, base::Revision revision)
+    {
+        spread.noteRevision(TestFleet::vm(peer), revision);
+    }
+
+    /// A push of `peer` against a revision that the node does not hold.
+    void push(int peer, base::Revision revision)
+    {
+        const config::ConfigStore older(revision - 1, TestFleet::filesWithRate(static_cast<int>(revision) + 99));
+        const config::ConfigStore newer(revision, TestFleet::filesWithRate(static_cast<int>(revision)));
+        receive(peer,
+                wire::MessageKind::ConfigurationDelta,
+                revision,
+                newer.patchFor(older.listing(), older),
+                TestFleet::vm(peer));
+    }
+
+    /// The answer of `peer` to a request that named the files `have`.
+    void answer(int peer, base::Revision revision, const config::ConfigStore &have)
+    {
+        const config::ConfigStore newer(revision, TestFleet::filesWithRate(static_cast<int>(revision)));
+        receive(peer, wire::MessageKind::ConfigurationPart, revision, newer.patchFor(have.listing(), have), {});
+    }
+
+    /// Peers asked for a configuration in the next `duration`, in that order.
+    std::vector<base::VmId> askedWithin(std::chrono::milliseconds duration)
+    {
+        std::vector<base::VmId> asked;
+        for (auto passed = 0ms; passed <= duration; passed += 10ms) {
+            spread.tick();
+            for (const wire::Outgoing &message : spread.takeMessages()) {
+                if (message.kind == wire::MessageKind::ConfigurationRequest) {
+                    asked.push_back(message.to);
+                }
+            }
+            clock.advance(10ms);
+        }
+        return asked;
+    }
+
+private:
+    void receive(int peer,
+                 wire::MessageKind kind,
+                 base::Revision revision,
+                 const config::ConfigurationPatch &patch,
+                 const base::VmId &treeRoot)
+    {
+        const auto parts
+            = splitTransfer(TransferContent::Configuration, revision, treeRoot, wire::encode(patch), 100'000);
+        for (const std::string &part : parts) {
+            spread.receive(TestFleet::vm(peer), kind, part);
+        }
+    }
+};
+
+}
+
+// A peer that answers no request but pushes every new revision held a node back for as long as the stream lasted.
+BOOST_FIXTURE_TEST_CASE(request_toAPeerThatOnlyPushes_timesOutAndAnotherIsAsked, NodeBehindFixture)
+{
+    hear(1, 5);
+    BOOST_REQUIRE((askedWithin(60ms) == std::vector<base::VmId>{TestFleet::vm(1)}));
+    hear(2, 5);
+    std::vector<base::VmId> asked;
+    for (base::Revision revision = 6; revision < 30; ++revision) {
+        push(1, revision);
+        const auto some = askedWithin(streamGap);
+        asked.insert(asked.end(), some.begin(), some.end());
+    }
+    BOOST_TEST(std::count(asked.begin(), asked.end(), TestFleet::vm(2)) > 0);
+}
+
+// An answer against files that the node no longer holds left it waiting for a second answer that nobody owes.
+BOOST_FIXTURE_TEST_CASE(answer_thatDoesNotApply_endsTheWait, NodeBehindFixture)
+{
+    hear(1, 5);
+    BOOST_REQUIRE((askedWithin(60ms) == std::vector<base::VmId>{TestFleet::vm(1)}));
+    answer(1, 5, config::ConfigStore(4, TestFleet::filesWithRate(4)));
+    BOOST_TEST((askedWithin(100ms) == std::vector<base::VmId>{TestFleet::vm(1)}));
+}
+
+// A request beyond the limit of the asked node was dropped without a word, and its sender waited a second for nothing.
+BOOST_FIXTURE_TEST_CASE(request_beyondTheLimitOfTheAskedNode_letsAnotherBeAskedAtOnce, NodeBehindFixture)
+{
+    SpreadSettings settings;
+    VmDirectory othersDirectory(clock);
+    othersDirectory.accept(directory.list());
+    ConfigSpread asked({TestFleet::vm(1), base::ZoneId("a"), 78}, othersDirectory, clock, 6, settings);
+    const config::ConfigStore newer(5, TestFleet::filesWithRate(5));
+    asked.platformFiles(newer.listing(), newer.files());
+    ConfigurationRequest request;
+    request.wantConfiguration = true;
+    for (std::size_t count = 0; count < settings.answersPerSecond; ++count) {
+        asked.receive(TestFleet::vm(3), wire::MessageKind::ConfigurationRequest, wire::encode(request));
+    }
+    asked.takeMessages();
+    hear(1, 6);
+    hear(2, 5);
+    BOOST_REQUIRE((askedWithin(60ms) == std::vector<base::VmId>{TestFleet::vm(1)}));
+    asked.receive(TestFleet::vm(0), wire::MessageKind::ConfigurationRequest, wire::encode(request));
+    for (const wire::Outgoing &message : asked.takeMessages()) {
+        spread.receive(TestFleet::vm(1), message.kind, message.payload);
+    }
+    BOOST_TEST((askedWithin(100ms) == std::vector<base::VmId>{TestFleet::vm(2)}));
+}
+
+// Nodes that hear of each revision in every message, and ask whoever is ahead, must not fall behind a stream.
+BOOST_AUTO_TEST_CASE(fleet_inAStreamOfRevisionsThatOneNodeReads_isNeverTwoSecondsBehind)
+{
+    FLAGS_minloglevel = google::GLOG_FATAL;
+    constexpr int nodes = 24;
+    constexpr base::Duration longestLag = 2s;
+    SpreadSettings settings;
+    settings.readersPerZone = 0;
+    TestFleet fleet(nodes, 4, 11, settings);
+    fleet.publishRate(1);
+    fleet.run(10s);
+    std::mt19937_64 random(12);
+    std::vector<base::TimePoint> published(2, fleet.clock.now());
+    base::Duration lag{};
+    for (int round = 0; round < 200; ++round) {
+        fleet.publishRate(2 + round);
+        published.push_back(fleet.clock.now());
+        fleet.spread(0).platformHolds(fleet.platformRevision);
+        for (auto passed = 0ms; passed < streamGap; passed += 20ms) {
+            for (int node = 0; node < nodes; ++node) {
+                const int sender = static_cast<int>(random() % nodes);
+                fleet.spread(node).noteRevision(TestFleet::vm(sender), fleet.spread(sender).revision());
+            }
+            fleet.run(20ms);
+        }
+        for (int node = 0; node < nodes; ++node) {
+            const base::Revision held = fleet.spread(node).revision();
+            if (held < fleet.platformRevision) {
+                lag = std::max(lag, fleet.clock.now() - published[held + 1]);
+            }
+        }
+    }
+    BOOST_TEST(std::chrono::duration<double>(lag).count() <= std::chrono::duration<double>(longestLag).count());
+}
+
+// The wait for the peers began anew with each revision of a stream, so a node that they left out never read it itself.
+BOOST_AUTO_TEST_CASE(patience_withARevisionThatIsMissing_endsAlthoughNewerOnesAreHeardOf)
+{
+    RevisionPatience patience(600ms);
+    base::ManualClock clock;
+    for (base::Revision revision = 2; revision < 20; ++revision) {
+        patience.noteHeard(revision, clock.now());
+        clock.advance(streamGap);
+    }
+    BOOST_TEST(patience.isOver(1, clock.now()));
+}
+
+BOOST_AUTO_TEST_CASE(patience_withEachRevisionInForceSoon_neverEnds)
+{
+    RevisionPatience patience(600ms);
+    base::ManualClock clock;
+    for (base::Revision revision = 2; revision < 2000; ++revision) {
+        patience.noteHeard(revision, clock.now());
+        BOOST_TEST(!patience.isOver(revision > 4 ? revision - 4 : 1, clock.now()));
+        clock.advance(streamGap);
+    }
+    BOOST_TEST(!patience.isOver(1999, clock.now()));
+    BOOST_TEST(patience.isOver(1998, clock.now() + 1s));
+}
+
+// A read that was to bring a revision heard of was taken for one that any revision answers, so an older one did.
+BOOST_FIXTURE_TEST_CASE(read_forARevisionThatThePlatformHolds_asksForNothingOlder, NodeBehindFixture)
+{
+    spread.platformHolds(7);
+    const PlatformCall call = spread.configurationCall();
+    BOOST_TEST((call.kind == PlatformCallKind::Read));
+    BOOST_TEST((call.notBefore <= clock.now()));
+    BOOST_TEST(call.after == 6U);
+}
--- a/src/membership/testfleet.cpp
+++ b/src/membership/testfleet.cpp
@@ -18,7 +18,7 @@
 
 }
 
-TestFleet::TestFleet(int nodes, int zones, std::uint64_t seed)
+TestFleet::TestFleet(int nodes, int zones, std::uint64_t seed, const SpreadSettings &settings)
     : platformUp(static_cast<std::size_t>(nodes), true)
     , platformStale(static_cast<std::size_t>(nodes), false)
     , paused(static_cast<std::size_t>(nodes), false)
@@ -34,7 +34,7 @@
         const base::ZoneId zone(std::string(1, static_cast<char>('a' + node % zones)));
         const Self self{vm(node), zone, incarnationOf(node)};
         auto directory = std::make_unique<VmDirectory>(clock);
-        auto spread = std::make_unique<ConfigSpread>(self, *directory, clock, m_random());
+        auto spread = std::make_unique<ConfigSpread>(self, *directory, clock, m_random(), settings);
         m_nodes.push_back({std::move(directory), std::move(spread), 0, clock.now(), clock.now()});
     }
 }
--- a/src/membership/testfleet.h
+++ b/src/membership/testfleet.h
@@ -22,7 +22,7 @@
 class TestFleet
 {
 public:
-    TestFleet(int nodes, int zones, std::uint64_t seed);
+    TestFleet(int nodes, int zones, std::uint64_t seed, const SpreadSettings &settings = {});
 
     /// The platform publishes; readers with `platformUp` see it.
     void publish(const std::vector<config::ConfigurationFile> &files);
