Do not take pushes of a peer for its answer

Cause, one of three: a node that misses a push asks one peer, and every part of any transfer of that peer extended the wait of a second. An answer that did not apply left the wait running, too.

Ruled out: slow builds (in force 1 ms after acceptance), lost messages (dropped 0), refused revisions (0).

Change: only parts of answers extend the wait, and a complete one ends it, whether or not it applies.

--- a/src/include/papayastep/membership/peerrepair.h
+++ b/src/include/papayastep/membership/peerrepair.h
@@ -21,9 +21,13 @@
     /// `peer` said to hold `version`, which is greater than ours.
     void noteAhead(const base::VmId &peer, std::uint64_t version, base::TimePoint now);
 
-    /// A part of the answer came: be patient.
+    /// A part of an answer of `peer` came: be patient.
     void noteProgress(const base::VmId &peer, base::TimePoint now);
 
+    /// An answer of `peer` is complete. Whoever is still ahead may be asked again after the usual delay, also where
+    /// the answer could not be used.
+    void noteAnswered(const base::VmId &peer, base::TimePoint now);
+
     /// `have` is held now: forget who is not ahead of it.
     void noteHave(std::uint64_t have);
 
--- a/src/membership/configspread.cpp
+++ b/src/membership/configspread.cpp
@@ -355,12 +355,20 @@
     if (part.version < have || (part.version == have && part.treeRoot.empty())) {
         return;
     }
-    (isVmList ? m_vmListRepair : m_configurationRepair).noteProgress(from, m_clock.now());
+    // Pushes of a peer say nothing of the request that it has not answered.
+    const bool isAnswer = part.treeRoot.empty() && kind != wire::MessageKind::ConfigurationDelta;
+    PeerRepair &repair = isVmList ? m_vmListRepair : m_configurationRepair;
     try {
         const auto transfer = m_assembler.add(from, part, payload);
+        if (isAnswer && !transfer) {
+            repair.noteProgress(from, m_clock.now());
+        }
         if (!transfer) {
             return;
         }
+        if (isAnswer) {
+            repair.noteAnswered(from, m_clock.now());
+        }
         sendAll(m_tree.forward(kind, *transfer));
         if (isVmList) {
             completeVmList(from, *transfer);
--- a/src/membership/peerrepair.cpp
+++ b/src/membership/peerrepair.cpp
@@ -41,6 +41,14 @@
     }
 }
 
+void PeerRepair::noteAnswered(const base::VmId &peer, base::TimePoint now)
+{
+    if (m_pull && m_pull->peer == peer) {
+        m_pull.reset();
+        m_notBefore = now + m_settings.pullDelay;
+    }
+}
+
 void PeerRepair::noteHave(std::uint64_t have)
 {
     std::erase_if(m_ahead, [have](const auto &entry) { return entry.second <= have; });
