Decline a request instead of dropping it, so that another peer is asked at once

Ruled out: a higher limit (it bounds what a fleet of 2,300 can ask of one node), another choice among those ahead (it only moves the crowd).

Change: the asked node says that it has no time (RequestDeclined), the asker turns to the next one that is ahead, and comes back to the first after 200 ms at the earliest. An older node leaves the new message unread.

--- a/src/fuzz/targets.cpp
+++ b/src/fuzz/targets.cpp
@@ -63,7 +63,10 @@
     decodeEach<limits::TokenRequest, limits::TokenReturn, limits::TokenGrant>(payload);
     decodeEach<limits::TenureQuery, limits::TenureAnswer>(payload);
     decodeEach<health::SiblingState, health::SiblingLeaving, health::ServerReport>(payload);
-    decodeEach<membership::RevisionNotice, membership::ConfigurationRequest, membership::TransferPart>(payload);
+    decodeEach<membership::RevisionNotice,
+               membership::ConfigurationRequest,
+               membership::RequestDeclined,
+               membership::TransferPart>(payload);
     decodeEach<membership::VmListUpdate, membership::VmLeaving>(payload);
     decodeEach<wire::CancelAttempt, wire::CancelResult>(payload);
     decodeEach<membership::DirectoryNews>(payload);
--- a/src/include/papayastep/membership/configspread.h
+++ b/src/include/papayastep/membership/configspread.h
@@ -49,6 +49,7 @@
     int startPeers = 3; ///< Peers that a starting node asks.
     base::Duration pullDelay = std::chrono::milliseconds(40); ///< For a push that may be on its way already.
     base::Duration pullTimeout = std::chrono::seconds(1);
+    base::Duration declinedPause = std::chrono::milliseconds(200); ///< Before a peer that declined is asked again.
     int treeFanOut = 3;
     std::size_t partBytes = 700'000;
     std::size_t largestPush
@@ -89,8 +90,9 @@
     std::uint64_t rejected = 0; ///< Revisions that were whole but not valid.
     std::string rejection; ///< Why the last one was.
     std::uint64_t peersAsked = 0; ///< For a newer revision.
-    std::uint64_t peersSilent = 0; ///< Of those, how many did not answer in time.
-    std::uint64_t answersWithheld = 0; ///< Requests of peers left unanswered, since too many came.
+    std::uint64_t peersDeclined = 0; ///< Of those, how many had no time.
+    std::uint64_t peersSilent = 0; ///< How many said nothing in time.
+    std::uint64_t requestsDeclined = 0; ///< Requests of peers that this node had no time for.
     std::uint64_t transfersRefused = 0; ///< Parts from strangers, too large, or broken.
 };
 
@@ -167,6 +169,8 @@
 
     void receiveNotice(const base::VmId &from, const RevisionNotice &notice);
     void receiveRequest(const base::VmId &from, const ConfigurationRequest &request);
+    void decline(const base::VmId &peer, TransferContent content);
+    void receiveDeclined(const base::VmId &from, const RequestDeclined &declined);
     void receivePart(const base::VmId &from, wire::MessageKind kind, std::string_view payload);
     void receiveLeaving(const VmLeaving &leaving);
     void completeConfiguration(const base::VmId &from, const CompletedTransfer &transfer);
--- a/src/include/papayastep/membership/messages.h
+++ b/src/include/papayastep/membership/messages.h
@@ -37,6 +37,16 @@
     MSGPACK_DEFINE(have, vmListVersion, wantConfiguration, wantVmList)
 };
 
+/// Kind RequestDeclined: the sender has no time for a request; another peer may have.
+struct RequestDeclined
+{
+    bool configuration = false;
+    bool vmList = false;
+
+    auto operator<=>(const RequestDeclined &) const = default;
+    MSGPACK_DEFINE(configuration, vmList)
+};
+
 /// What a transfer carries, as a number on the wire.
 enum class TransferContent : std::uint8_t { Configuration = 0, VmList = 1 };
 
--- a/src/include/papayastep/membership/peerrepair.h
+++ b/src/include/papayastep/membership/peerrepair.h
@@ -28,6 +28,9 @@
     /// the answer could not be used.
     void noteAnswered(const base::VmId &peer, base::TimePoint now);
 
+    /// `peer` has no time to answer: another one may be asked at once.
+    void noteDeclined(const base::VmId &peer, base::TimePoint now);
+
     /// `have` is held now: forget who is not ahead of it.
     void noteHave(std::uint64_t have);
 
@@ -41,11 +44,17 @@
     struct Counts
     {
         std::uint64_t asked = 0;
-        std::uint64_t unanswered = 0; ///< Of those, how many peers did not answer in time.
+        std::uint64_t declined = 0; ///< Of those, how many peers had no time.
+        std::uint64_t unanswered = 0; ///< How many said nothing in time.
     };
     const Counts &counts() const;
 
 private:
+    struct Ahead
+    {
+        std::uint64_t version = 0;
+        base::TimePoint notBefore{}; ///< After it has declined.
+    };
     struct Pull
     {
         base::VmId peer;
@@ -55,7 +64,7 @@
     static constexpr std::size_t maxPeers = 8;
 
     const SpreadSettings &m_settings;
-    std::map<base::VmId, std::uint64_t> m_ahead;
+    std::map<base::VmId, Ahead> m_ahead;
     base::TimePoint m_notBefore{};
     std::optional<Pull> m_pull;
     Counts m_counts;
--- a/src/include/papayastep/membership/transferanswers.h
+++ b/src/include/papayastep/membership/transferanswers.h
@@ -28,8 +28,8 @@
                                        const config::ConfigStore &previous);
     std::optional<Parts> vmList(const config::VmList &list);
 
-    /// Requests without an answer since the start.
-    std::uint64_t withheld() const;
+    /// Requests beyond the limit since the start.
+    std::uint64_t declined() const;
 
 private:
     /// Kept, since many nodes ask for the same after a large change.
@@ -48,7 +48,7 @@
     std::optional<CachedAnswer> m_vmList;
     base::TimePoint m_window{};
     std::size_t m_answers = 0;
-    std::uint64_t m_withheld = 0;
+    std::uint64_t m_declined = 0;
 };
 
 }
--- a/src/include/papayastep/wire/message.h
+++ b/src/include/papayastep/wire/message.h
@@ -37,6 +37,7 @@
     VmListNotice = 34,
     VmLeaving = 35,
     DirectoryNews = 36,
+    RequestDeclined = 37,
     // 40-49: attempts
     CancelAttempt = 40,
     CancelResult = 41,
--- a/src/membership/configspread.cpp
+++ b/src/membership/configspread.cpp
@@ -287,6 +287,9 @@
     case wire::MessageKind::VmListNotice:
         receivePart(from, kind, payload);
         break;
+    case wire::MessageKind::RequestDeclined:
+        receiveDeclined(from, wire::decode<RequestDeclined>(payload));
+        break;
     case wire::MessageKind::VmLeaving:
         receiveLeaving(wire::decode<VmLeaving>(payload));
         break;
@@ -330,18 +333,37 @@
         if (const auto parts = m_answers.configuration(request.have, m_store, m_previous)) {
             sendAll(partsTo({from}, wire::MessageKind::ConfigurationPart, *parts));
         } else {
-            PAPAYASTEP_LOG(WARNING, logPrefix)
-                << "Left a request for a newer revision without an answer; too many came within a second."
-                << base::field("vm", from) << base::field("withheld", m_answers.withheld());
+            decline(from, TransferContent::Configuration);
         }
     }
     if (request.wantVmList && request.vmListVersion < m_directory.list().version) {
         if (const auto parts = m_answers.vmList(m_directory.list())) {
             sendAll(partsTo({from}, wire::MessageKind::VmListNotice, *parts));
+        } else {
+            decline(from, TransferContent::VmList);
         }
     }
 }
 
+void ConfigSpread::decline(const base::VmId &peer, TransferContent content)
+{
+    const RequestDeclined declined{content == TransferContent::Configuration, content == TransferContent::VmList};
+    m_messages.push_back(wire::outgoing(peer, wire::MessageKind::RequestDeclined, declined));
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Declined a request; too many came within a second." << base::field("vm", peer)
+                                    << base::field("declined", m_answers.declined());
+}
+
+void ConfigSpread::receiveDeclined(const base::VmId &from, const RequestDeclined &declined)
+{
+    const base::TimePoint now = m_clock.now();
+    if (declined.configuration) {
+        m_configurationRepair.noteDeclined(from, now);
+    }
+    if (declined.vmList) {
+        m_vmListRepair.noteDeclined(from, now);
+    }
+}
+
 void ConfigSpread::receivePart(const base::VmId &from, wire::MessageKind kind, std::string_view payload)
 {
     const auto part = wire::decode<TransferPart>(payload);
@@ -536,7 +558,8 @@
     status.rejection = m_builds.rejection();
     status.peersAsked = m_configurationRepair.counts().asked;
     status.peersSilent = m_configurationRepair.counts().unanswered;
-    status.answersWithheld = m_answers.withheld();
+    status.peersDeclined = m_configurationRepair.counts().declined;
+    status.requestsDeclined = m_answers.declined();
     status.revision = m_store.revision();
     status.reader = isReader();
     status.vmListVersion = m_directory.list().version;
--- a/src/membership/peerrepair.cpp
+++ b/src/membership/peerrepair.cpp
@@ -29,7 +29,7 @@
         m_notBefore = now + m_settings.pullDelay;
     }
     if (m_ahead.size() < maxPeers || m_ahead.contains(peer)) {
-        std::uint64_t &known = m_ahead[peer];
+        std::uint64_t &known = m_ahead[peer].version;
         known = std::max(known, version);
     }
 }
@@ -49,9 +49,23 @@
     }
 }
 
+void PeerRepair::noteDeclined(const base::VmId &peer, base::TimePoint now)
+{
+    if (!m_pull || m_pull->peer != peer) {
+        return;
+    }
+    ++m_counts.declined;
+    m_pull.reset();
+    m_notBefore = now;
+    const auto ahead = m_ahead.find(peer);
+    if (ahead != m_ahead.end()) {
+        ahead->second.notBefore = now + m_settings.declinedPause;
+    }
+}
+
 void PeerRepair::noteHave(std::uint64_t have)
 {
-    std::erase_if(m_ahead, [have](const auto &entry) { return entry.second <= have; });
+    std::erase_if(m_ahead, [have](const auto &entry) { return entry.second.version <= have; });
     m_pull.reset();
 }
 
@@ -65,11 +79,19 @@
         m_ahead.erase(m_pull->peer);
         m_pull.reset();
     }
-    if (m_pull || m_ahead.empty() || now < m_notBefore) {
+    if (m_pull || now < m_notBefore) {
+        return std::nullopt;
+    }
+    auto best = m_ahead.end();
+    for (auto ahead = m_ahead.begin(); ahead != m_ahead.end(); ++ahead) {
+        const bool mayAsk = now >= ahead->second.notBefore;
+        if (mayAsk && (best == m_ahead.end() || ahead->second.version > best->second.version)) {
+            best = ahead;
+        }
+    }
+    if (best == m_ahead.end()) {
         return std::nullopt;
     }
-    const auto best = std::max_element(
-        m_ahead.begin(), m_ahead.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
     ++m_counts.asked;
     m_pull = Pull{best->first, now, now + m_settings.pullTimeout};
     return best->first;
@@ -80,7 +102,13 @@
     if (m_pull) {
         return m_pull->deadline;
     }
-    return m_ahead.empty() ? std::nullopt : std::optional(m_notBefore);
+    if (m_ahead.empty()) {
+        return std::nullopt;
+    }
+    const auto first = std::min_element(m_ahead.begin(), m_ahead.end(), [](const auto &a, const auto &b) {
+        return a.second.notBefore < b.second.notBefore;
+    });
+    return std::max(m_notBefore, first->second.notBefore);
 }
 
 const PeerRepair::Counts &PeerRepair::counts() const
--- a/src/membership/transferanswers.cpp
+++ b/src/membership/transferanswers.cpp
@@ -45,9 +45,9 @@
     return m_vmList->parts;
 }
 
-std::uint64_t TransferAnswers::withheld() const
+std::uint64_t TransferAnswers::declined() const
 {
-    return m_withheld;
+    return m_declined;
 }
 
 bool TransferAnswers::mayAnswer()
@@ -58,7 +58,7 @@
         m_answers = 0;
     }
     const bool may = ++m_answers <= m_settings.answersPerSecond;
-    m_withheld += may ? 0 : 1;
+    m_declined += may ? 0 : 1;
     return may;
 }
 
--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -41,7 +41,8 @@
     metrics.setTotal("configurations_rejected", real(spread.rejected));
     metrics.setTotal("configuration_peers_asked", real(spread.peersAsked));
     metrics.setTotal("configuration_peers_silent", real(spread.peersSilent));
-    metrics.setTotal("configuration_answers_withheld", real(spread.answersWithheld));
+    metrics.setTotal("configuration_peers_declined", real(spread.peersDeclined));
+    metrics.setTotal("configuration_requests_declined", real(spread.requestsDeclined));
     metrics.set("configuration_store_bytes", real(spread.storeBytes));
     metrics.set("platform_stale", spread.platformStale ? 1 : 0);
     metrics.set("vm_list_version", real(spread.vmListVersion));
