Measure the wait for a revision from the oldest that is missing, and let the read that follows be one

The wait began anew with each newer revision, so in a stream it never ended; and the read asked for any revision, which the adapter answered with what the node's last watch had left behind, however old. The regular read was answered alike.

Change: RevisionPatience remembers when each missing revision was heard of, and goes by the oldest; a read says which revision its answer must exceed, so the adapter reads where it holds less.

A case of the test asked in an order that no node can (a revision in force that goes back); its two checks change places.

--- a/src/include/papayastep/membership/configspread.h
+++ b/src/include/papayastep/membership/configspread.h
@@ -190,6 +190,7 @@
     config::ConfigStore m_store;
     config::ConfigStore m_previous; ///< Base of patches for nodes that are one revision behind.
     std::optional<base::TimePoint> m_confirmed; ///< When m_store's revision was known to be the newest.
+    base::Revision m_platformHolds = 0; ///< The newest that the platform is known to hold.
     std::optional<Accepted> m_accepted;
     bool m_vmListChanged = false;
     SpreadStatus m_status; ///< The counters; the rest is filled in by status().
--- a/src/include/papayastep/membership/platformschedule.h
+++ b/src/include/papayastep/membership/platformschedule.h
@@ -19,7 +19,7 @@
 {
     PlatformCallKind kind = PlatformCallKind::None;
     base::TimePoint notBefore{};
-    std::uint64_t after = 0; ///< For a watch: the revision or version that the answer must exceed.
+    std::uint64_t after = 0; ///< The revision or version that the answer must exceed; 0 of a read: any will do.
     std::chrono::seconds wait{0};
 
     auto operator<=>(const PlatformCall &) const = default;
--- a/src/include/papayastep/membership/revisionpatience.h
+++ b/src/include/papayastep/membership/revisionpatience.h
@@ -3,9 +3,12 @@
 #include "papayastep/base/clock.h"
 #include "papayastep/base/identifiers.h"
 
+#include <deque>
+
 namespace papayastep::membership {
 
-/// How long a node leaves it to its peers to bring a revision that it has heard of, before it asks the platform.
+/// How long a node leaves it to its peers to bring a revision that it has heard of, before it asks the platform. The
+/// wait is that of the oldest revision that is missing: newer ones that are heard of meanwhile don't prolong it.
 class RevisionPatience
 {
 public:
@@ -14,16 +17,26 @@
     /// The platform holds `revision`.
     void noteHeard(base::Revision revision, base::TimePoint now);
 
-    /// Whether a revision newer than `inForce` has been known of for too long.
-    bool isOver(base::Revision inForce, base::TimePoint now) const;
+    /// The platform is asked now; the answer has as long to come as peers had.
+    void noteAsked(base::TimePoint now);
+
+    /// Whether a revision newer than `inForce` has been missing for too long.
+    bool isOver(base::Revision inForce, base::TimePoint now);
 
     /// 0: none yet.
     base::Revision newestHeard() const;
 
 private:
+    struct Heard
+    {
+        base::Revision revision = 0;
+        base::TimePoint at{};
+    };
+
     const base::Duration m_longest;
     base::Revision m_newest = 0;
-    base::TimePoint m_newestAt{};
+    std::deque<Heard> m_missing; ///< Both ascend.
+    base::TimePoint m_askedAt{};
 };
 
 }
--- a/src/membership/configspread.cpp
+++ b/src/membership/configspread.cpp
@@ -44,7 +44,13 @@
 
 PlatformCall ConfigSpread::configurationCall() const
 {
-    return m_configurationSchedule.call(isReader(), std::max(m_store.revision(), m_builds.newestSeen()));
+    const base::Revision held = std::max(m_store.revision(), m_builds.newestSeen());
+    PlatformCall call = m_configurationSchedule.call(isReader(), held);
+    const base::Revision known = std::max(held, m_platformHolds);
+    if (call.kind == PlatformCallKind::Read && known > 0) {
+        call.after = known - 1;
+    }
+    return call;
 }
 
 PlatformCall ConfigSpread::vmListCall() const
@@ -114,6 +120,7 @@
 
 void ConfigSpread::platformHolds(base::Revision revision)
 {
+    m_platformHolds = std::max(m_platformHolds, revision);
     if (!isSettled(revision)) {
         m_configurationSchedule.readNow();
     }
--- a/src/membership/configurationstream_test.cpp
+++ b/src/membership/configurationstream_test.cpp
@@ -202,8 +202,8 @@
         BOOST_TEST(!patience.isOver(revision > 4 ? revision - 4 : 1, clock.now()));
         clock.advance(streamGap);
     }
-    BOOST_TEST(!patience.isOver(1999, clock.now()));
     BOOST_TEST(patience.isOver(1998, clock.now() + 1s));
+    BOOST_TEST(!patience.isOver(1999, clock.now() + 1s));
 }
 
 // A read that was to bring a revision heard of was taken for one that any revision answers, so an older one did.
@@ -215,3 +215,11 @@
     BOOST_TEST((call.notBefore <= clock.now()));
     BOOST_TEST(call.after == 6U);
 }
+
+// A regular read was answered with what an earlier watch had left behind, and the platform looked as if it were stale.
+BOOST_FIXTURE_TEST_CASE(read_ofANodeWhosePeersBringRevisions_asksForNothingOlderThanItHolds, NodeBehindFixture)
+{
+    answer(1, 5, first);
+    BOOST_TEST(spread.revision() == 5U);
+    BOOST_TEST(spread.configurationCall().after == 4U);
+}
--- a/src/node/directorykeeper.cpp
+++ b/src/node/directorykeeper.cpp
@@ -159,6 +159,7 @@
     if (!m_revisionPatience.isOver(inForce, m_context.clock.now())) {
         return;
     }
+    m_revisionPatience.noteAsked(m_context.clock.now());
     const base::Revision heard = m_revisionPatience.newestHeard();
     PAPAYASTEP_LOG(WARNING, logPrefix) << "No peer brought a revision in time; reading it from the platform."
                                        << base::field("heard", heard) << base::field("revision", inForce);
