--- a/src/membership/serverdirectory.cpp
+++ b/src/membership/serverdirectory.cpp
@@ -157,6 +157,10 @@
 bool ServerDirectory::remove(Entries::iterator entry)
 {
     if (isAfterOutage()) {
+        const auto left = *m_returnedAt + m_settings.returnGrace - m_clock.now();
+        PAPAYASTEP_LOG(INFO, logPrefix)
+            << "Keeps a backend server that is missing after an outage." << base::field("server", entry->first)
+            << base::field("forMs", std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
         entry->second.missing = true;
         return false;
     }
--- a/src/node/directorykeeper.cpp
+++ b/src/node/directorykeeper.cpp
@@ -35,6 +35,11 @@
 constexpr base::Duration longestBackoff
     = std::chrono::milliseconds(1000); ///< A fleet of 100 then asks 100 times a second.
 
+std::int64_t milliseconds(base::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 }
 
 DirectoryKeeper::DirectoryKeeper(NodeContext &context,
@@ -73,6 +78,7 @@
             continue;
         }
         base::Duration wait = m_relay.isReader() ? readerGather : gather;
+        const base::TimePoint askedAt = m_context.clock.now();
         try {
             co_await readOnce();
             m_failures = 0;
@@ -87,7 +93,9 @@
             }
             PAPAYASTEP_LOG(WARNING, logPrefix)
                 << "Could not read the directory of backend servers." << base::field("code", number(error.code()))
-                << base::field("detail", error.detail()) << base::field("failures", m_failures);
+                << base::field("detail", error.detail()) << base::field("failures", m_failures)
+                << base::field("tookMs", milliseconds(m_context.clock.now() - askedAt))
+                << base::field("againInMs", milliseconds(wait));
         }
         co_await pause(wait);
     }
