--- /dev/null
+++ b/src/include/papayastep/membership/directoryschedule.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "papayastep/base/clock.h"
+
+#include <chrono>
+#include <random>
+
+namespace papayastep::membership {
+
+/// How long a call of the directory may take beyond the wait that it asks for.
+constexpr base::Duration directoryAnswerTimeout = std::chrono::seconds(1);
+
+/// What to ask of the directory of backend servers, how long a watch may wait, and when to ask again.
+class DirectorySchedule
+{
+public:
+    struct Call
+    {
+        bool list = false; ///< Or watch.
+        std::chrono::milliseconds wait{0}; ///< Of a watch.
+    };
+
+    /// The next call of a node that others read for, or of a reader. `isKnown`: it has a whole list.
+    Call next(bool isReader, bool isKnown) const;
+
+    // How a call ended. Each returns the pause before the next one.
+    base::Duration answered(bool isReader);
+    base::Duration historyGone();
+    /// Random, so that a fleet does not fall upon a platform that comes back.
+    base::Duration failed(std::mt19937_64 &random);
+
+    bool mustList() const;
+    /// In a row.
+    int failures() const;
+
+private:
+    int m_failures = 0;
+    bool m_historyGone = false;
+};
+
+}
--- a/src/include/papayastep/node/directorykeeper.h
+++ b/src/include/papayastep/node/directorykeeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayastep/membership/directoryrelay.h"
+#include "papayastep/membership/directoryschedule.h"
 #include "papayastep/membership/revisionpatience.h"
 #include "papayastep/membership/serverdirectory.h"
 #include "papayastep/net/serversource.h"
@@ -38,17 +39,15 @@
     bool isCovered() const;
     void askForRevision();
     net::Awaitable<void> pause(base::Duration duration);
-    base::Duration backoff();
 
     NodeContext &m_context;
     membership::ServerDirectory &m_directory;
     net::ServerSource &m_source;
     std::function<void(base::Revision, bool)> m_answered;
     membership::DirectoryRelay m_relay;
+    membership::DirectorySchedule m_schedule;
     base::TimePoint m_askedAt;
     membership::RevisionPatience m_revisionPatience; ///< With what readers tell of.
-    int m_failures = 0; ///< In a row.
-    bool m_historyGone = false;
     bool m_stopped = false;
 };
 
--- a/src/node/directorykeeper.cpp
+++ b/src/node/directorykeeper.cpp
@@ -12,29 +12,11 @@
 
 constexpr std::string_view logPrefix = "platform";
 
-/// Longer watches cost fewer calls, but one whose answer was lost is noticed only at its end. A leaving server must be
-/// out of use, and a configuration in force, some five seconds after the platform lost its last answer; a second is
-/// left for the answer's timeout and the next watch.
-constexpr std::chrono::milliseconds watchWait = std::chrono::milliseconds(3500);
-
-/// Between two watches. Changes come in bursts (a release, a fleet that starts), and each answer is a call that is
-/// paid for. Far below the two seconds in which a leaving server must be out of use.
-constexpr base::Duration gather = std::chrono::milliseconds(300);
-
-/// A reader tells others how fresh its news is, so its watches end soon: with the pause after it, one takes 0.7 s, well
-/// below the 1.1 s for which its news cover others.
-constexpr std::chrono::milliseconds readerWait = std::chrono::milliseconds(600);
-constexpr base::Duration readerGather = std::chrono::milliseconds(100);
-
 /// A node whose readers cover it is told of a new revision by its peers. If that takes longer, it reads it itself: a
 /// configuration must be in force everywhere two seconds after the platform has it.
 constexpr base::Duration revisionPatience = std::chrono::milliseconds(600);
 constexpr base::Duration coveredPause = std::chrono::milliseconds(200);
 
-constexpr base::Duration firstBackoff = std::chrono::milliseconds(100);
-constexpr base::Duration longestBackoff
-    = std::chrono::milliseconds(1000); ///< A fleet of 100 then asks 100 times a second.
-
 std::int64_t milliseconds(base::Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -77,23 +59,21 @@
             co_await pause(coveredPause);
             continue;
         }
-        base::Duration wait = m_relay.isReader() ? readerGather : gather;
+        base::Duration wait{};
         const base::TimePoint askedAt = m_context.clock.now();
         try {
             co_await readOnce();
-            m_failures = 0;
+            wait = m_schedule.answered(m_relay.isReader());
         } catch (const base::Error &error) {
             if (error.code() == base::ResultCode::PlatformHistoryGone) {
-                m_historyGone = true;
-                wait = base::Duration::zero();
+                wait = m_schedule.historyGone();
             } else {
                 m_directory.noteUnreachable();
-                ++m_failures;
-                wait = backoff();
+                wait = m_schedule.failed(m_context.random);
             }
             PAPAYASTEP_LOG(WARNING, logPrefix)
                 << "Could not read the directory of backend servers." << base::field("code", number(error.code()))
-                << base::field("detail", error.detail()) << base::field("failures", m_failures)
+                << base::field("detail", error.detail()) << base::field("failures", m_schedule.failures())
                 << base::field("tookMs", milliseconds(m_context.clock.now() - askedAt))
                 << base::field("againInMs", milliseconds(wait));
         }
@@ -104,19 +84,17 @@
 net::Awaitable<void> DirectoryKeeper::readOnce()
 {
     const base::TimePoint askedAt = m_context.clock.now();
-    const bool list = !m_directory.isKnown() || m_historyGone;
+    const membership::DirectorySchedule::Call call = m_schedule.next(m_relay.isReader(), m_directory.isKnown());
     membership::ServerNews news;
-    if (list) {
+    if (call.list) {
         news = co_await m_source.listServers();
     } else {
-        const auto wait = m_relay.isReader() ? readerWait : watchWait;
-        news = co_await m_source.watchServers(m_directory.version(), wait);
+        news = co_await m_source.watchServers(m_directory.version(), call.wait);
     }
-    m_historyGone = false;
     m_askedAt = askedAt;
     const bool changed = m_directory.apply(news);
     m_relay.noteAnswer(news);
-    m_answered(news.publishedRevision, changed || list);
+    m_answered(news.publishedRevision, changed || call.list);
     sendNews();
 }
 
@@ -156,7 +134,7 @@
 /// Whether the news of others are fresh enough to do without the platform.
 bool DirectoryKeeper::isCovered() const
 {
-    return !m_relay.isReader() && m_directory.isKnown() && !m_historyGone
+    return !m_relay.isReader() && m_directory.isKnown() && !m_schedule.mustList()
         && m_context.clock.now() < m_relay.coveredUntil();
 }
 
@@ -181,13 +159,4 @@
     co_await timer.async_wait(net::into(ignored));
 }
 
-/// Random, so that a fleet does not fall upon a platform that comes back.
-base::Duration DirectoryKeeper::backoff()
-{
-    const int doublings = std::min(m_failures - 1, 4);
-    const base::Duration longest = std::min(longestBackoff, firstBackoff * (1 << doublings));
-    return base::Duration(
-        std::uniform_int_distribution<base::Duration::rep>(longest.count() / 2, longest.count())(m_context.random));
-}
-
 }
