--- /dev/null
+++ b/src/membership/directoryoutage_test.cpp
@@ -0,0 +1,212 @@
+#include "papayastep/base/log.h"
+#include "papayastep/membership/directoryschedule.h"
+#include "papayastep/membership/serverdirectory.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+using namespace papayastep;
+using namespace papayastep::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// After the platform's last lost answer: how long until it counts as calm, and how long a leaving server may then get
+/// work.
+constexpr base::Duration calmAfter = 3s;
+constexpr base::Duration drainTime = 2s;
+
+/// A lease of three heartbeats of 1.5 s that was last renewed a heartbeat before the outage.
+constexpr base::Duration shortestLapse = 3s;
+
+constexpr base::Duration answerTime = 4ms;
+constexpr base::Duration step = 5ms;
+
+config::BackendServer server(const std::string &id)
+{
+    config::BackendServer server;
+    server.id = base::BackendServerId(id);
+    server.address = id;
+    return server;
+}
+
+/// A platform that loses its answers for a while, and the changes of its directory.
+struct Platform
+{
+    struct Change
+    {
+        base::TimePoint at;
+        config::BackendServer server;
+        bool removed = false;
+    };
+
+    base::TimePoint outageBegins;
+    base::TimePoint outageEnds;
+    std::vector<Change> changes;
+
+    bool isLost(base::TimePoint sent, base::TimePoint answered) const
+    {
+        return sent < outageEnds && answered >= outageBegins;
+    }
+
+    /// When a watch from `version` that was sent at `sent` is answered.
+    base::TimePoint watchEnds(std::uint64_t version, base::TimePoint sent, base::Duration wait) const
+    {
+        const std::size_t next = version - 1;
+        const base::TimePoint latest = sent + wait;
+        return answerTime + (next < changes.size() ? std::clamp(changes[next].at, sent, latest) : latest);
+    }
+
+    ServerNews newsSince(std::uint64_t version, base::TimePoint now) const
+    {
+        ServerNews news;
+        news.version = version;
+        for (std::size_t next = version - 1; next < changes.size() && changes[next].at <= now; ++next) {
+            ++news.version;
+            const Change &change = changes[next];
+            std::erase(news.removed, change.server.id);
+            if (change.removed) {
+                std::erase(news.changed, change.server);
+                news.removed.push_back(change.server.id);
+            } else {
+                news.changed.push_back(change.server);
+            }
+        }
+        return news;
+    }
+};
+
+/// A node that no reader tells anything, on a manual clock.
+class LonelyNode
+{
+public:
+    LonelyNode(const Platform &platform, base::ManualClock &clock, std::uint64_t seed)
+        : m_platform(platform)
+        , m_clock(clock)
+        , m_random(seed)
+        , m_directory(clock)
+    {
+        ServerNews news;
+        news.version = 1;
+        news.whole = true;
+        news.changed = {server("leaves"), server("stays")};
+        m_directory.apply(news);
+        m_nextCall = clock.now();
+    }
+
+    void runUntil(base::TimePoint end)
+    {
+        while (m_clock.now() < end) {
+            m_clock.advance(step);
+            if (m_clock.now() >= m_nextCall) {
+                m_waiting ? finishCall() : startCall();
+            }
+            m_directory.tick();
+        }
+    }
+
+    bool lists(const std::string &id) const
+    {
+        const auto servers = m_directory.servers();
+        return std::any_of(servers.begin(), servers.end(), [&](const config::BackendServer &listed) {
+            return listed.id.value() == id;
+        });
+    }
+
+private:
+    void startCall()
+    {
+        const base::Duration wait = m_schedule.next(false, true).wait;
+        const base::TimePoint now = m_clock.now();
+        const base::TimePoint answered = m_platform.watchEnds(m_directory.version(), now, wait);
+        m_isLost = m_platform.isLost(now, answered);
+        m_nextCall = m_isLost ? now + wait + directoryAnswerTimeout : answered;
+        m_waiting = true;
+    }
+
+    void finishCall()
+    {
+        m_waiting = false;
+        if (m_isLost) {
+            m_directory.noteUnreachable();
+            m_nextCall = m_clock.now() + m_schedule.failed(m_random);
+            return;
+        }
+        m_directory.apply(m_platform.newsSince(m_directory.version(), m_clock.now()));
+        m_nextCall = m_clock.now() + m_schedule.answered(false);
+    }
+
+    const Platform &m_platform;
+    base::ManualClock &m_clock;
+    std::mt19937_64 m_random;
+    ServerDirectory m_directory;
+    DirectorySchedule m_schedule;
+    base::TimePoint m_nextCall;
+    bool m_waiting = false;
+    bool m_isLost = false;
+};
+
+/// Outages of many lengths that begin at many moments of a watch.
+struct OutageFixture
+{
+    OutageFixture()
+    {
+        FLAGS_minloglevel = google::GLOG_FATAL;
+    }
+
+    template<typename Check>
+    void forEachOutage(const Check &check)
+    {
+        std::uint64_t seed = 1;
+        for (base::Duration begins = 1s; begins < 6s; begins += 170ms) {
+            for (base::Duration length = 20ms; length < 12s; length += 390ms) {
+                base::ManualClock clock;
+                Platform platform;
+                platform.outageBegins = clock.now() + begins;
+                platform.outageEnds = platform.outageBegins + length;
+                check(platform, clock, ++seed);
+            }
+        }
+    }
+};
+
+}
+
+// A server that left after an outage got work three seconds longer than it may, where the last answer before it was
+// lost.
+BOOST_FIXTURE_TEST_CASE(server_thatLeavesOnceThePlatformIsCalmAgain_isOutOfUseInTime, OutageFixture)
+{
+    int late = 0;
+    forEachOutage([&](Platform &platform, base::ManualClock &clock, std::uint64_t seed) {
+        const base::TimePoint leaves = platform.outageEnds + calmAfter;
+        platform.changes = {{leaves, server("leaves"), true}};
+        LonelyNode node(platform, clock, seed);
+        node.runUntil(leaves + drainTime);
+        late += node.lists("leaves") ? 1 : 0;
+        BOOST_TEST(node.lists("stays"));
+    });
+    BOOST_TEST(late == 0);
+}
+
+// An entry that lapsed because the platform was away must not be taken for gone before it can have come back.
+BOOST_FIXTURE_TEST_CASE(server_whoseEntryLapsedInAnOutage_staysInUseUntilItIsBack, OutageFixture)
+{
+    int dropped = 0;
+    forEachOutage([&](Platform &platform, base::ManualClock &clock, std::uint64_t seed) {
+        if (platform.outageEnds - platform.outageBegins < shortestLapse) {
+            return;
+        }
+        const base::TimePoint back = platform.outageEnds + 1900ms;
+        const base::TimePoint lapses = platform.outageBegins + shortestLapse;
+        platform.changes = {{lapses, server("leaves"), true}, {back, server("leaves"), false}};
+        LonelyNode node(platform, clock, seed);
+        for (base::Duration passed{}; passed < 20s; passed += step) {
+            node.runUntil(clock.now() + step);
+            dropped += node.lists("leaves") ? 0 : 1;
+        }
+    });
+    BOOST_TEST(dropped == 0);
+}
