Let a node notice within two seconds that the platform answers again

Cause: after the platform's last lost answer a node could wait out a watch (3.5 s and 1 s for the answer), a pause (up to 1 s), and only then began the grace of 2 s for entries that may have lapsed: 7.5 s. There are 5: three until the platform counts as calm, two in which a leaving server must be out of use. The constant's comment had added up the watch alone.

--- a/src/include/papayastep/membership/directoryschedule.h
+++ b/src/include/papayastep/membership/directoryschedule.h
@@ -20,11 +20,12 @@
         std::chrono::milliseconds wait{0}; ///< Of a watch.
     };
 
-    /// The next call of a node that others read for, or of a reader. `isKnown`: it has a whole list.
-    Call next(bool isReader, bool isKnown) const;
+    /// `isKnown`: a whole list is held.
+    Call next(bool isKnown) const;
 
     // How a call ended. Each returns the pause before the next one.
-    base::Duration answered(bool isReader);
+    /// `anyMissing`: some entries may only have lapsed in an outage.
+    base::Duration answered(bool isReader, bool anyMissing);
     base::Duration historyGone();
     /// Random, so that a fleet does not fall upon a platform that comes back.
     base::Duration failed(std::mt19937_64 &random);
--- a/src/include/papayastep/membership/serverdirectory.h
+++ b/src/include/papayastep/membership/serverdirectory.h
@@ -48,6 +48,9 @@
     bool tick();
     std::optional<base::TimePoint> nextTick() const;
 
+    /// Whether entries are kept that the platform does not have.
+    bool anyMissing() const;
+
     /// Whether the complete list was ever read.
     bool isKnown() const;
     std::uint64_t version() const;
--- a/src/membership/directoryoutage_test.cpp
+++ b/src/membership/directoryoutage_test.cpp
@@ -119,7 +119,7 @@
 private:
     void startCall()
     {
-        const base::Duration wait = m_schedule.next(false, true).wait;
+        const base::Duration wait = m_schedule.next(true).wait;
         const base::TimePoint now = m_clock.now();
         const base::TimePoint answered = m_platform.watchEnds(m_directory.version(), now, wait);
         m_isLost = m_platform.isLost(now, answered);
@@ -136,7 +136,7 @@
             return;
         }
         m_directory.apply(m_platform.newsSince(m_directory.version(), m_clock.now()));
-        m_nextCall = m_clock.now() + m_schedule.answered(false);
+        m_nextCall = m_clock.now() + m_schedule.answered(false, m_directory.anyMissing());
     }
 
     const Platform &m_platform;
--- a/src/membership/serverdirectory.cpp
+++ b/src/membership/serverdirectory.cpp
@@ -95,14 +95,17 @@
 
 std::optional<base::TimePoint> ServerDirectory::nextTick() const
 {
-    const bool anyMissing
-        = std::any_of(m_entries.begin(), m_entries.end(), [](const auto &entry) { return entry.second.missing; });
-    if (!anyMissing || m_unreachable || !m_returnedAt) {
+    if (!anyMissing() || m_unreachable || !m_returnedAt) {
         return std::nullopt;
     }
     return *m_returnedAt + m_settings.returnGrace;
 }
 
+bool ServerDirectory::anyMissing() const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [](const auto &entry) { return entry.second.missing; });
+}
+
 bool ServerDirectory::isKnown() const
 {
     return m_known;
--- a/src/node/directorykeeper.cpp
+++ b/src/node/directorykeeper.cpp
@@ -63,7 +63,7 @@
         const base::TimePoint askedAt = m_context.clock.now();
         try {
             co_await readOnce();
-            wait = m_schedule.answered(m_relay.isReader());
+            wait = m_schedule.answered(m_relay.isReader(), m_directory.anyMissing());
         } catch (const base::Error &error) {
             if (error.code() == base::ResultCode::PlatformHistoryGone) {
                 wait = m_schedule.historyGone();
@@ -84,7 +84,7 @@
 net::Awaitable<void> DirectoryKeeper::readOnce()
 {
     const base::TimePoint askedAt = m_context.clock.now();
-    const membership::DirectorySchedule::Call call = m_schedule.next(m_relay.isReader(), m_directory.isKnown());
+    const membership::DirectorySchedule::Call call = m_schedule.next(m_directory.isKnown());
     membership::ServerNews news;
     if (call.list) {
         news = co_await m_source.listServers();
