Take the end of an outage from answers that came after it only

A reader's beat tells how old the platform's last answer to it is, but any beat ended a node's outage.

Change: news counts from when the platform gave it. It ends an outage only if that was after the node's own last failed call; the grace, the age in metrics and the time for which the VM list is known begin there, too.

Test: directory_givenAnAnswerFromBeforeTheOutage_staysUnreachable; three of its checks fail with the code before, all pass now.

--- a/src/include/papayastep/membership/serverdirectory.h
+++ b/src/include/papayastep/membership/serverdirectory.h
@@ -38,7 +38,8 @@
 public:
     explicit ServerDirectory(const base::Clock &clock, ServerDirectorySettings settings = {});
 
-    /// Returns whether servers() changed.
+    /// Returns whether servers() changed. `answeredAt` is when the platform answered; of what readers tell, before now.
+    bool apply(const ServerNews &news, base::TimePoint answeredAt);
     bool apply(const ServerNews &news);
 
     /// A call of the platform failed.
@@ -80,7 +81,8 @@
     std::uint64_t m_version = 0;
     bool m_known = false;
     bool m_unreachable = false;
-    std::optional<base::TimePoint> m_heardAt;
+    std::optional<base::TimePoint> m_heardAt; ///< When the platform last answered.
+    std::optional<base::TimePoint> m_failedAt; ///< When a call of the platform last failed.
     std::optional<base::TimePoint> m_returnedAt; ///< When the platform last came back after a failed call.
 };
 
--- a/src/membership/serverdirectory.cpp
+++ b/src/membership/serverdirectory.cpp
@@ -27,11 +27,15 @@
 
 bool ServerDirectory::apply(const ServerNews &news)
 {
-    const base::TimePoint now = m_clock.now();
-    m_heardAt = now;
-    if (m_unreachable) {
+    return apply(news, m_clock.now());
+}
+
+bool ServerDirectory::apply(const ServerNews &news, base::TimePoint answeredAt)
+{
+    m_heardAt = std::max(m_heardAt.value_or(answeredAt), answeredAt);
+    if (m_unreachable && answeredAt >= m_failedAt) {
         m_unreachable = false;
-        m_returnedAt = now;
+        m_returnedAt = answeredAt;
         PAPAYASTEP_LOG(INFO, logPrefix) << "The directory of backend servers answers again."
                                         << base::field("version", news.version);
     }
@@ -75,6 +79,7 @@
             << base::field("version", m_version) << base::field("servers", m_entries.size());
     }
     m_unreachable = true;
+    m_failedAt = m_clock.now();
 }
 
 bool ServerDirectory::tick()
--- a/src/membership/serverdirectory_test.cpp
+++ b/src/membership/serverdirectory_test.cpp
@@ -68,6 +68,24 @@
     BOOST_TEST(directory.servers().front().id.value() == "a");
 }
 
+// A reader's last answer from before an outage was taken for its end, and entries that had lapsed were dropped too
+// soon.
+BOOST_FIXTURE_TEST_CASE(directory_givenAnAnswerFromBeforeTheOutage_staysUnreachable, DirectoryFixture)
+{
+    directory.apply(list({server("a")}));
+    const base::TimePoint answeredAt = clock.now();
+    clock.advance(5s);
+    directory.noteUnreachable();
+    clock.advance(1s);
+    directory.apply(ServerNews{1, false, {}, {}, 0}, answeredAt);
+    BOOST_TEST((directory.age() == base::Duration(6s)));
+    clock.advance(1s);
+    directory.apply(list({}, 7));
+    clock.advance(1500ms);
+    BOOST_TEST(!directory.tick());
+    BOOST_TEST(size() == 1U);
+}
+
 // An answer of the platform is under way while a reader's newer news arrives. Taken in after it, the older one would
 // drop a server that has registered since, and it would get no requests until its entry changes again.
 BOOST_FIXTURE_TEST_CASE(directory_givenAnOlderAnswer_keepsTheNewerState, DirectoryFixture)
--- a/src/node/directorykeeper.cpp
+++ b/src/node/directorykeeper.cpp
@@ -112,9 +112,10 @@
     if (!news) {
         return;
     }
-    m_askedAt = m_context.clock.now() - std::chrono::milliseconds(message.answeredAgoMs);
+    const base::TimePoint answeredAt = m_context.clock.now() - std::chrono::milliseconds(message.answeredAgoMs);
+    m_askedAt = std::max(m_askedAt, answeredAt);
     m_revisionPatience.noteHeard(news->publishedRevision, m_context.clock.now());
-    if (m_directory.apply(*news)) {
+    if (m_directory.apply(*news, answeredAt)) {
         m_answered(0, true);
     }
 }
