Take a revision at once where its files came with the listing

So that a fleet that starts does not fetch all files at once, a node that is no reader of its zone waits a random part of (VMs x changed files / 500) seconds before it fetches. On the operators' platform no node is such a reader and the files come with the listing, so whoever read a revision first sat on it: up to 0.4 s at 100 VMs and two files, 9 s at 2,300 (derived).

Change: SpreadSettings::filesComeWithListing, set where the directory tells of revisions, drops that wait.

Test: listing_withItsFiles_isTakenAtOnceInALargeFleet; 300 checks fail without the condition.

Left: the last node of a zone without a reader learns by asking, not by pushes.

--- a/src/include/papayastep/membership/configspread.h
+++ b/src/include/papayastep/membership/configspread.h
@@ -41,7 +41,8 @@
     std::chrono::seconds watchWait{25}; ///< How long one watch waits.
     base::Duration shortestPoll = std::chrono::seconds(30); ///< Of nodes that hold no watch.
     double pollsPerSecond = 20; ///< Of all those nodes together; the platform takes 2,000 reads.
-    double fetchesPerSecond = 500; ///< Of files, when many nodes start at once.
+    bool filesComeWithListing = false; ///< No call is needed for a file.
+    double fetchesPerSecond = 500; ///< Of files otherwise, when many nodes start at once.
     base::Duration shortestBackoff = std::chrono::milliseconds(500); ///< After a failed call of the platform.
     base::Duration longestBackoff = std::chrono::seconds(30);
     base::Duration noticeInterval = std::chrono::seconds(2); ///< Between notices to a random peer.
--- a/src/membership/configspread.cpp
+++ b/src/membership/configspread.cpp
@@ -86,7 +86,7 @@
                  listing.files.end(),
                  std::back_inserter(plan.files),
                  [this](const config::FileReference &file) { return !m_store.holds(file); });
-    if (!isReader()) {
+    if (!isReader() && !m_settings.filesComeWithListing) {
         plan.notBefore += startSpread(plan.files.size());
     }
     return plan;
--- a/src/membership/configurationstream_test.cpp
+++ b/src/membership/configurationstream_test.cpp
@@ -223,3 +223,21 @@
     BOOST_TEST(spread.revision() == 5U);
     BOOST_TEST(spread.configurationCall().after == 4U);
 }
+
+// Whoever read a revision with all its files waited before it took it, the longer the larger the fleet.
+BOOST_AUTO_TEST_CASE(listing_withItsFiles_isTakenAtOnceInALargeFleet)
+{
+    FLAGS_minloglevel = google::GLOG_FATAL;
+    constexpr int nodes = 300;
+    SpreadSettings settings;
+    settings.readersPerZone = 0;
+    settings.filesComeWithListing = true;
+    TestFleet fleet(nodes, 4, 11, settings);
+    fleet.run(2s);
+    const auto files = TestFleet::filesWithRate(7);
+    for (int node = 0; node < nodes; ++node) {
+        const FetchPlan plan = fleet.spread(node).platformListing(config::listingOf(7, files));
+        BOOST_TEST(plan.worthwhile);
+        BOOST_TEST((plan.notBefore <= fleet.clock.now()));
+    }
+}
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -53,6 +53,7 @@
     if (hasDirectory) {
         // The watch of the directory tells of a new revision too, so no node needs a second watch for it.
         settings.readersPerZone = 0;
+        settings.filesComeWithListing = true;
         settings.longestBackoff = longestBackoff;
     }
     return settings;
