--- /dev/null
+++ b/src/net/peerendpoint_test.cpp
@@ -0,0 +1,95 @@
+#include "papayastep/base/clock.h"
+#include "papayastep/base/error.h"
+#include "papayastep/net/peerendpoint.h"
+#include "papayastep/wire/envelope.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace papayastep;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Bounds a wait for what must come; none of the checks depends on how long it takes.
+constexpr std::chrono::seconds patience{20};
+
+net::Endpoint freeEndpoint(net::asio::io_context &io)
+{
+    net::tcp::acceptor acceptor(io, net::tcp::endpoint(net::asio::ip::address_v4::loopback(), 0));
+    return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+struct PeersFixture
+{
+    base::SystemClock clock;
+    net::asio::io_context io{1};
+    net::Endpoint left = freeEndpoint(io);
+    net::Endpoint right = freeEndpoint(io);
+    std::vector<std::string> received;
+    net::PeerEndpoint sender{io, clock, left, [](const std::string &) {}};
+
+    std::unique_ptr<net::PeerEndpoint> receiver()
+    {
+        return std::make_unique<net::PeerEndpoint>(
+            io, clock, right, [this](std::string bytes) { received.push_back(std::move(bytes)); });
+    }
+
+    /// Runs what is due until `count` messages have come, at the longest for `patience`.
+    void awaitMessages(std::size_t count)
+    {
+        const auto end = clock.now() + patience;
+        while (received.size() < count && clock.now() < end) {
+            io.restart();
+            io.run_one_for(10ms);
+        }
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(messages_sentBeforeTheConnectionStands_arriveInOrder, PeersFixture)
+{
+    const auto peer = receiver();
+    BOOST_TEST(sender.send(right, "one"));
+    BOOST_TEST(sender.send(right, std::string(100'000, 'x')));
+    BOOST_TEST(sender.send(right, "three"));
+    awaitMessages(3);
+    BOOST_REQUIRE(received.size() == 3U);
+    BOOST_TEST(received[0] == "one");
+    BOOST_TEST(received[1].size() == 100'000U);
+    BOOST_TEST(received[2] == "three");
+    BOOST_TEST(sender.counters().messagesSent == 3U);
+}
+
+// A node ended by a write to freed memory as it sent to a peer that had just been killed.
+BOOST_FIXTURE_TEST_CASE(send_whileThePeerGoesAndComesBack_harmsNothing, PeersFixture)
+{
+    constexpr int rounds = 150;
+    for (int round = 0; round < rounds; ++round) {
+        auto peer = receiver();
+        for (int message = 0; message < 200; ++message) {
+            sender.send(right, std::string(2000, 'x'));
+            io.restart();
+            io.poll();
+        }
+        peer.reset();
+        for (int message = 0; message < 50; ++message) {
+            sender.send(right, std::string(2000, 'y'));
+            io.restart();
+            io.poll();
+        }
+    }
+    const auto peer = receiver();
+    received.clear();
+    const auto end = clock.now() + patience;
+    while (received.empty() && clock.now() < end) {
+        sender.send(right, "still there");
+        io.restart();
+        io.run_for(10ms);
+    }
+    BOOST_TEST(!received.empty());
+}
