Carry the messages between nodes over Boost.Asio in place of nng

Cause: libnng 1.5.2 closes connections in threads of its own beside our calls; a closed one stays in the list of the PUSH socket, and the close of a PULL socket waits for good while messages come.

Ruled out: another order of calls (the crash needs none of ours but nng_send), another protocol of that library (the same threads; not tried), a newer version (Debian 12 has this one).

Change: PeerSender (a queue of 16 messages, a connection made when there is something to send, a read that notices its end, 2 s for unacknowledged bytes) and PeerListener (frames of a length and bytes, at most 2 MiB) in the node's own thread. The options of sockets move from the HTTP client to silence.h.

--- a/src/cmake/dependencies.cmake
+++ b/src/cmake/dependencies.cmake
@@ -2,7 +2,6 @@
 find_package(Threads REQUIRED)
 find_package(Boost 1.74 REQUIRED COMPONENTS program_options)
 find_package(glog REQUIRED)
-find_package(nng REQUIRED)
 find_package(prometheus-cpp REQUIRED COMPONENTS core)
 find_package(nlohmann_json 3.11 REQUIRED)
 find_package(PkgConfig REQUIRED)
--- a/src/include/papayastep/config/configuration.h
+++ b/src/include/papayastep/config/configuration.h
@@ -191,7 +191,7 @@
     std::string address; ///< IP number.
     std::uint16_t callerPort = 0; ///< HTTP, for callers.
     std::uint16_t hopPort = 0; ///< HTTP, between nodes.
-    std::uint16_t peerPort = 0; ///< nng, between nodes.
+    std::uint16_t peerPort = 0; ///< Messages between nodes.
     std::uint16_t adminPort = 0; ///< HTTP, for operators: /metrics, /status.
     bool leaving = false; ///< The platform is about to take it away.
 
--- a/src/include/papayastep/net/peerendpoint.h
+++ b/src/include/papayastep/net/peerendpoint.h
@@ -11,8 +11,11 @@
 
 namespace papayastep::net {
 
-/// One-way messages between nodes over nng pipeline sockets: one PULL per node, one PUSH per peer that we talk to.
-/// Sends never block; what a slow peer can't take is dropped, and the protocols above repair it.
+class PeerListener;
+class PeerSender;
+
+/// One-way messages between nodes: one listening socket per node, one connection per peer that we talk to. Sends never
+/// block; what a slow peer can't take is dropped, and the protocols above repair it.
 class PeerEndpoint
 {
 public:
@@ -43,16 +46,12 @@
     std::size_t openSockets() const;
 
 private:
-    class Push;
-    class Pull;
-
     asio::io_context &m_context;
     const base::Clock &m_clock;
     Receiver m_receive;
     Counters m_counters;
-    std::map<Endpoint, std::unique_ptr<Push>> m_peers;
-    std::shared_ptr<bool> m_alive;
-    std::unique_ptr<Pull> m_pull;
+    std::map<Endpoint, std::shared_ptr<PeerSender>> m_senders;
+    std::shared_ptr<PeerListener> m_listener;
 };
 
 }
--- a/src/include/papayastep/node/peerlink.h
+++ b/src/include/papayastep/node/peerlink.h
@@ -27,7 +27,7 @@
     struct Tally
     {
         std::uint64_t messages = 0;
-        std::uint64_t bytes = 0; ///< Sealed, without nng's and TCP's own.
+        std::uint64_t bytes = 0; ///< Sealed, without the framing's and TCP's own.
     };
     const std::map<wire::MessageKind, Tally> &sent() const;
     const net::PeerEndpoint::Counters &counters() const;
--- a/src/include/papayastep/node/settings.h
+++ b/src/include/papayastep/node/settings.h
@@ -30,7 +30,7 @@
     base::ZoneId zone;
     net::Endpoint caller; ///< HTTP for callers.
     net::Endpoint hop; ///< HTTP between nodes.
-    net::Endpoint peer; ///< nng between nodes.
+    net::Endpoint peer; ///< Messages between nodes.
     net::Endpoint admin; ///< HTTP for operators.
     std::optional<net::Endpoint> ready; ///< A listener of its own for the question whether the node is ready.
     std::string readyPath = "/readyz"; ///< Where that question is asked.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,4 +1,5 @@
 #include "papayastep/net/httpclient.h"
+#include "silence.h"
 
 #include "papayastep/net/task.h"
 
@@ -26,27 +27,6 @@
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-void setOption(int socket, int level, int name, int value)
-{
-    // Fails only where the system lacks the option; the timeouts of requests remain then.
-    ::setsockopt(socket, level, name, &value, sizeof(value));
-}
-
-/// Lets the system notice a peer that went away without a word: probes on an idle connection, and a bound on how long
-/// sent bytes may stay unacknowledged.
-void noticeSilence(tcp::socket &socket, base::Duration timeout)
-{
-    constexpr int probes = 2;
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count();
-    const int seconds = std::max(1, static_cast<int>(milliseconds / 1000 / probes));
-    const int handle = socket.native_handle();
-    setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
-    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
-    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
-    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, probes);
-    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(milliseconds));
-}
-
 /// The seconds of `timeout=` in a Keep-Alive field, if it has any.
 std::optional<base::Duration> keepAliveTimeout(const ResponseHead &head)
 {
@@ -219,7 +199,8 @@
         co_return false;
     }
     m_connection->stream().socket().set_option(tcp::no_delay(true), error);
-    noticeSilence(m_connection->stream().socket(), m_pool.limits().silenceTimeout);
+    probeWhenIdle(m_connection->stream().socket(), m_pool.limits().silenceTimeout);
+    boundUnacknowledged(m_connection->stream().socket(), m_pool.limits().silenceTimeout);
     co_return true;
 }
 
--- a/src/net/peerendpoint_test.cpp
+++ b/src/net/peerendpoint_test.cpp
@@ -3,6 +3,7 @@
 #include "papayastep/net/peerendpoint.h"
 #include "papayastep/wire/envelope.h"
 
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <memory>
@@ -93,3 +94,40 @@
     }
     BOOST_TEST(!received.empty());
 }
+
+// A stranger that announces a message of four billion bytes would have them gathered.
+BOOST_FIXTURE_TEST_CASE(connection_thatAnnouncesTooLongAMessage_isClosedAndOthersStay, PeersFixture)
+{
+    const auto peer = receiver();
+    net::tcp::socket stranger(io);
+    stranger.connect({net::asio::ip::address_v4::loopback(), right.port});
+    net::asio::write(stranger, net::asio::buffer(std::string(64, '\xff')));
+    net::beast::error_code error;
+    bool ended = false;
+    char byte = 0;
+    stranger.async_read_some(net::asio::buffer(&byte, 1), [&](const net::beast::error_code &result, std::size_t) {
+        error = result;
+        ended = true;
+    });
+    const auto end = clock.now() + patience;
+    while (!ended && clock.now() < end) {
+        io.restart();
+        io.run_one_for(10ms);
+    }
+    BOOST_TEST(ended);
+    BOOST_TEST(error.failed());
+    BOOST_TEST(sender.send(right, "one"));
+    awaitMessages(1);
+    BOOST_TEST(received.size() == 1U);
+}
+
+// A peer that takes nothing must cost its sender a few messages of memory, and no time.
+BOOST_FIXTURE_TEST_CASE(send_toAPeerThatIsNotThere_dropsWhatDoesNotFit, PeersFixture)
+{
+    int taken = 0;
+    for (int message = 0; message < 100; ++message) {
+        taken += sender.send(right, "one") ? 1 : 0;
+    }
+    BOOST_TEST(taken == 16);
+    BOOST_TEST(sender.counters().dropped == 84U);
+}
--- /dev/null
+++ b/src/net/peersender.cpp
@@ -0,0 +1,145 @@
+#include "peersender.h"
+#include "silence.h"
+
+#include "papayastep/net/task.h"
+#include "papayastep/wire/envelope.h"
+
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace papayastep::net {
+
+namespace {
+
+/// Messages that wait while a connection is made or full. Few: an old message helps nobody.
+constexpr std::size_t longestQueue = 16;
+
+constexpr base::Duration connectTimeout = std::chrono::milliseconds(500);
+constexpr base::Duration silenceTimeout = std::chrono::seconds(2);
+constexpr base::Duration firstBackoff = std::chrono::milliseconds(50);
+constexpr base::Duration longestBackoff = std::chrono::seconds(1);
+
+void appendFrame(std::string &bytes, const std::string &message)
+{
+    const auto length = static_cast<std::uint32_t>(message.size());
+    for (int shift = 24; shift >= 0; shift -= 8) {
+        bytes += static_cast<char>((length >> shift) & 0xff);
+    }
+    bytes += message;
+}
+
+}
+
+PeerSender::PeerSender(asio::io_context &context, Endpoint peer)
+    : m_context(context)
+    , m_peer(std::move(peer))
+{
+}
+
+bool PeerSender::send(const std::string &message, base::TimePoint now)
+{
+    m_lastUsed = now;
+    if (m_queue.size() >= longestQueue || message.size() > wire::maxMessageBytes) {
+        return false;
+    }
+    m_queue.push_back(message);
+    if (!m_isSending) {
+        m_isSending = true;
+        spawnTask(m_context, "peer-send", [self = shared_from_this()] { return self->sendQueued(); });
+    }
+    return true;
+}
+
+void PeerSender::close()
+{
+    m_isClosed = true;
+    m_queue.clear();
+    disconnect();
+}
+
+base::TimePoint PeerSender::lastUsed() const
+{
+    return m_lastUsed;
+}
+
+Awaitable<void> PeerSender::sendQueued()
+{
+    while (!m_isClosed && !m_queue.empty()) {
+        if (!m_socket) {
+            const bool connected = co_await connect();
+            if (!connected) {
+                co_await pauseAfterFailure();
+            }
+            continue;
+        }
+        std::string bytes;
+        for (const std::string &message : m_queue) {
+            appendFrame(bytes, message);
+        }
+        m_queue.clear();
+        const Socket socket = m_socket;
+        beast::error_code error;
+        co_await asio::async_write(*socket, asio::buffer(bytes), into(error));
+        if (error && socket == m_socket) {
+            disconnect();
+        }
+    }
+    m_isSending = false;
+}
+
+Awaitable<bool> PeerSender::connect()
+{
+    const auto socket = std::make_shared<tcp::socket>(m_context);
+    asio::steady_timer timer(m_context, connectTimeout);
+    timer.async_wait([weak = std::weak_ptr<tcp::socket>(socket)](const beast::error_code &error) {
+        const Socket late = weak.lock();
+        if (!error && late) {
+            beast::error_code ignored;
+            late->close(ignored);
+        }
+    });
+    beast::error_code error;
+    co_await socket->async_connect(toTcp(m_peer), into(error));
+    timer.cancel();
+    if (error || m_isClosed || !socket->is_open()) {
+        co_return false;
+    }
+    socket->set_option(tcp::no_delay(true), error);
+    boundUnacknowledged(*socket, silenceTimeout);
+    m_socket = socket;
+    m_backoff = base::Duration::zero();
+    spawnTask(m_context, "peer-watch", [self = shared_from_this(), socket] { return self->watch(socket); });
+    co_return true;
+}
+
+/// A peer sends nothing on this connection. Without a read, its end shows only after a message is lost on it.
+Awaitable<void> PeerSender::watch(Socket socket)
+{
+    std::array<char, 1> byte{};
+    beast::error_code error;
+    co_await socket->async_read_some(asio::buffer(byte), into(error));
+    if (socket == m_socket) {
+        disconnect();
+    }
+}
+
+Awaitable<void> PeerSender::pauseAfterFailure()
+{
+    m_backoff = std::clamp(m_backoff * 2, firstBackoff, longestBackoff);
+    asio::steady_timer timer(m_context, m_backoff);
+    beast::error_code ignored;
+    co_await timer.async_wait(into(ignored));
+}
+
+void PeerSender::disconnect()
+{
+    if (m_socket) {
+        beast::error_code ignored;
+        m_socket->close(ignored);
+        m_socket.reset();
+    }
+}
+
+}
