--- a/src/include/papayastep/membership/peerrepair.h
+++ b/src/include/papayastep/membership/peerrepair.h
@@ -63,6 +63,9 @@
     };
     static constexpr std::size_t maxPeers = 8;
 
+    void dropSilentPeer(base::TimePoint now);
+    std::optional<base::VmId> newestToAsk(base::TimePoint now) const;
+
     const SpreadSettings &m_settings;
     std::map<base::VmId, Ahead> m_ahead;
     base::TimePoint m_notBefore{};
--- a/src/membership/peerrepair.cpp
+++ b/src/membership/peerrepair.cpp
@@ -72,29 +72,40 @@
 std::optional<base::VmId> PeerRepair::due(base::TimePoint now)
 {
     if (m_pull && now >= m_pull->deadline) {
-        ++m_counts.unanswered;
-        PAPAYASTEP_LOG(WARNING, logPrefix)
-            << "A peer did not answer what it was asked for." << base::field("vm", m_pull->peer)
-            << base::field("waitedMs", milliseconds(now - m_pull->askedAt));
-        m_ahead.erase(m_pull->peer);
-        m_pull.reset();
+        dropSilentPeer(now);
     }
     if (m_pull || now < m_notBefore) {
         return std::nullopt;
     }
-    auto best = m_ahead.end();
-    for (auto ahead = m_ahead.begin(); ahead != m_ahead.end(); ++ahead) {
-        const bool mayAsk = now >= ahead->second.notBefore;
-        if (mayAsk && (best == m_ahead.end() || ahead->second.version > best->second.version)) {
-            best = ahead;
-        }
+    const std::optional<base::VmId> peer = newestToAsk(now);
+    if (peer) {
+        ++m_counts.asked;
+        m_pull = Pull{*peer, now, now + m_settings.pullTimeout};
     }
-    if (best == m_ahead.end()) {
-        return std::nullopt;
+    return peer;
+}
+
+void PeerRepair::dropSilentPeer(base::TimePoint now)
+{
+    ++m_counts.unanswered;
+    PAPAYASTEP_LOG(WARNING, logPrefix) << "A peer did not answer what it was asked for."
+                                       << base::field("vm", m_pull->peer)
+                                       << base::field("waitedMs", milliseconds(now - m_pull->askedAt));
+    m_ahead.erase(m_pull->peer);
+    m_pull.reset();
+}
+
+std::optional<base::VmId> PeerRepair::newestToAsk(base::TimePoint now) const
+{
+    std::optional<base::VmId> newest;
+    std::uint64_t version = 0;
+    for (const auto &[peer, ahead] : m_ahead) {
+        if (now >= ahead.notBefore && ahead.version > version) {
+            newest = peer;
+            version = ahead.version;
+        }
     }
-    ++m_counts.asked;
-    m_pull = Pull{best->first, now, now + m_settings.pullTimeout};
-    return best->first;
+    return newest;
 }
 
 std::optional<base::TimePoint> PeerRepair::nextDue() const
