--- a/src/net/peerendpoint_test.cpp
+++ b/src/net/peerendpoint_test.cpp
@@ -18,18 +18,16 @@
 /// Bounds a wait for what must come; none of the checks depends on how long it takes.
 constexpr std::chrono::seconds patience{20};
 
-net::Endpoint freeEndpoint(net::asio::io_context &io)
-{
-    net::tcp::acceptor acceptor(io, net::tcp::endpoint(net::asio::ip::address_v4::loopback(), 0));
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
-}
+// Below the ports that the kernel gives to outgoing connections, of which one may stand in the way.
+constexpr std::uint16_t leftPort = 18472;
+constexpr std::uint16_t rightPort = 18473;
 
 struct PeersFixture
 {
     base::SystemClock clock;
     net::asio::io_context io{1};
-    net::Endpoint left = freeEndpoint(io);
-    net::Endpoint right = freeEndpoint(io);
+    net::Endpoint left{"127.0.0.1", leftPort};
+    net::Endpoint right{"127.0.0.1", rightPort};
     std::vector<std::string> received;
     net::PeerEndpoint sender{io, clock, left, [](const std::string &) {}};
 
