--- a/src/membership/peerrepair.cpp
+++ b/src/membership/peerrepair.cpp
@@ -77,7 +77,7 @@
     if (m_pull || now < m_notBefore) {
         return std::nullopt;
     }
-    const std::optional<base::VmId> peer = newestToAsk(now);
+    std::optional<base::VmId> peer = newestToAsk(now);
     if (peer) {
         ++m_counts.asked;
         m_pull = Pull{*peer, now, now + m_settings.pullTimeout};
