--- a/src/membership/configurationstream_test.cpp
+++ b/src/membership/configurationstream_test.cpp
@@ -112,7 +112,7 @@
     BOOST_TEST(std::count(asked.begin(), asked.end(), TestFleet::vm(2)) > 0);
 }
 
-// An answer against files that the node no longer holds left it waiting for a second answer that nobody owes.
+// An answer against files that the node no longer holds left it waiting until the timeout.
 BOOST_FIXTURE_TEST_CASE(answer_thatDoesNotApply_endsTheWait, NodeBehindFixture)
 {
     hear(1, 5);
--- a/src/membership/directoryoutage_test.cpp
+++ b/src/membership/directoryoutage_test.cpp
@@ -80,10 +80,10 @@
 };
 
 /// A node that no reader tells anything, on a manual clock.
-class LonelyNode
+class UncoveredNode
 {
 public:
-    LonelyNode(const Platform &platform, base::ManualClock &clock, std::uint64_t seed)
+    UncoveredNode(const Platform &platform, base::ManualClock &clock, std::uint64_t seed)
         : m_platform(platform)
         , m_clock(clock)
         , m_random(seed)
@@ -183,7 +183,7 @@
     forEachOutage([&](Platform &platform, base::ManualClock &clock, std::uint64_t seed) {
         const base::TimePoint leaves = platform.outageEnds + calmAfter;
         platform.changes = {{leaves, server("leaves"), true}};
-        LonelyNode node(platform, clock, seed);
+        UncoveredNode node(platform, clock, seed);
         node.runUntil(leaves + drainTime);
         late += node.lists("leaves") ? 1 : 0;
         BOOST_TEST(node.lists("stays"));
@@ -202,7 +202,7 @@
         const base::TimePoint back = platform.outageEnds + 1900ms;
         const base::TimePoint lapses = platform.outageBegins + shortestLapse;
         platform.changes = {{lapses, server("leaves"), true}, {back, server("leaves"), false}};
-        LonelyNode node(platform, clock, seed);
+        UncoveredNode node(platform, clock, seed);
         for (base::Duration passed{}; passed < 20s; passed += step) {
             node.runUntil(clock.now() + step);
             dropped += node.lists("leaves") ? 0 : 1;
