Send to a peer again after a fault of the task that sends

Change: the task clears its queue and its mark when it ends by an exception, which is counted as any task's.

--- a/src/net/peerendpoint_test.cpp
+++ b/src/net/peerendpoint_test.cpp
@@ -1,6 +1,7 @@
 #include "papayastep/base/clock.h"
 #include "papayastep/base/error.h"
 #include "papayastep/net/peerendpoint.h"
+#include "papayastep/net/task.h"
 #include "papayastep/wire/envelope.h"
 
 #include <boost/asio/write.hpp>
@@ -129,3 +130,16 @@
     BOOST_TEST(taken == 16);
     BOOST_TEST(sender.counters().dropped == 84U);
 }
+
+// A fault in the task that sends left it marked as running, and its peer got no message any more.
+BOOST_FIXTURE_TEST_CASE(send_afterAFaultOfItsTask_isTakenUpAgain, PeersFixture)
+{
+    const net::Endpoint notAnAddress{"nowhere", rightPort};
+    constexpr int messages = 40;
+    for (int message = 0; message < messages; ++message) {
+        BOOST_TEST(sender.send(notAnAddress, "one"));
+        io.restart();
+        io.poll();
+    }
+    BOOST_TEST(net::taskFaults(io).count() == std::uint64_t{messages});
+}
--- a/src/net/peersender.cpp
+++ b/src/net/peersender.cpp
@@ -47,7 +47,7 @@
     m_queue.push_back(message);
     if (!m_isSending) {
         m_isSending = true;
-        spawnTask(m_context, "peer-send", [self = shared_from_this()] { return self->sendQueued(); });
+        spawnTask(m_context, "peer-send", [self = shared_from_this()] { return self->run(); });
     }
     return true;
 }
@@ -64,6 +64,19 @@
     return m_lastUsed;
 }
 
+Awaitable<void> PeerSender::run()
+{
+    try {
+        co_await sendQueued();
+    } catch (...) {
+        // What waits would keep the queue full, and nothing would be sent to this peer any more.
+        m_queue.clear();
+        m_isSending = false;
+        throw;
+    }
+    m_isSending = false;
+}
+
 Awaitable<void> PeerSender::sendQueued()
 {
     while (!m_isClosed && !m_queue.empty()) {
@@ -86,7 +99,6 @@
             disconnect();
         }
     }
-    m_isSending = false;
 }
 
 Awaitable<bool> PeerSender::connect()
--- a/src/net/peersender.h
+++ b/src/net/peersender.h
@@ -26,6 +26,7 @@
 private:
     using Socket = std::shared_ptr<tcp::socket>;
 
+    Awaitable<void> run();
     Awaitable<void> sendQueued();
     Awaitable<bool> connect();
     Awaitable<void> watch(Socket socket);
