--- a/src/include/papayastep/membership/transferanswers.h
+++ b/src/include/papayastep/membership/transferanswers.h
@@ -21,12 +21,13 @@
     /// `clock` and `settings` must outlive this.
     TransferAnswers(const base::Clock &clock, const SpreadSettings &settings);
 
-    /// What turns the files `have` into those of `store`; `previous` is the revision before it. Nothing where this
-    /// second's answers are used up.
-    std::optional<Parts> configuration(const config::FileListing &have,
-                                       const config::ConfigStore &store,
-                                       const config::ConfigStore &previous);
-    std::optional<Parts> vmList(const config::VmList &list);
+    /// What turns the files `have` into those of `store`; `previous` is the revision before it. Null where this
+    /// second's answers are used up. Valid until the next call.
+    const Parts *configuration(const config::FileListing &have,
+                               const config::ConfigStore &store,
+                               const config::ConfigStore &previous);
+    /// The whole list, alike.
+    const Parts *vmList(const config::VmList &list);
 
     /// Requests beyond the limit since the start.
     std::uint64_t declined() const;
--- a/src/membership/configspread.cpp
+++ b/src/membership/configspread.cpp
@@ -337,14 +337,14 @@
         throw base::Error(base::ResultCode::MessageMalformed, "a request names too many files");
     }
     if (request.wantConfiguration && request.have.revision < m_store.revision()) {
-        if (const auto parts = m_answers.configuration(request.have, m_store, m_previous)) {
+        if (const auto *parts = m_answers.configuration(request.have, m_store, m_previous)) {
             sendAll(partsTo({from}, wire::MessageKind::ConfigurationPart, *parts));
         } else {
             decline(from, TransferContent::Configuration);
         }
     }
     if (request.wantVmList && request.vmListVersion < m_directory.list().version) {
-        if (const auto parts = m_answers.vmList(m_directory.list())) {
+        if (const auto *parts = m_answers.vmList(m_directory.list())) {
             sendAll(partsTo({from}, wire::MessageKind::VmListNotice, *parts));
         } else {
             decline(from, TransferContent::VmList);
--- a/src/membership/transferanswers.cpp
+++ b/src/membership/transferanswers.cpp
@@ -11,12 +11,12 @@
 {
 }
 
-std::optional<TransferAnswers::Parts> TransferAnswers::configuration(const config::FileListing &have,
-                                                                     const config::ConfigStore &store,
-                                                                     const config::ConfigStore &previous)
+const TransferAnswers::Parts *TransferAnswers::configuration(const config::FileListing &have,
+                                                             const config::ConfigStore &store,
+                                                             const config::ConfigStore &previous)
 {
     if (!mayAnswer()) {
-        return std::nullopt;
+        return nullptr;
     }
     const std::string baseDigest = have.digest();
     const std::uint64_t revision = store.revision();
@@ -27,13 +27,13 @@
             revision,
             splitTransfer(TransferContent::Configuration, revision, base::VmId(), bytes, m_settings.partBytes)};
     }
-    return m_configuration->parts;
+    return &m_configuration->parts;
 }
 
-std::optional<TransferAnswers::Parts> TransferAnswers::vmList(const config::VmList &list)
+const TransferAnswers::Parts *TransferAnswers::vmList(const config::VmList &list)
 {
     if (!mayAnswer()) {
-        return std::nullopt;
+        return nullptr;
     }
     if (!m_vmList || m_vmList->version != list.version) {
         const std::string bytes = wire::encode(updateBetween({}, list));
@@ -42,7 +42,7 @@
             list.version,
             splitTransfer(TransferContent::VmList, list.version, base::VmId(), bytes, m_settings.partBytes)};
     }
-    return m_vmList->parts;
+    return &m_vmList->parts;
 }
 
 std::uint64_t TransferAnswers::declined() const
