Weigh an error by its run time, and a timeout by its length

Cause: an ordinary late error of a healthy server and an immediate error of a failing one weighed the same; a server's own 504 at a short deadline, and a timeout before three mean run times, counted as broken answers. Change: an error below a fifth of the usual run time counts 500 to 1, a late one 15 to 1 (23 before); a timeout counts by the share of runs that last so long; a server's 504 at the deadline is a timeout.

--- a/src/health/grayfailureestimator.cpp
+++ b/src/health/grayfailureestimator.cpp
@@ -32,7 +32,7 @@
 {
 }
 
-void GrayFailureEstimator::recordEnd(RunEnd end, base::TimePoint now)
+void GrayFailureEstimator::recordEnd(RunEnd end, double relativeTime, base::TimePoint now)
 {
     switch (end) {
     case RunEnd::Answered:
@@ -40,13 +40,21 @@
             1 - m_settings.grayFailureRate, 1 - m_settings.healthyErrorRate - m_settings.healthyBrokenRate, now);
         break;
     case RunEnd::Error:
-        applyEvidence(m_settings.grayErrorRate, m_settings.healthyErrorRate, now);
+        if (relativeTime < m_settings.immediateErrorTime) {
+            applyEvidence(m_settings.grayImmediateErrorRate, m_settings.healthyImmediateErrorRate, now);
+        } else {
+            applyEvidence(m_settings.grayErrorRate, m_settings.healthyErrorRate, now);
+        }
         m_lastFailure = now;
         break;
     case RunEnd::Broken:
         applyEvidence(m_settings.grayFailureRate, m_settings.healthyBrokenRate, now);
         m_lastFailure = now;
         break;
+    case RunEnd::TimedOut:
+        // A deadline that leaves little more than the usual run time passes at a healthy server, too.
+        applyEvidence(m_settings.grayOverdueRate, std::min(m_settings.grayOverdueRate, std::exp(-relativeTime)), now);
+        break;
     }
     updateEpisode(now);
 }
--- a/src/health/grayfailureestimator_test.cpp
+++ b/src/health/grayfailureestimator_test.cpp
@@ -16,7 +16,7 @@
     void answer(bool failed, base::Duration later = 200ms)
     {
         clock.advance(later);
-        estimator.recordEnd(failed ? RunEnd::Broken : RunEnd::Answered, clock.now());
+        estimator.recordEnd(failed ? RunEnd::Broken : RunEnd::Answered, 1, clock.now());
     }
     bool admitsTrialRequest() const
     {
@@ -95,10 +95,10 @@
     for (int i = 0; i < 10; ++i) {
         answer(false);
     }
-    estimator.recordEnd(RunEnd::Error, clock.now());
+    estimator.recordEnd(RunEnd::Error, 1, clock.now());
     BOOST_TEST(admitsAll());
     clock.advance(100ms);
-    estimator.recordEnd(RunEnd::Error, clock.now());
+    estimator.recordEnd(RunEnd::Error, 1, clock.now());
     BOOST_TEST(estimator.isHeld(clock.now()));
 }
 
@@ -115,10 +115,10 @@
         clock.advance(100ms);
         if (admitsAll()) {
             ++lostBookings;
-            estimator.recordEnd(RunEnd::Broken, clock.now());
+            estimator.recordEnd(RunEnd::Broken, 1, clock.now());
         } else if (estimator.admits(true, false, clock.now())) {
             ++trialRequests;
-            estimator.recordEnd(RunEnd::Broken, clock.now());
+            estimator.recordEnd(RunEnd::Broken, 1, clock.now());
         }
     }
     BOOST_TEST(lostBookings == 1);
@@ -127,7 +127,29 @@
     for (int answers = 0; answers < 2; ++answers) {
         clock.advance(1s);
         BOOST_TEST(estimator.admits(true, false, clock.now()));
-        estimator.recordEnd(RunEnd::Answered, clock.now());
+        estimator.recordEnd(RunEnd::Answered, 1, clock.now());
+    }
+    BOOST_TEST(admitsAll());
+}
+
+// Guards against further refunds to a server that fails at once, whereas one ordinary error says little.
+BOOST_FIXTURE_TEST_CASE(estimator_atOneImmediateError_holds, EstimatorFixture)
+{
+    for (int i = 0; i < 10; ++i) {
+        answer(false);
+    }
+    estimator.recordEnd(RunEnd::Error, 0.01, clock.now());
+    BOOST_TEST(estimator.isHeld(clock.now()));
+}
+
+// Guards against holding a healthy server because a request left it less than twice the usual run time.
+BOOST_FIXTURE_TEST_CASE(estimator_atTimeoutsOfShortDeadlines_admitsWork, EstimatorFixture)
+{
+    answer(false);
+    for (int i = 0; i < 3; ++i) {
+        clock.advance(200ms);
+        estimator.recordEnd(RunEnd::TimedOut, 1.2, clock.now());
+        answer(false);
     }
     BOOST_TEST(admitsAll());
 }
--- a/src/health/nestedcalltracker_test.cpp
+++ b/src/health/nestedcalltracker_test.cpp
@@ -43,7 +43,7 @@
         clock.advance(1ms);
         const bool explained = (fails || callFails) && tracker.explainsFailure(key);
         if (!explained) {
-            estimator.recordEnd(fails ? RunEnd::Broken : RunEnd::Answered, clock.now());
+            estimator.recordEnd(fails ? RunEnd::Broken : RunEnd::Answered, 1, clock.now());
         }
         tracker.runEnded(key);
     }
--- a/src/health/serverhold.cpp
+++ b/src/health/serverhold.cpp
@@ -15,8 +15,9 @@
     case AttemptOutcome::Error:
         return RunEnd::Error;
     case AttemptOutcome::Partial:
-    case AttemptOutcome::Timeout:
         return RunEnd::Broken;
+    case AttemptOutcome::Timeout:
+        return RunEnd::TimedOut;
     case AttemptOutcome::CallFailed:
     case AttemptOutcome::ConnectionRefused:
     case AttemptOutcome::Shed:
@@ -45,7 +46,8 @@
     }
 }
 
-HoldChange ServerHold::ended(const AttemptKey &attempt, AttemptOutcome outcome, base::TimePoint now)
+HoldChange
+ServerHold::ended(const AttemptKey &attempt, AttemptOutcome outcome, double relativeTime, base::TimePoint now)
 {
     if (m_trialAttempt == attempt) {
         m_trialAttempt.reset();
@@ -55,7 +57,7 @@
         return HoldChange::None;
     }
     const bool wasHeld = m_estimator.isHeld(now);
-    m_estimator.recordEnd(*end, now);
+    m_estimator.recordEnd(*end, relativeTime, now);
     if (*end != RunEnd::Answered) {
         return recordFailure(wasHeld, now);
     }
--- a/src/health/serverhold_test.cpp
+++ b/src/health/serverhold_test.cpp
@@ -22,7 +22,7 @@
         const AttemptKey attempt{base::RequestId{1, ++number}, 1};
         hold.started(attempt, clock.now());
         clock.advance(100ms);
-        return hold.ended(attempt, outcome, clock.now());
+        return hold.ended(attempt, outcome, 1, clock.now());
     }
 
     base::ManualClock clock;
@@ -54,7 +54,7 @@
     const AttemptKey trial{base::RequestId{2, 1}, 1};
     hold.started(trial, clock.now());
     BOOST_TEST(!hold.admits(true, clock.now()));
-    hold.ended(trial, AttemptOutcome::CancelledByUs, clock.now());
+    hold.ended(trial, AttemptOutcome::CancelledByUs, 1, clock.now());
     BOOST_TEST(hold.admits(true, clock.now()));
 }
 
--- a/src/include/papayastep/health/grayfailureestimator.h
+++ b/src/include/papayastep/health/grayfailureestimator.h
@@ -14,7 +14,13 @@
     double healthyBrokenRate = 0.002;
     /// Share of requests that fail during a gray failure, and share that a server then answers with an error itself.
     double grayFailureRate = 0.8;
-    double grayErrorRate = 0.3;
+    double grayErrorRate = 0.2;
+    /// Run time, as a fraction of the usual one, below which an error is immediate; shares of requests that end so at a
+    /// healthy server and during a gray failure. A healthy server works on a request before it fails, so an immediate
+    /// error says much more than a late one.
+    double immediateErrorTime = 0.2;
+    double healthyImmediateErrorRate = 0.0006;
+    double grayImmediateErrorRate = 0.3;
     /// Share of requests to a healthy server, and to a hanging one, that still run after three mean run times. With
     /// log-normal run times (sigma 0.8) this is 4 % at a healthy server.
     double healthyOverdueRate = 0.05;
@@ -40,6 +46,7 @@
     Answered,
     Error, ///< A complete answer that reports a failure of the server.
     Broken, ///< No complete answer.
+    TimedOut, ///< No complete answer before the request's own deadline.
 };
 
 /// Estimates the probability that a backend server is in a gray failure from the outcomes of its requests and the time
@@ -54,7 +61,8 @@
 public:
     explicit GrayFailureEstimator(base::TimePoint now, const GrayFailureEstimatorSettings &settings = {});
 
-    void recordEnd(RunEnd end, base::TimePoint now);
+    /// `relativeTime` is the run time as a fraction of the usual one.
+    void recordEnd(RunEnd end, double relativeTime, base::TimePoint now);
 
     /// Records that a request has run for several times the usual run time without an end.
     void recordOverdue(base::TimePoint now);
--- a/src/include/papayastep/health/serverhold.h
+++ b/src/include/papayastep/health/serverhold.h
@@ -26,7 +26,8 @@
 
     /// The first attempt that starts above the trial threshold becomes the trial request.
     void started(const AttemptKey &attempt, base::TimePoint now);
-    HoldChange ended(const AttemptKey &attempt, AttemptOutcome outcome, base::TimePoint now);
+    /// `relativeTime` is the run time as a fraction of the usual one.
+    HoldChange ended(const AttemptKey &attempt, AttemptOutcome outcome, double relativeTime, base::TimePoint now);
     /// Records that an attempt has run for several times the usual run time.
     HoldChange recordOverdue(base::TimePoint now);
 
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -38,6 +38,9 @@
 constexpr double hangReportProbability = 0.85;
 static_assert(hangReportProbability < health::GrayFailureEstimatorSettings().maxProbability);
 
+/// Time before the deadline of an attempt within which a server's own report of a timeout counts as one of the request.
+constexpr base::Duration timeoutReportTolerance = std::chrono::milliseconds(50);
+
 /// Lower bound of a mean run time, which limits the ratio of two run times if runs are very short.
 constexpr base::Duration minMeanRunTime = std::chrono::microseconds(1);
 
@@ -716,7 +719,9 @@
         // The failure was counted when the attempt became overdue, or the timeout passed while this process was paused.
         outcome = health::AttemptOutcome::CancelledByUs;
     }
-    switch (localServer.hold.ended(activeAttempt.healthKey(), outcome, now)) {
+    const std::chrono::duration<double> run = now - activeAttempt.started;
+    const double relativeTime = run / std::max(expectedRun(localServer, activeAttempt.hop.route), minMeanRunTime);
+    switch (localServer.hold.ended(activeAttempt.healthKey(), outcome, relativeTime, now)) {
     case health::HoldChange::Held:
         notifyHold(localServer, "failed");
         break;
@@ -794,6 +799,11 @@
 health::AttemptOutcome ServingNode::outcomeOf(const ActiveAttempt &activeAttempt, net::http::status status)
 {
     const auto outcome = outcomeOfAnswer(activeAttempt.answerKind, status);
+    const bool reportsTimeout = status == net::http::status::gateway_timeout
+        && m_context.clock.now() + timeoutReportTolerance >= activeAttempt.deadline;
+    if (reportsTimeout) {
+        return health::AttemptOutcome::Timeout;
+    }
     if (outcome != health::AttemptOutcome::Error || !m_runCalls.explainsFailure(activeAttempt.healthKey())) {
         return outcome;
     }
