Add papayastep summary, which counts what the logs of many nodes report

papayastep trace follows one request; with hundreds of nodes the question is what ended how often and why.

--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -76,6 +76,7 @@
     commands.push_back(makeStatusCommand());
     commands.push_back(makeDrainCommand());
     commands.push_back(makeTraceCommand());
+    commands.push_back(makeSummaryCommand());
     return commands;
 }
 
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -74,5 +74,6 @@
 std::unique_ptr<Command> makeStatusCommand();
 std::unique_ptr<Command> makeDrainCommand();
 std::unique_ptr<Command> makeTraceCommand();
+std::unique_ptr<Command> makeSummaryCommand();
 
 }
