Keep the retry budget beside the backend servers instead of at the entries

Cause: each entry had an even part of the fleet's retries, half a retry in a fleet of 353, and earned 0.13 for each request of a few a second. And a repeat for which no server was found lost the backend server's own answer. Change: the node beside a server keeps that server's part and says in a slot offer whether it has a retry left; the entry asks up to six. The sum over all servers is the limit, as before. An answer of an attempt that was to be repeated is kept and delivered if no server takes the repeat. Not used: two fifths of the limit when most requests are rejected, as a repeat asks six servers only; and calls made by a repeated run are not counted as repeats at the service they call.

--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -50,6 +50,11 @@
     double nextTierWeight = 0.25;
 };
 
+/// The settings of the queue in front of a backend server. If a request has a target time, three tenths of the time
+/// from there to the deadline may still be used. Most of a run must fit before the deadline, because otherwise it only
+/// takes the slot from another request.
+SlotQueueSettings backendServerQueueSettings();
+
 /// An attempt that requests a slot.
 struct QueueOffer
 {
--- a/src/include/papayastep/node/node.h
+++ b/src/include/papayastep/node/node.h
@@ -57,7 +57,6 @@
     void countHealthEvents();
     void reloadSettings();
     void logRefusalSummaries();
-    void applyRetryLimit();
     void startBuild();
     void applyConfiguration(const membership::AcceptedConfiguration &accepted);
     void activateConfiguration();
--- a/src/include/papayastep/node/nodecontext.h
+++ b/src/include/papayastep/node/nodecontext.h
@@ -58,7 +58,6 @@
     health::GrayFailureTable gray;
     routing::SilentNodes silence;
     routing::ServerIdleTimes idle;
-    routing::RetryBudget retryBudget;
     routing::RetryPolicy retryPolicy;
     routing::LedgerHome ledgerHome;
     routing::LedgerClient ledgerClient;
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -9,6 +9,7 @@
 #include "papayastep/node/nodecontext.h"
 #include "papayastep/node/servedanswer.h"
 #include "papayastep/routing/attemptregistry.h"
+#include "papayastep/routing/retrybudget.h"
 #include "papayastep/wire/slotquery.h"
 
 #include <map>
@@ -70,11 +71,19 @@
     void tick();
     std::optional<base::TimePoint> nextTick();
 
+    /// Removes state without recent use. To be called every few seconds.
+    void sweep();
+
     /// Number of attempts that are queued or running.
     std::size_t inFlight() const;
     std::size_t queued() const;
     std::map<base::ServiceId, SlotUse> slotUse() const;
 
+    /// Counts of the retries that were requested of the backend servers of this VM.
+    routing::RetryBudgetCounters retryCounters() const;
+    /// The retries that the backend servers of this VM would accept now, by service.
+    std::map<base::ServiceId, double> availableRetries() const;
+
 private:
     struct ActiveAttempt;
     struct LocalServer;
@@ -93,6 +102,8 @@
     limits::QueueOffer queueOffer(const ActiveAttempt &activeAttempt) const;
     bool isHeldBack(const LocalServer &localServer, bool idempotent) const;
     std::optional<base::ResultCode> registerAttempt(ActiveAttempt &activeAttempt);
+    std::optional<base::ResultCode> takeRetry(const wire::HopRequest &hop);
+    void returnRetry(const wire::HopRequest &hop);
     net::Awaitable<void> waitForSlot(ActiveAttemptPtr activeAttempt);
     net::Awaitable<void> runOnBackend(ActiveAttemptPtr activeAttempt, net::ClientRequest request);
     void finishAttempt(ActiveAttempt &activeAttempt, health::AttemptOutcome outcome);
@@ -113,6 +124,7 @@
     routing::AttemptRegistry m_registry;
     std::map<base::BackendServerId, std::unique_ptr<LocalServer>> m_localServers;
     std::map<limits::AttemptId, ActiveAttemptPtr> m_attempts;
+    routing::RetryBudgetCounters m_formerRetries; ///< Counts of servers that are no longer served.
 };
 
 }
--- a/src/include/papayastep/routing/placement.h
+++ b/src/include/papayastep/routing/placement.h
@@ -46,6 +46,7 @@
     std::vector<base::BackendServerId> tried; ///< Servers of earlier attempts, not chosen again.
     base::Duration remainingTarget{0}; ///< Time after which an answer has less value for the caller; 0: not stated.
     base::Duration remaining{0}; ///< Time until the deadline; 0: not stated.
+    bool isRepeat = false; ///< An earlier attempt reached, or may have reached, a backend server.
 
     auto operator<=>(const PlacementRequest &) const = default;
 };
--- a/src/include/papayastep/routing/retrypolicy.h
+++ b/src/include/papayastep/routing/retrypolicy.h
@@ -3,7 +3,6 @@
 #include "papayastep/base/clock.h"
 #include "papayastep/base/identifiers.h"
 #include "papayastep/routing/outcome.h"
-#include "papayastep/routing/retrybudget.h"
 
 #include <string_view>
 
@@ -110,18 +109,18 @@
 
 /// Decides after each event of an attempt whether to answer, wait, cancel, retry or refuse.
 ///
-/// Idempotent requests are retried on another server within the budget. All others are retried only on proof that no
+/// Idempotent requests are retried on another server; the servers accept retries within their RetryBudget. All others are retried only on proof that no
 /// attempt ran: a connection refused before a byte was written, a refusal by the serving node, or a cancel answered
 /// with `never started`.
 class RetryPolicy
 {
 public:
-    RetryPolicy(const base::Clock &clock, RetryBudget &budget, RetrySettings settings = {});
+    explicit RetryPolicy(const base::Clock &clock, RetrySettings settings = {});
 
-    /// Counts an attempt; to be called as each attempt is sent. The first is counted for the budget.
-    void beginAttempt(RequestProgress &progress);
+    /// Counts an attempt; to be called as each attempt is sent.
+    static void beginAttempt(RequestProgress &progress);
 
-    RetryDecision decide(RequestProgress &progress, const AttemptResult &result);
+    RetryDecision decide(RequestProgress &progress, const AttemptResult &result) const;
 
     /// Returns the refusal after a RetryElsewhere that can't be carried out (no server left, or no token). Its outcome
     /// covers all attempts.
@@ -133,20 +132,16 @@
     AttemptTimeouts timeouts(const RequestProgress &progress, base::Duration typicalLatency) const;
 
 private:
-    RetryDecision onProvenNotRun(RequestProgress &progress, const AttemptResult &result);
-    RetryDecision onPossibleRun(RequestProgress &progress, const AttemptResult &result);
-    RetryDecision onSilence(RequestProgress &progress, const AttemptResult &result);
+    RetryDecision onProvenNotRun(RequestProgress &progress, const AttemptResult &result) const;
+    RetryDecision onPossibleRun(RequestProgress &progress, const AttemptResult &result) const;
+    RetryDecision onSilence(RequestProgress &progress, const AttemptResult &result) const;
     RetryDecision refuse(const RequestProgress &progress,
                          base::ResultCode code,
                          base::Duration retryAfter,
                          std::string_view reason) const;
     bool mayTryAgain(const RequestProgress &progress) const;
-    std::string_view whyNoRetry(const RequestProgress &progress) const;
-    /// Takes a retry that reaches a backend server from the budget; returns whether it may follow.
-    bool takeRetry(const RequestProgress &progress);
 
     const base::Clock &m_clock;
-    RetryBudget &m_budget;
     RetrySettings m_settings;
 };
 
--- a/src/include/papayastep/routing/slotsurvey.h
+++ b/src/include/papayastep/routing/slotsurvey.h
@@ -34,6 +34,9 @@
     /// Number of waves after which a short queue counts as good as a free slot that more questions may find.
     int wavesForFreeSlot = 2;
     std::size_t maxAsked = 14;
+    /// Number of servers asked for a repeat. If none of them has a retry left, the service has hardly any: while it
+    /// fails most requests, each of them would otherwise be followed by many questions.
+    std::size_t maxAskedForRepeat = 6;
     /// Time to wait for the answers of a wave. It is ten round trips to another availability zone (2.8 ms each); a node
     /// that has not answered by then is cut off, paused or overloaded, and unsuitable for a request that can't be
     /// repeated.
--- a/src/include/papayastep/wire/hop.h
+++ b/src/include/papayastep/wire/hop.h
@@ -34,6 +34,7 @@
     std::int64_t remainingTarget = 0;
     bool lastResort = false; ///< All servers were ejected, so this server is tried whatever its own state is.
     bool isNestedCall = false; ///< Sent by a backend server on the entry's VM during a run that is in progress there.
+    bool isRepeat = false; ///< An earlier attempt of the request reached, or may have reached, a backend server.
 
     base::RequestId requestId() const
     {
@@ -66,7 +67,8 @@
                    priority,
                    remainingTarget,
                    lastResort,
-                   isNestedCall)
+                   isNestedCall,
+                   isRepeat)
 };
 
 /// The outcome of an attempt as far as the serving node knows it.
--- a/src/include/papayastep/wire/slotquery.h
+++ b/src/include/papayastep/wire/slotquery.h
@@ -20,6 +20,7 @@
     std::int64_t remainingTarget = 0; ///< As in HopRequest.
     base::RouteId route;
     bool isNestedCall = false; ///< As in HopRequest.
+    bool isRepeat = false; ///< As in HopRequest.
 
     auto operator<=>(const SlotQuery &) const = default;
     MSGPACK_DEFINE(requestHigh,
@@ -31,7 +32,8 @@
                    remaining,
                    remainingTarget,
                    route,
-                   isNestedCall)
+                   isNestedCall,
+                   isRepeat)
 };
 
 /// Message of kind SlotOffer, the answer to a SlotQuery. It reserves nothing: the slot may be in use when the request
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -24,6 +24,15 @@
 
 }
 
+SlotQueueSettings backendServerQueueSettings()
+{
+    SlotQueueSettings settings;
+    settings.runTimeReserve = 0.7;
+    settings.maxLateness = 0.3;
+    settings.maxWaitFraction = 0.25;
+    return settings;
+}
+
 SlotQueue::SlotQueue(const base::Clock &clock, int slots, SlotQueueSettings settings)
     : m_clock(clock)
     , m_settings(settings)
--- /dev/null
+++ b/src/model/fleetmodel_test.cpp
@@ -0,0 +1,103 @@
+#include "fleetmodel.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace papayastep;
+using namespace papayastep::model;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// 353 VMs in six availability zones: a service with lookups and refunds whose lookups call a second one.
+struct LargeFleet
+{
+    LargeFleet()
+    {
+        shape.zones = 6;
+        shape.services = {{282, 5}, {71, 5}};
+        TrafficClass lookup;
+        lookup.perSecond = 387;
+        lookup.idempotent = true;
+        lookup.priority = 2;
+        lookup.meanRun = 500ms;
+        lookup.runSpread = 0.8;
+        lookup.target = 1570ms;
+        lookup.deadline = 6s;
+        lookup.call = 3;
+        lookup.callShare = 0.7;
+        TrafficClass refund;
+        refund.perSecond = 810;
+        refund.priority = 1;
+        refund.meanRun = 646ms;
+        refund.target = 1589ms;
+        refund.deadline = 8s;
+        TrafficClass pickup;
+        pickup.service = 1;
+        pickup.perSecond = 239;
+        pickup.meanRun = 354ms;
+        pickup.runSpread = 0.3;
+        pickup.target = 854ms;
+        pickup.deadline = 4s;
+        TrafficClass price;
+        price.service = 1;
+        price.idempotent = true;
+        price.meanRun = 125ms;
+        price.target = 419ms;
+        price.deadline = 1509ms;
+        shape.classes = {lookup, refund, pickup, price};
+        shape.errorShare = 0.012;
+        shape.spells = {0.3, 7s, 8s, 0.85};
+        shape.retryLimit = {0.2, 630, 10s};
+    }
+
+    FleetResult play(std::uint64_t seed) const
+    {
+        FleetModel model(shape, seed);
+        const FleetResult result = model.run(14s);
+        for (std::size_t kind = 0; kind < result.classes.size(); ++kind) {
+            const ClassResult &ends = result.classes[kind];
+            BOOST_TEST_MESSAGE("seed " << seed << " class " << kind << " asked " << ends.asked << " in target "
+                                       << ends.inTarget << " late " << ends.late << " refused " << ends.refused
+                                       << " failed " << ends.failed);
+        }
+        BOOST_TEST_MESSAGE("questions " << result.questions << " repeats refused " << result.repeatsRefused
+                                        << " retry limit used " << result.retryLimitUsed << " busiest "
+                                        << result.busiestToMean);
+        return result;
+    }
+
+    FleetShape shape;
+};
+
+constexpr std::size_t lookups = 0;
+constexpr std::size_t refunds = 1;
+constexpr std::uint64_t seeds[] = {11, 12, 13};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(largeFleet, LargeFleet)
+
+// Guards against lookups that fail although the fleet has hardly used its retries, because each node's own part of them
+// is less than one.
+BOOST_AUTO_TEST_CASE(lookups_whileServersHaveGrayFailures_areRepeated)
+{
+    for (const std::uint64_t seed : seeds) {
+        const FleetResult result = play(seed);
+        BOOST_TEST(result.repeatsRefused * 1000 <= result.classes[lookups].asked);
+        BOOST_TEST(result.classes[lookups].served() >= 0.99);
+        BOOST_TEST(result.retryLimitUsed <= 0.5);
+    }
+}
+
+// Guards against more repeats than the operators allow when all servers of a service reject half of their requests.
+BOOST_AUTO_TEST_CASE(repeats_whileAllServersReject_stayWithinTheLimit)
+{
+    shape.shedding = Shedding{0, 4s, 12s, 0.55};
+    for (const std::uint64_t seed : seeds) {
+        const FleetResult result = play(seed);
+        BOOST_TEST(result.retryLimitUsed <= 1);
+        BOOST_TEST(result.retryLimitUsed >= 0.5);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/model/modelserver.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "eventqueue.h"
+#include "fleetmodel.h"
+
+#include "papayastep/health/serverhold.h"
+#include "papayastep/limits/slotqueue.h"
+#include "papayastep/routing/retrypolicy.h"
+#include "papayastep/routing/slotsurvey.h"
+
+#include <deque>
+#include <random>
+
+namespace papayastep::model {
+
+/// One attempt as it arrives at a backend server.
+struct ModelAttempt
+{
+    limits::AttemptId id;
+    std::size_t trafficClass = 0;
+    base::TimePoint deadline;
+    base::TimePoint wantedBy;
+    bool isCall = false;
+    bool isRepeat = false;
+    bool lastResort = false;
+};
+
+/// The end of an attempt.
+struct ModelEnd
+{
+    routing::AttemptResult result;
+    double grayProbability = 0;
+};
+
+/// A backend server and the decisions of the node beside it.
+class ModelServer
+{
+public:
+    using Done = std::function<void(const ModelEnd &)>;
+    /// Makes the nested call of a run and reports whether it was answered.
+    using Caller = std::function<void(std::size_t trafficClass, base::TimePoint deadline, std::function<void(bool)>)>;
+
+    ModelServer(const FleetShape &shape,
+                std::size_t service,
+                const base::Clock &clock,
+                EventQueue &events,
+                std::uint64_t seed);
+
+    routing::SlotQuote quote(const ModelAttempt &attempt);
+    void serve(const ModelAttempt &attempt, Done done);
+    void setCaller(Caller caller);
+
+    std::uint64_t runs() const;
+    std::uint64_t repeats() const;
+
+private:
+    struct Waiting
+    {
+        ModelAttempt attempt;
+        Done done;
+    };
+
+    limits::QueueOffer offerOf(const ModelAttempt &attempt) const;
+    base::RouteId routeOf(std::size_t trafficClass) const;
+    base::Duration usualRun(std::size_t trafficClass) const;
+    void poll();
+    void start(const Waiting &waiting);
+    void runOn(const Waiting &waiting);
+    void callDone(const Waiting &waiting, base::Duration remaining, base::TimePoint startedAt, bool answered);
+    void finish(const Waiting &waiting, base::TimePoint startedAt, health::AttemptOutcome outcome);
+    void refuse(const Waiting &waiting, base::ResultCode code, base::Duration retryAfter);
+    bool isGray();
+    bool isShedding();
+    double draw();
+
+    const FleetShape &m_shape;
+    const std::size_t m_service;
+    const base::Clock &m_clock;
+    EventQueue &m_events;
+    std::mt19937_64 m_random;
+    limits::SlotQueue m_queue;
+    health::ServerHold m_hold;
+    routing::RetryBudget m_budget;
+    std::map<limits::AttemptId, Waiting> m_waiting;
+    Caller m_caller;
+    const base::TimePoint m_begin;
+    base::TimePoint m_lastStart;
+    bool m_hasSpells = false;
+    base::TimePoint m_spellBegin = base::TimePoint::max();
+    base::TimePoint m_spellEnd;
+    std::uint64_t m_runs = 0;
+    std::uint64_t m_repeats = 0;
+};
+
+}
--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -111,13 +111,13 @@
     metrics.setTotal("health_pauses", real(health.pauses));
     metrics.setTotal("health_messages_ignored", real(health.messagesIgnored));
 
-    const routing::RetryBudgetCounters &retries = m_context.retryBudget.counters();
+    const routing::RetryBudgetCounters &retries = m_servingNode.retryCounters();
     metrics.setTotal("retries_spent", real(retries.spent));
     metrics.setTotal("retries_refused", real(retries.refusedByService), {{"budget", "service"}});
     metrics.setTotal("retries_refused", real(retries.refusedByWorkspace), {{"budget", "workspace"}});
     metrics.clearGauge("retry_budget_left");
     std::map<std::string, double> least;
-    for (const auto &[service, left] : m_context.retryBudget.availableRetries()) {
+    for (const auto &[service, left] : m_servingNode.availableRetries()) {
         const auto [place, isNew] = least.try_emplace(metrics.serviceLabel(service), left);
         place->second = std::min(place->second, left);
     }
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -401,6 +401,7 @@
     need.route = m_route->id;
     need.priority = m_priority;
     need.idempotent = m_progress.idempotent;
+    need.isRepeat = m_progress.serverAttempts > 0;
     need.deadline = m_progress.deadline;
     need.isCall = m_isCall;
     if (m_route->targetLatency > base::Duration::zero()) {
@@ -436,6 +437,7 @@
     }
     hop.lastResort = chosen.lastResort;
     hop.isNestedCall = m_isCall;
+    hop.isRepeat = m_progress.serverAttempts > 1;
     const config::VmEntry *vm = m_context.vms.find(server.vm);
     if (server.vm == m_context.settings.vm || vm == nullptr) {
         return std::make_shared<LocalAttempt>(m_context, std::move(hop), m_handler.m_serving);
@@ -463,7 +465,7 @@
 {
     switch (decision.action) {
     case routing::RetryAction::AnswerCaller:
-        co_await forwardAnswer();
+        co_await forwardAnswer(std::move(m_attemptMonitor.release()->answer()));
         co_return true;
     case routing::RetryAction::RetryElsewhere:
         co_return co_await retry(decision);
@@ -498,7 +500,7 @@
         co_return false;
     }
     m_machine.handle(RequestEvent::Retry);
-    m_attemptMonitor.abandon();
+    keepFailure();
     Step refused = co_await takeRetryToken();
     if (refused) {
         co_await refuse(m_context.retryPolicy.refusalFor(m_progress, refused->code, refused->retryAfter));
@@ -512,6 +514,17 @@
     co_return false;
 }
 
+/// Keeps the answer of an attempt that failed and is to be repeated, for the case that no server accepts the repeat.
+void EntryRequest::keepFailure()
+{
+    const bool isAnswer = m_attemptMonitor.attempt()->finished() && !m_attemptMonitor.attempt()->hopFailed()
+        && m_attemptMonitor.attempt()->answer().outcome() == wire::HopOutcome::Answered;
+    if (isAnswer && !m_attemptMonitor.attempt()->answer().remainingBody) {
+        m_failure = std::move(m_attemptMonitor.release()->answer());
+    }
+    m_attemptMonitor.abandon();
+}
+
 net::Awaitable<void> EntryRequest::sendStoredAnswer()
 {
     m_machine.handle(RequestEvent::Answer);
@@ -530,10 +543,9 @@
     co_await send(std::move(repeated));
 }
 
-net::Awaitable<void> EntryRequest::forwardAnswer()
+net::Awaitable<void> EntryRequest::forwardAnswer(ServedAnswer answer)
 {
     m_machine.handle(RequestEvent::Answer);
-    ServedAnswer answer = std::move(m_attemptMonitor.release()->answer());
     if (m_claimed) {
         reportAnswerToLedger(answer);
         co_await waitForLedgerRecord();
@@ -568,6 +580,11 @@
 
 net::Awaitable<void> EntryRequest::refuse(routing::Refusal refusal)
 {
+    if (m_failure) {
+        m_attemptMonitor.abandon();
+        co_await forwardAnswer(std::move(*m_failure));
+        co_return;
+    }
     const bool notRun = refusal.outcome == routing::Outcome::NotRun;
     m_machine.handle(notRun ? RequestEvent::Refuse : RequestEvent::LoseTrack);
     m_attemptMonitor.abandon();
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -62,7 +62,8 @@
     net::Awaitable<bool> applyDecision(const routing::RetryDecision &decision);
     net::Awaitable<bool> retry(const routing::RetryDecision &decision);
 
-    net::Awaitable<void> forwardAnswer();
+    void keepFailure();
+    net::Awaitable<void> forwardAnswer(ServedAnswer answer);
     net::Awaitable<void> sendStoredAnswer();
     net::Awaitable<void> forwardLargeAnswer(ServedAnswer &answer, net::ResponseHead head);
     net::Awaitable<void> refuse(routing::Refusal refusal);
@@ -105,6 +106,7 @@
     std::optional<routing::ClaimAnswer> m_claim;
     bool m_claimed = false; ///< The ledger has granted the claim of this request and waits for its end.
 
+    std::optional<ServedAnswer> m_failure; ///< Answer of an attempt that failed, forwarded if no later one is answered.
     base::BackendServerId m_currentServer; ///< Backend server of the last attempt.
     routing::SurveyTally m_surveyTally; ///< Answers to the last survey that found no server.
     std::string m_tokensRefusedBy; ///< The VM that refused, or `nobody-answered`; empty if unknown.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -393,7 +393,6 @@
     if (m_directoryUpdater) {
         m_directoryUpdater->applyVms(m_vmDirectory.activeVms());
     }
-    applyRetryLimit();
     m_context.tokens.applyVmList(m_context.vms,
                                  m_directoryUpdater ? m_directoryUpdater->lastRequestedAt()
                                                     : m_configurationFetcher.vmListRequestedAt());
@@ -407,14 +406,6 @@
     schedulePump();
 }
 
-void Node::applyRetryLimit()
-{
-    if (m_context.settings.retryLimit) {
-        m_context.retryBudget.setSettings(
-            routing::nodeRetryBudget(*m_context.settings.retryLimit, m_context.vms.vms.size()));
-    }
-}
-
 // Every request is logged, even if nothing has changed: an operator who sees a process end at the time of a reload must
 // be able to determine whether the signal reached it.
 void Node::requestReload()
@@ -433,8 +424,7 @@
         }
         const std::string needRestart = settingsNeedingRestart(m_context.settings, *fresh);
         m_context.settings = withReloadableSettings(m_context.settings, *fresh);
-        applyRetryLimit();
-        if (m_published) {
+            if (m_published) {
             applyCallerLimits();
         }
         m_context.metrics.countReload("taken");
@@ -489,7 +479,7 @@
 void Node::sweep()
 {
     reloadSettings();
-    m_context.retryBudget.tick();
+    m_servingNode.sweep();
     m_context.gray.expire();
     m_context.idle.expire();
     m_context.hopPool.sweep();
--- a/src/node/serverselector.cpp
+++ b/src/node/serverselector.cpp
@@ -76,6 +76,7 @@
     const auto now = m_context.clock.now();
     routing::PlacementRequest request{m_context.settings.zone, need.idempotent, m_tried};
     request.remaining = need.deadline - now;
+    request.isRepeat = need.isRepeat;
     if (need.targetTime) {
         request.remainingTarget = *need.targetTime - now;
     }
@@ -157,6 +158,7 @@
     question.priority = static_cast<std::uint8_t>(need.priority);
     question.idempotent = need.idempotent;
     question.isNestedCall = need.isCall;
+    question.isRepeat = need.isRepeat;
     question.remaining = (need.deadline - now).count();
     if (need.targetTime) {
         question.remainingTarget = std::max<std::int64_t>(1, (*need.targetTime - now).count());
--- a/src/node/serverselector.h
+++ b/src/node/serverselector.h
@@ -17,6 +17,7 @@
     base::RouteId route;
     int priority = 0; ///< 0 is the most urgent.
     bool idempotent = false;
+    bool isRepeat = false; ///< An earlier attempt reached, or may have reached, a backend server.
     bool isCall = false; ///< The request is a call of an attempt that runs at a backend server of this VM.
     base::TimePoint deadline;
     std::optional<base::TimePoint> targetTime; ///< Time after which the answer is worth less to the caller.
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -14,18 +14,6 @@
 
 using base::ResultCode;
 
-/// Settings of the slot queues. If a request has a target time, three tenths of the time from there to the deadline may
-/// still be used. Most of a run must fit before the deadline, because otherwise it only takes the slot from another
-/// request.
-limits::SlotQueueSettings queueSettings()
-{
-    limits::SlotQueueSettings settings;
-    settings.runTimeReserve = 0.7;
-    settings.maxLateness = 0.3;
-    settings.maxWaitFraction = 0.25;
-    return settings;
-}
-
 /// Time after which an entry that sent no attempt is no longer notified, because its estimate of the server has
 /// probably expired anyway.
 constexpr base::Duration entryRetention = std::chrono::seconds(5);
@@ -79,8 +67,9 @@
 {
     LocalServer(const base::Clock &clock, const config::BackendServer &serverConfiguration)
         : configured(serverConfiguration)
-        , queue(clock, serverConfiguration.slots, queueSettings())
+        , queue(clock, serverConfiguration.slots, limits::backendServerQueueSettings())
         , hold(clock.now())
+        , retryBudget(clock)
         , lastStart(clock.now())
     {
     }
@@ -94,6 +83,7 @@
     config::BackendServer configured;
     limits::SlotQueue queue;
     health::ServerHold hold;
+    routing::RetryBudget retryBudget;
     std::map<base::VmId, base::TimePoint>
         recentEntries; ///< Entries that recently sent attempts, with the time of the last one.
     base::TimePoint lastStart; ///< Start time of the last attempt.
@@ -207,6 +197,9 @@
     if (!refused) {
         refused = registerAttempt(*activeAttempt);
     }
+    if (!refused) {
+        refused = takeRetry(activeAttempt->hop);
+    }
     if (refused) {
         co_return refusalOf(*activeAttempt, *refused, {});
     }
@@ -214,6 +207,7 @@
     recordEntry(localServer, activeAttempt->hop.entry);
     const limits::OfferResult verdict = localServer.queue.offer(queueOffer(*activeAttempt));
     if (!verdict.accepted) {
+        returnRetry(activeAttempt->hop);
         m_registry.drop({activeAttempt->hop.requestId(), static_cast<int>(activeAttempt->hop.attempt)});
         co_return refusalOf(*activeAttempt, verdict.code, verdict.retryAfter);
     }
@@ -221,6 +215,7 @@
     poll();
     co_await waitForSlot(activeAttempt);
     if (!activeAttempt->decision || !activeAttempt->decision->start) {
+        returnRetry(activeAttempt->hop);
         m_attempts.erase(activeAttempt->id());
         const auto code = activeAttempt->decision ? activeAttempt->decision->code : ResultCode::HopCancelled;
         const auto retryAfter = activeAttempt->decision ? activeAttempt->decision->retryAfter : base::Duration::zero();
@@ -235,6 +230,7 @@
         refused = ResultCode::HopCancelled;
     }
     if (refused) {
+        returnRetry(activeAttempt->hop);
         m_registry.drop({activeAttempt->hop.requestId(), static_cast<int>(activeAttempt->hop.attempt)});
         findLocalServer(activeAttempt->hop.server)->queue.finished(activeAttempt->id(), false);
         m_attempts.erase(activeAttempt->id());
@@ -257,6 +253,10 @@
         offer.code = number(refused.value_or(ResultCode::HopBackendServerGone));
         return offer;
     }
+    if (ask.isRepeat && !localServer->retryBudget.canSpend(localServer->configured.service, ask.workspace)) {
+        offer.code = number(ResultCode::RetryBudgetSpent);
+        return offer;
+    }
     ++localServer->offersSinceStart;
     const auto now = m_context.clock.now();
     limits::QueueOffer wanted;
@@ -352,9 +352,19 @@
         }
         localServer->configured = server;
         localServer->queue.setSlots(server.slots);
+        if (m_context.settings.retryLimit) {
+            const std::size_t servers = configuration.serversOf(server.service).size();
+            localServer->retryBudget.setSettings(routing::serverRetryBudget(*m_context.settings.retryLimit, servers));
+        }
     }
-    std::erase_if(m_localServers, [](const auto &entry) {
-        return entry.second->removed && entry.second->queue.running() == 0 && entry.second->queue.queued() == 0;
+    std::erase_if(m_localServers, [this](const auto &entry) {
+        const LocalServer &localServer = *entry.second;
+        const bool isUnused
+            = localServer.removed && localServer.queue.running() == 0 && localServer.queue.queued() == 0;
+        if (isUnused) {
+            m_formerRetries += localServer.retryBudget.counters();
+        }
+        return isUnused;
     });
 }
 
@@ -447,6 +457,13 @@
     poll();
 }
 
+void ServingNode::sweep()
+{
+    for (auto &[id, localServer] : m_localServers) {
+        localServer->retryBudget.tick();
+    }
+}
+
 std::optional<base::TimePoint> ServingNode::nextTick()
 {
     std::optional<base::TimePoint> next;
@@ -482,6 +499,26 @@
     return result;
 }
 
+routing::RetryBudgetCounters ServingNode::retryCounters() const
+{
+    routing::RetryBudgetCounters sum = m_formerRetries;
+    for (const auto &[id, localServer] : m_localServers) {
+        sum += localServer->retryBudget.counters();
+    }
+    return sum;
+}
+
+std::map<base::ServiceId, double> ServingNode::availableRetries() const
+{
+    std::map<base::ServiceId, double> sums;
+    for (const auto &[id, localServer] : m_localServers) {
+        for (const auto &[service, retries] : localServer->retryBudget.availableRetries()) {
+            sums[service] += retries;
+        }
+    }
+    return sums;
+}
+
 std::size_t ServingNode::queued() const
 {
     std::size_t count = 0;
@@ -599,6 +636,30 @@
     return offer;
 }
 
+/// Takes a retry from the budget of the server if the attempt is a repeat. Requests that reach the server for the first
+/// time are counted when they start.
+std::optional<ResultCode> ServingNode::takeRetry(const wire::HopRequest &hop)
+{
+    if (!hop.isRepeat) {
+        return std::nullopt;
+    }
+    LocalServer &localServer = *findLocalServer(hop.server);
+    if (localServer.retryBudget.spend(localServer.configured.service, hop.workspace)) {
+        return std::nullopt;
+    }
+    m_registry.drop({hop.requestId(), static_cast<int>(hop.attempt)});
+    return ResultCode::RetryBudgetSpent;
+}
+
+/// Returns the retry of a repeat that did not start.
+void ServingNode::returnRetry(const wire::HopRequest &hop)
+{
+    LocalServer *localServer = findLocalServer(hop.server);
+    if (hop.isRepeat && localServer != nullptr) {
+        localServer->retryBudget.giveBack(localServer->configured.service, hop.workspace);
+    }
+}
+
 net::Awaitable<void> ServingNode::waitForSlot(ActiveAttemptPtr activeAttempt)
 {
     while (!activeAttempt->decision && !activeAttempt->stopped) {
@@ -618,6 +679,9 @@
     m_runCalls.runStarted(activeAttempt->healthKey(), activeAttempt->deadline);
     LocalServer &localServer = *findLocalServer(activeAttempt->hop.server);
     localServer.hold.started(activeAttempt->healthKey(), activeAttempt->started);
+    if (!activeAttempt->hop.isRepeat) {
+        localServer.retryBudget.countRequest(server.service, activeAttempt->hop.workspace);
+    }
     PAPAYASTEP_LOG(INFO, logPrefix)
         << "Started an attempt." << base::field("request", activeAttempt->hop.logId())
         << base::field("attempt", activeAttempt->hop.attempt) << base::field("entry", activeAttempt->hop.entry)
--- a/src/routing/leastcostplacement_test.cpp
+++ b/src/routing/leastcostplacement_test.cpp
@@ -145,7 +145,7 @@
     std::vector<RetryBudget> budgets;
     budgets.reserve(nodes);
     for (int i = 0; i < nodes; ++i) {
-        budgets.emplace_back(clock, nodeRetryBudget(limit, nodes));
+        budgets.emplace_back(clock, serverRetryBudget(limit, nodes));
     }
     const base::ServiceId service("booking");
     const base::WorkspaceId workspace("clubs");
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -16,7 +16,7 @@
 
 }
 
-RetryBudgetSettings nodeRetryBudget(const FleetRetryLimit &limit, std::size_t nodes)
+RetryBudgetSettings serverRetryBudget(const FleetRetryLimit &limit, std::size_t servers)
 {
     constexpr double ratioPart = 0.65;
     constexpr double slackPart = 0.3;
@@ -25,7 +25,7 @@
     RetryBudgetSettings settings;
     settings.share = ratioPart * limit.ratio;
     settings.window = limit.window / windowDivisor;
-    settings.maxReserve = slackPart * limit.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
+    settings.maxReserve = slackPart * limit.slack / static_cast<double>(std::max<std::size_t>(1, servers));
     settings.reservePerSecond = settings.maxReserve / seconds(limit.window);
     settings.maxDebt = std::min(longestDebt, settings.maxReserve);
     return settings;
@@ -80,6 +80,18 @@
     refreshed(m_workspaces, workspace).earned += m_settings.share * m_settings.workspaceFactor;
 }
 
+bool RetryBudget::canSpend(const base::ServiceId &service, const base::WorkspaceId &workspace)
+{
+    return canSpend(refreshed(m_services, service)) && canSpend(refreshed(m_workspaces, workspace));
+}
+
+void RetryBudget::giveBack(const base::ServiceId &service, const base::WorkspaceId &workspace)
+{
+    refreshed(m_services, service).earned += 1;
+    refreshed(m_workspaces, workspace).earned += 1;
+    --m_counters.spent;
+}
+
 bool RetryBudget::spend(const base::ServiceId &service, const base::WorkspaceId &workspace)
 {
     Account &ofService = refreshed(m_services, service);
--- a/src/routing/retrypolicy.cpp
+++ b/src/routing/retrypolicy.cpp
@@ -8,6 +8,8 @@
 
 using base::ResultCode;
 
+constexpr std::string_view noAttemptLeft = "No attempt is left.";
+
 /// Returns whether another server would refuse the request too, since the request, the key or the entry is at fault.
 bool isFinal(ResultCode code)
 {
@@ -43,7 +45,7 @@
 }
 
 /// Returns whether the serving node refused the attempt before the backend server received it. Such an attempt costs
-/// the server nothing, and counts neither for the number of servers that the route allows nor as a repeat.
+/// the server nothing, and does not count for the number of servers that the route allows.
 bool neverReachedServer(const AttemptResult &result)
 {
     const bool byServer
@@ -114,18 +116,14 @@
     return "unknown";
 }
 
-RetryPolicy::RetryPolicy(const base::Clock &clock, RetryBudget &budget, RetrySettings settings)
+RetryPolicy::RetryPolicy(const base::Clock &clock, RetrySettings settings)
     : m_clock(clock)
-    , m_budget(budget)
     , m_settings(settings)
 {
 }
 
 void RetryPolicy::beginAttempt(RequestProgress &progress)
 {
-    if (progress.nodeAttempts == 0) {
-        m_budget.countRequest(progress.service, progress.workspace);
-    }
     ++progress.nodeAttempts;
     ++progress.serverAttempts;
 }
@@ -136,18 +134,7 @@
         && m_clock.now() < progress.deadline;
 }
 
-bool RetryPolicy::takeRetry(const RequestProgress &progress)
-{
-    return mayTryAgain(progress) && m_budget.spend(progress.service, progress.workspace);
-}
-
-/// Returns the reason after takeRetry() or mayTryAgain() returned false.
-std::string_view RetryPolicy::whyNoRetry(const RequestProgress &progress) const
-{
-    return mayTryAgain(progress) ? "The retry budget is spent." : "No attempt is left.";
-}
-
-RetryDecision RetryPolicy::decide(RequestProgress &progress, const AttemptResult &result)
+RetryDecision RetryPolicy::decide(RequestProgress &progress, const AttemptResult &result) const
 {
     switch (result.event) {
     case AttemptEvent::ConnectionRefused:
@@ -185,7 +172,7 @@
     return refuse(progress, ResultCode::Internal, base::Duration::zero(), "The event is unknown.");
 }
 
-RetryDecision RetryPolicy::onProvenNotRun(RequestProgress &progress, const AttemptResult &result)
+RetryDecision RetryPolicy::onProvenNotRun(RequestProgress &progress, const AttemptResult &result) const
 {
     ResultCode code = result.code;
     if (code == ResultCode::Ok) {
@@ -203,13 +190,13 @@
     if (progress.mayHaveRun && !progress.idempotent) {
         return refuse(progress, code, result.retryAfter, "An earlier attempt may have run.");
     }
-    if (free ? mayTryAgain(progress) : takeRetry(progress)) {
+    if (mayTryAgain(progress)) {
         return decisionOf(RetryAction::RetryElsewhere, "The attempt provably did not run.");
     }
-    return refuse(progress, code, result.retryAfter, whyNoRetry(progress));
+    return refuse(progress, code, result.retryAfter, noAttemptLeft);
 }
 
-RetryDecision RetryPolicy::onSilence(RequestProgress &progress, const AttemptResult &result)
+RetryDecision RetryPolicy::onSilence(RequestProgress &progress, const AttemptResult &result) const
 {
     if (!progress.idempotent) {
         const bool acknowledged = result.event == AttemptEvent::AcknowledgedThenSilent;
@@ -218,8 +205,8 @@
                               ? "No answer came in time, and only a cancel shows whether it started."
                               : "No acknowledgement came in time, and only a cancel shows whether it started.");
     }
-    if (!takeRetry(progress)) {
-        return decisionOf(RetryAction::Wait, whyNoRetry(progress));
+    if (!mayTryAgain(progress)) {
+        return decisionOf(RetryAction::Wait, noAttemptLeft);
     }
     progress.mayHaveRun = true;
     RetryDecision decision
@@ -228,7 +215,7 @@
     return decision;
 }
 
-RetryDecision RetryPolicy::onPossibleRun(RequestProgress &progress, const AttemptResult &result)
+RetryDecision RetryPolicy::onPossibleRun(RequestProgress &progress, const AttemptResult &result) const
 {
     progress.mayHaveRun = true;
     const bool hasAnswer = result.event == AttemptEvent::ShedByServer || result.event == AttemptEvent::ServerError;
@@ -238,12 +225,12 @@
         decision.cancelPrevious = true;
         return decision;
     }
-    if (progress.idempotent && takeRetry(progress)) {
+    if (progress.idempotent && mayTryAgain(progress)) {
         return decisionOf(RetryAction::RetryElsewhere, "The attempt failed and is safe to repeat.");
     }
     if (hasAnswer) {
         return decisionOf(RetryAction::AnswerCaller,
-                          progress.idempotent ? whyNoRetry(progress) : "The request may not run twice.");
+                          progress.idempotent ? noAttemptLeft : "The request may not run twice.");
     }
     const bool partial = result.event == AttemptEvent::Partial;
     const ResultCode code = partial ? ResultCode::AnswerIncomplete : ResultCode::OutcomeUnknown;
--- a/src/routing/retrypolicy_test.cpp
+++ b/src/routing/retrypolicy_test.cpp
@@ -1,3 +1,4 @@
+#include "papayastep/routing/retrybudget.h"
 #include "papayastep/routing/retrypolicy.h"
 
 #include <boost/test/unit_test.hpp>
@@ -14,7 +15,7 @@
 {
     base::ManualClock clock;
     RetryBudget budget{clock};
-    RetryPolicy policy{clock, budget};
+    RetryPolicy policy{clock};
     RequestProgress progress;
 
     RetryFixture()
--- a/src/routing/slotsurvey.cpp
+++ b/src/routing/slotsurvey.cpp
@@ -156,8 +156,9 @@
 std::vector<std::size_t> SlotSurvey::nextWave(base::TimePoint now, std::mt19937_64 &random)
 {
     const std::size_t size = m_waves == 0 ? m_settings.firstWave : m_settings.laterWave;
+    const std::size_t maxAsked = m_request.isRepeat ? m_settings.maxAskedForRepeat : m_settings.maxAsked;
     std::vector<std::size_t> wave;
-    while (wave.size() < size && m_asked < m_settings.maxAsked) {
+    while (wave.size() < size && m_asked < maxAsked) {
         const Placement placement = m_policy.place(m_candidates, m_request, random);
         if (!placement.candidate) {
             break;
@@ -265,7 +266,9 @@
         if (!quote) {
             continue;
         }
-        if (quote->held && soonest == base::Duration::max()) {
+        if (quote->code == ResultCode::RetryBudgetSpent && soonest == base::Duration::max()) {
+            refusal.code = quote->code;
+        } else if (quote->held && soonest == base::Duration::max()) {
             refusal.code = ResultCode::HopBackendServerEjected;
         } else if (!quote->held && isFull(*quote) && quote->wait < soonest) {
             soonest = quote->wait;
