Make fewer calls to the platform at the start, for removals and without readers

At the start each node that had received few VMs took itself for a reader, called for each batch of registrations (11 to 12 calls a node) and sent the batch to all that it knew. Each batch of servers that left cost a watch of each node, and after a compaction a list of all pages of each. While both readers of a group were cut off, all its nodes polled. Change: a node of a fleet whose directory is empty calls once a second and relays nothing until its VM list has not changed for 1.5 s; the first list may be some seconds old, and a watch follows at once; a node that receives a removal from a reader checks by a read at a tenth of the cost that the platform answers it, and applies it then; two further nodes act as readers for each 1.5 s without coverage.

--- a/src/include/papayastep/membership/directoryschedule.h
+++ b/src/include/papayastep/membership/directoryschedule.h
@@ -18,6 +18,7 @@
     struct Call
     {
         bool list = false; ///< Whether to read the complete list; otherwise to watch for changes.
+        bool mayBeOld = false; ///< The list may be some seconds old, as the node has none and watches from its version.
         std::chrono::milliseconds wait{0}; ///< Longest time that a watch waits for a change.
     };
 
@@ -26,8 +27,9 @@
 
     // Each of these functions records how a call ended and returns the delay before the next one.
 
-    /// Records an answer. `anyMissing` says whether some entries may only have lapsed in an outage.
-    base::Duration answered(bool isReader, bool anyMissing);
+    /// Records an answer. `isSettled` says whether the node knows who reads for its group, `anyMissing` whether some
+    /// entries may only have lapsed in an outage.
+    base::Duration answered(bool isSettled, bool isReader, bool anyMissing);
     base::Duration historyGone();
     /// Records a failed call. The delay is random, so that the nodes of a fleet do not all call at once when the
     /// platform recovers.
--- a/src/include/papayastep/net/serversource.h
+++ b/src/include/papayastep/net/serversource.h
@@ -15,8 +15,14 @@
 public:
     virtual ~ServerSource() = default;
 
-    /// Reads the complete list of registered servers. Throws Error (PlatformUnreachable, PlatformAnswerInvalid).
-    virtual Awaitable<membership::ServerUpdate> listServers() = 0;
+    /// Reads the complete list of registered servers. With `mayBeOld` the list may be some seconds old, which costs the
+    /// platform much less; a watch from its version reports what has changed since. Throws Error (PlatformUnreachable,
+    /// PlatformAnswerInvalid).
+    virtual Awaitable<membership::ServerUpdate> listServers(bool mayBeOld) = 0;
+
+    /// Checks that the platform answers this node, at a fraction of the cost of a watch. Throws Error
+    /// (PlatformUnreachable).
+    virtual Awaitable<void> checkReachable() = 0;
 
     /// Waits up to `wait` for changes after version `after`. An update without changes contains the version to continue
     /// from. Throws Error (PlatformUnreachable, PlatformAnswerInvalid, PlatformHistoryGone).
--- a/src/include/papayastep/node/directoryupdater.h
+++ b/src/include/papayastep/node/directoryupdater.h
@@ -38,6 +38,8 @@
 private:
     net::Awaitable<void> loop();
     net::Awaitable<void> readOnce();
+    net::Awaitable<void> applyChecked();
+    void apply(const membership::DirectoryNews &message);
     bool isCovered() const;
     void requestMissingRevision();
     net::Awaitable<void> pause(base::Duration duration);
@@ -50,6 +52,8 @@
     membership::DirectorySchedule m_schedule;
     base::TimePoint m_lastRequestedAt;
     membership::MissingRevisionTimer m_revisionPatience; ///< Waiting time for revisions that readers have announced.
+    /// Messages from readers, from the first one that removes servers; they wait until the platform has answered.
+    std::vector<membership::DirectoryNews> m_unchecked;
     bool m_stopped = false;
 };
 
--- a/src/membership/directoryrelay.cpp
+++ b/src/membership/directoryrelay.cpp
@@ -56,11 +56,17 @@
     : m_self(std::move(self))
     , m_clock(clock)
     , m_settings(settings)
+    , m_startedAt(clock.now())
+    , m_presentChangedAt(clock.now())
 {
 }
 
 void DirectoryRelay::applyVms(const std::vector<base::VmId> &present)
 {
+    if (present != m_present) {
+        m_present = present;
+        m_presentChangedAt = m_clock.now();
+    }
     const std::size_t groups = std::max<std::size_t>(1, present.size() / m_settings.groupSize);
     const auto weightOf = [](const base::VmId &vm) { return base::rendezvousWeight(readerRole, vm.value()); };
     const std::uint64_t own = weightOf(m_self);
@@ -68,14 +74,37 @@
     std::copy_if(present.begin(), present.end(), std::back_inserter(m_group), [&](const base::VmId &vm) {
         return weightOf(vm) % groups == own % groups;
     });
-    const auto before
-        = std::count_if(m_group.begin(), m_group.end(), [&](const base::VmId &vm) { return weightOf(vm) > own; });
-    m_reader = static_cast<std::size_t>(before) < m_settings.readersPerGroup;
+    m_rank = static_cast<std::size_t>(
+        std::count_if(m_group.begin(), m_group.end(), [&](const base::VmId &vm) { return weightOf(vm) > own; }));
 }
 
 bool DirectoryRelay::isReader() const
 {
-    return m_reader;
+    if (m_rank < m_settings.readersPerGroup) {
+        return true;
+    }
+    if (!isSettled()) {
+        return false;
+    }
+    const base::Duration uncovered = m_clock.now() - std::max(m_freshUntil, *m_settledAt);
+    const auto periods = static_cast<std::size_t>(std::max<std::int64_t>(0, uncovered / m_settings.standInDelay));
+    return m_rank < m_settings.readersPerGroup * (1 + periods);
+}
+
+bool DirectoryRelay::isSettled() const
+{
+    const base::TimePoint now = m_clock.now();
+    const bool isStable = m_present.size() > 1 && now - m_presentChangedAt >= m_settings.settlingTime;
+    // A running fleet changes all the time, so a node that was settled once remains so.
+    if (!m_settledAt && (isStable || now - m_startedAt >= m_settings.maxSettlingTime)) {
+        m_settledAt = now;
+    }
+    return m_settledAt.has_value();
+}
+
+void DirectoryRelay::endCoverage()
+{
+    m_freshUntil = m_clock.now();
 }
 
 base::TimePoint DirectoryRelay::freshUntil() const
@@ -86,6 +115,11 @@
 void DirectoryRelay::notePlatformAnswer(const ServerUpdate &update)
 {
     const base::TimePoint now = m_clock.now();
+    if (!m_answeredAt && update.isComplete && !update.changed.empty()) {
+        // The fleet was running before this node started, or has been restarted as a whole. Its servers may all have
+        // been replaced, and what replaces them must be found at once.
+        m_settledAt = now;
+    }
     m_answeredAt = now;
     m_version = std::max(m_version, update.version);
     m_publishedRevision = std::max(m_publishedRevision, update.publishedRevision);
@@ -94,7 +128,7 @@
     m_lastChangeVersion = changes ? std::max(m_lastChangeVersion, update.version) : m_lastChangeVersion;
     // A complete list does not show what changed since an older version, so a node that holds one asks the platform
     // itself.
-    if (!m_reader || !changes || update.isComplete) {
+    if (!isReader() || !isSettled() || !changes || update.isComplete) {
         return;
     }
     DirectoryNews message{from, update.version, 0, m_publishedRevision, {}, update.removed};
@@ -104,16 +138,17 @@
     sendToAll(message);
 }
 
+bool DirectoryRelay::needsCheck(const DirectoryNews &news, std::uint64_t version)
+{
+    return !news.removed.empty() && news.to > version && news.from <= version;
+}
+
 std::optional<ServerUpdate> DirectoryRelay::receive(const DirectoryNews &news, std::uint64_t version)
 {
     const base::TimePoint now = m_clock.now();
     if (news.from > version) {
         return std::nullopt;
     }
-    if (!news.removed.empty() && news.to > version) {
-        m_freshUntil = now;
-        return std::nullopt;
-    }
     const base::TimePoint until = now + m_settings.maxAnswerAge - std::chrono::milliseconds(news.answeredAgoMs);
     m_freshUntil = std::max(m_freshUntil, until);
     ServerUpdate serverUpdate;
@@ -125,6 +160,7 @@
     for (const ServerRecord &record : news.changed) {
         serverUpdate.changed.push_back(serverOf(record, now));
     }
+    serverUpdate.removed = news.removed;
     // A reader receives changes from other readers too. The platform's next answer to it starts after them and does not
     // contain them, so it must not be sent as complete to nodes that have missed them.
     m_lastChangeVersion = std::max(m_lastChangeVersion, news.to);
@@ -134,7 +170,7 @@
 std::vector<wire::Outgoing> DirectoryRelay::takeMessages()
 {
     const base::TimePoint now = m_clock.now();
-    if (m_reader && m_answeredAt && now >= m_nextHeartbeat) {
+    if (m_answeredAt && now >= m_nextHeartbeat && isReader() && isSettled()) {
         // A node that holds a version from before the last change has missed something and must ask the platform.
         sendToAll(DirectoryNews{
             m_lastChangeVersion, m_version, milliseconds(now - *m_answeredAt), m_publishedRevision, {}, {}});
@@ -144,7 +180,7 @@
 
 std::optional<base::TimePoint> DirectoryRelay::nextTick() const
 {
-    return m_reader && m_answeredAt ? std::optional(m_nextHeartbeat) : std::nullopt;
+    return m_answeredAt && isReader() && isSettled() ? std::optional(m_nextHeartbeat) : std::nullopt;
 }
 
 void DirectoryRelay::sendToAll(const DirectoryNews &news)
--- a/src/membership/directoryschedule.cpp
+++ b/src/membership/directoryschedule.cpp
@@ -19,6 +19,10 @@
 
 constexpr base::Duration readerBatchingDelay = std::chrono::milliseconds(100);
 
+/// Delay until the node knows who reads for its group. All nodes of a fleet that starts call then, and each batch of
+/// servers that register would wake them all. It is below the time for which a node counts as starting.
+constexpr base::Duration batchingDelayAtStart = std::chrono::seconds(1);
+
 /// Delay while entries are missing after an outage: each one that returns must be seen before it is removed.
 constexpr base::Duration batchingDelayAfterOutage = std::chrono::milliseconds(50);
 
@@ -38,19 +42,23 @@
 DirectorySchedule::Call DirectorySchedule::next(bool hasCompleteList) const
 {
     if (!hasCompleteList || m_historyGone) {
-        return {true, std::chrono::milliseconds(0)};
+        // After the history was discarded, an old list may be from before that.
+        return {true, !m_historyGone, std::chrono::milliseconds(0)};
     }
     // While calls fail, detecting that the platform answers again matters more than waiting for a change.
-    return {false, m_failures == 0 ? watchWait : std::chrono::milliseconds(0)};
+    return {false, false, m_failures == 0 ? watchWait : std::chrono::milliseconds(0)};
 }
 
-base::Duration DirectorySchedule::answered(bool isReader, bool anyMissing)
+base::Duration DirectorySchedule::answered(bool isSettled, bool isReader, bool anyMissing)
 {
     m_failures = 0;
     m_historyGone = false;
     if (anyMissing) {
         return batchingDelayAfterOutage;
     }
+    if (!isSettled) {
+        return batchingDelayAtStart;
+    }
     return isReader ? readerBatchingDelay : batchingDelay;
 }
 
--- a/src/node/directoryupdater.cpp
+++ b/src/node/directoryupdater.cpp
@@ -18,6 +18,8 @@
 constexpr base::Duration revisionPatience = std::chrono::milliseconds(600);
 /// Interval of the loop while the readers keep this node up to date.
 constexpr base::Duration coveredPause = std::chrono::milliseconds(200);
+/// Largest number of messages that wait for a check. A node that does not check in time reads the platform itself.
+constexpr std::size_t maxUnchecked = 16;
 
 std::int64_t milliseconds(base::Duration duration)
 {
@@ -58,18 +60,21 @@
     while (!m_stopped) {
         if (isCovered()) {
             requestMissingRevision();
-            co_await pause(coveredPause);
-            continue;
         }
-        base::Duration wait{};
+        base::Duration wait = coveredPause;
         const base::TimePoint lastRequestedAt = m_context.clock.now();
         try {
-            co_await readOnce();
-            wait = m_schedule.answered(m_relay.isReader(), m_directory.anyMissing());
+            if (!isCovered()) {
+                co_await readOnce();
+                wait = m_schedule.answered(m_relay.isSettled(), m_relay.isReader(), m_directory.anyMissing());
+            } else if (!m_unchecked.empty()) {
+                co_await applyChecked();
+            }
         } catch (const base::Error &error) {
             if (error.code() == base::ResultCode::PlatformHistoryGone) {
                 wait = m_schedule.historyGone();
             } else {
+                m_relay.endCoverage();
                 m_directory.noteUnreachable();
                 wait = m_schedule.failed(m_context.random);
             }
@@ -88,8 +93,9 @@
     const base::TimePoint lastRequestedAt = m_context.clock.now();
     const membership::DirectorySchedule::Call call = m_schedule.next(m_directory.hasCompleteList());
     membership::ServerUpdate news;
+    m_unchecked.clear();
     if (call.list) {
-        news = co_await m_source.listServers();
+        news = co_await m_source.listServers(call.mayBeOld);
     } else {
         news = co_await m_source.watchServers(m_directory.version(), call.wait);
     }
@@ -100,6 +106,17 @@
     sendUpdates();
 }
 
+/// Applies the waiting messages if the platform answers this node. If it does not, they are dropped, and the node
+/// handles the outage like one that it found by a call of its own.
+net::Awaitable<void> DirectoryUpdater::applyChecked()
+{
+    const std::vector<membership::DirectoryNews> messages = std::exchange(m_unchecked, {});
+    co_await m_source.checkReachable();
+    for (const membership::DirectoryNews &message : messages) {
+        apply(message);
+    }
+}
+
 void DirectoryUpdater::applyVms(const std::vector<base::VmId> &present)
 {
     m_relay.applyVms(present);
@@ -110,6 +127,17 @@
     if (!m_directory.hasCompleteList()) {
         return;
     }
+    const bool mustWait
+        = !m_unchecked.empty() || membership::DirectoryRelay::needsCheck(message, m_directory.version());
+    if (!mustWait) {
+        apply(message);
+    } else if (m_unchecked.size() < maxUnchecked) {
+        m_unchecked.push_back(message);
+    }
+}
+
+void DirectoryUpdater::apply(const membership::DirectoryNews &message)
+{
     const auto news = m_relay.receive(message, m_directory.version());
     if (!news) {
         return;
