Evaluate the health of a service less often the more servers it has

Cause: every 50 ms each node compared all servers of its service and all that it had sent requests to. Change: an evaluation follows the last one after 2 ms for each server, at least after 50 ms, so that services of up to 25 servers are evaluated as before. A metric counts the evaluations. Test: ten seconds of a service of 20 and of 300 servers.

--- a/src/health/healthmonitor.cpp
+++ b/src/health/healthmonitor.cpp
@@ -122,6 +122,8 @@
     void applyDrainFlag(LocalServer &server, base::TimePoint time);
     std::vector<base::BackendServerId> serversOf(const base::ServiceId &service) const;
     void refreshReferences(base::TimePoint time);
+    base::Duration evaluationInterval(std::size_t servers) const;
+    bool isDue(base::TimePoint &last, std::size_t servers, base::TimePoint time) const;
     void evaluateService(const base::ServiceId &service, base::TimePoint time);
     void updateSeverities(const base::ServiceId &service, base::TimePoint time);
     void recordEjectedSet(const base::ServiceId &service, const EjectionPlan &plan);
@@ -139,6 +141,8 @@
     base::TimePoint m_lastPauseEnd;
     base::TimePoint m_referencesUpdated;
     base::TimePoint m_lastExpiry;
+    std::map<base::ServiceId, base::TimePoint> m_evaluated; ///< Time of the last evaluation, by service.
+    base::TimePoint m_entryEvaluated; ///< Time of the last evaluation of the evidence at this entry.
     bool m_upToDate = false;
     std::map<base::ServiceId, std::pair<base::TimePoint, Assessment>> m_assessments;
     std::map<base::ServiceId, std::set<base::BackendServerId>> m_ejectedSets;
@@ -339,17 +343,40 @@
         setUpToDate();
     }
     refreshReferences(time);
+    bool evaluated = false;
     for (const auto &[service, reference] : m_references) {
-        evaluateService(service, time);
+        if (isDue(m_evaluated[service], m_state.configuration->serversOf(service).size(), time)) {
+            evaluateService(service, time);
+            evaluated = true;
+        }
     }
     evaluatePaths(time);
-    evaluateEntryEvidence(time);
+    if (isDue(m_entryEvaluated, m_state.entry.servers().size(), time)) {
+        evaluateEntryEvidence(time);
+    }
     for (const base::VmId &vm : m_state.siblings.newlyUnreachable(time)) {
         report(HealthEvent{HealthEventKind::SiblingUnreachable, {}, vm, "The sibling is unreachable."});
     }
     sendStates(time);
     expire(time);
-    invalidateAssessments();
+    if (evaluated) {
+        invalidateAssessments();
+    }
+}
+
+/// Returns the interval at which the evidence about `servers` servers is evaluated. Each evaluation compares all of
+/// them, so that an interval of one tick would take most of a small VM's share of a core in a service of hundreds.
+base::Duration HealthMonitor::Impl::evaluationInterval(std::size_t servers) const
+{
+    return std::max(m_state.settings.tickInterval,
+                    m_state.settings.evaluationTimePerServer * static_cast<std::int64_t>(servers));
+}
+
+bool HealthMonitor::Impl::isDue(base::TimePoint &last, std::size_t servers, base::TimePoint time) const
+{
+    const bool due = time - last >= evaluationInterval(servers);
+    last = due ? time : last;
+    return due;
 }
 
 std::vector<base::BackendServerId> HealthMonitor::Impl::serversOf(const base::ServiceId &service) const
@@ -378,6 +405,7 @@
 
 void HealthMonitor::Impl::evaluateService(const base::ServiceId &service, base::TimePoint time)
 {
+    ++m_counters.evaluations;
     updateSeverities(service, time);
     invalidateAssessments();
     const EjectionPlan plan = assessmentOf(service, time)->plan;
@@ -437,6 +465,9 @@
 {
     for (auto &[vm, path] : m_state.entry.paths()) {
         const auto happened = path.advance(time, pathThreshold(vm));
+        if (happened) {
+            invalidateAssessments();
+        }
         if (happened == HealthEventKind::PathEjected) {
             report(HealthEvent{*happened, {}, vm, "Hops to the VM are not acknowledged; its path is avoided."});
         } else if (happened) {
@@ -465,6 +496,9 @@
         std::nth_element(
             all.begin(), middle, all.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
         const auto happened = evidence.advance(time, pathThreshold(server->vm), usualLatency, middle->second);
+        if (happened) {
+            invalidateAssessments();
+        }
         if (happened == HealthEventKind::EntryEjected) {
             report(HealthEvent{*happened, id, server->vm, "This entry node avoids the server after failed answers."});
         } else if (happened) {
@@ -593,7 +627,7 @@
 const Assessment *HealthMonitor::Impl::assessmentOf(const base::ServiceId &service, base::TimePoint time)
 {
     const auto found = m_assessments.find(service);
-    const base::Duration lifetime = m_state.settings.tickInterval;
+    const base::Duration lifetime = evaluationInterval(m_state.configuration->serversOf(service).size());
     if (found != m_assessments.end() && time - found->second.first < lifetime) {
         return &found->second.second;
     }
--- a/src/health/serverhold.cpp
+++ b/src/health/serverhold.cpp
@@ -46,8 +46,10 @@
     }
 }
 
-HoldChange
-ServerHold::ended(const AttemptKey &attempt, AttemptOutcome outcome, double relativeTime, base::TimePoint now)
+HoldChange ServerHold::ended(const AttemptKey &attempt,
+                             AttemptOutcome outcome,
+                             double relativeTime,
+                             base::TimePoint now)
 {
     if (m_trialAttempt == attempt) {
         m_trialAttempt.reset();
--- a/src/health/siblings_test.cpp
+++ b/src/health/siblings_test.cpp
@@ -302,3 +302,32 @@
     }
     BOOST_TEST(bytes / 100 <= 1.1 * settings.controlBytesPerSecond);
 }
+
+// Guards against a share of a core that grows with the number of servers of a service: every evaluation compares all.
+BOOST_AUTO_TEST_CASE(evaluations_ofAServiceOfHundreds_areRareAndOfASmallOneFrequent)
+{
+    const auto evaluationsInTenSeconds = [](int servers) {
+        base::ManualClock clock;
+        HealthMonitor monitor(NodeIdentity{vmId(0), 1}, clock, 1);
+        config::Configuration::Parts parts;
+        parts.services.push_back(serviceNamed("counter"));
+        for (int vm = 0; vm < servers; ++vm) {
+            parts.backendServers.push_back(config::BackendServer{base::BackendServerId("s-" + std::to_string(vm)),
+                                                                 base::ServiceId("counter"),
+                                                                 vmId(vm),
+                                                                 base::ZoneId("z"),
+                                                                 "127.0.0.1",
+                                                                 8000,
+                                                                 5,
+                                                                 false});
+        }
+        monitor.applyConfiguration(std::make_shared<const config::Configuration>(1, parts));
+        for (int step = 0; step < 200; ++step) {
+            clock.advance(50ms);
+            monitor.tick();
+        }
+        return monitor.counters().evaluations;
+    };
+    BOOST_TEST(evaluationsInTenSeconds(20) == 200U);
+    BOOST_TEST(evaluationsInTenSeconds(300) <= 20U);
+}
--- a/src/include/papayastep/health/healthsettings.h
+++ b/src/include/papayastep/health/healthsettings.h
@@ -50,6 +50,8 @@
 
     // Pauses.
     base::Duration tickInterval = std::chrono::milliseconds(50);
+    /// Lower bound of the interval between two evaluations of a service, for each of its servers.
+    base::Duration evaluationTimePerServer = std::chrono::milliseconds(2);
     base::Duration pauseLimit = std::chrono::milliseconds(1000); ///< A longer gap between two calls counts as a pause.
 };
 
--- a/src/include/papayastep/health/serverview.h
+++ b/src/include/papayastep/health/serverview.h
@@ -93,6 +93,7 @@
 /// Totals since the process started.
 struct HealthCounters
 {
+    std::uint64_t evaluations = 0; ///< Evaluations of a service.
     std::uint64_t ejections = 0;
     std::uint64_t returns = 0;
     std::uint64_t trials = 0;
--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -102,6 +102,7 @@
     metrics.setGauge("token_workspaces", real(m_context.tokens.activeWorkspaces()));
 
     const health::HealthCounters &health = m_context.health.counters();
+    metrics.setTotal("health_evaluations", real(health.evaluations));
     metrics.setTotal("health_ejections", real(health.ejections));
     metrics.setTotal("health_returns", real(health.returns));
     metrics.setTotal("health_trials", real(health.trials));
