--- a/src/include/papayastep/membership/directoryrelay.h
+++ b/src/include/papayastep/membership/directoryrelay.h
@@ -76,10 +76,10 @@
 /// reader's last answer from the platform, and a node without a recent one from any reader asks the platform itself.
 /// The readers follow from the VM list by rendezvous hashing; nodes that disagree on them only read more often.
 ///
-/// The removal of an entry is not applied from a reader's message alone. A node that is cut off from the platform keeps its
-/// last entries, among them its own server and those of other nodes that are cut off with it, whose entries lapse for
-/// that reason alone. If it applied a reader's removals, it would drop servers that still serve it well (with a third
-/// of 22 nodes cut off: 0.75 instead of 0.81 served). So the node first checks by the cheapest call that the
+/// The removal of an entry is not applied from a reader's message alone. A node that is cut off from the platform keeps
+/// its last entries, among them its own server and those of other nodes that are cut off with it, whose entries lapse
+/// for that reason alone. If it applied a reader's removals, it would drop servers that still serve it well (with a
+/// third of 22 nodes cut off: 0.75 instead of 0.81 served). So the node first checks by the cheapest call that the
 /// platform answers it. A reader's outage is not passed on either: the platform may reject that node alone, and the
 /// others would keep servers that left for the grace period after an outage.
 class DirectoryRelay
--- a/src/include/papayastep/routing/retrypolicy.h
+++ b/src/include/papayastep/routing/retrypolicy.h
@@ -109,9 +109,9 @@
 
 /// Decides after each event of an attempt whether to answer, wait, cancel, retry or refuse.
 ///
-/// Idempotent requests are retried on another server; the servers accept retries within their RetryBudget. All others are retried only on proof that no
-/// attempt ran: a connection refused before a byte was written, a refusal by the serving node, or a cancel answered
-/// with `never started`.
+/// Idempotent requests are retried on another server; the servers accept retries within their RetryBudget. All others
+/// are retried only on proof that no attempt ran: a connection refused before a byte was written, a refusal by the
+/// serving node, or a cancel answered with `never started`.
 class RetryPolicy
 {
 public:
--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -439,8 +439,7 @@
     if (isNew || now - pool.fractionUpdatedAt >= reviewInterval) {
         updateRateFraction(workspace, pool);
     }
-    const double rate
-        = (workspace.rate * (1 + m_settings.rateExcess) + m_settings.excessPerSecond) * pool.rateFraction;
+    const double rate = (workspace.rate * (1 + m_settings.rateExcess) + m_settings.excessPerSecond) * pool.rateFraction;
     pool.bucket.refill(rate, workspace.burst + m_settings.burstExcess, now);
     return pool;
 }
--- a/src/model/fleetmodel.cpp
+++ b/src/model/fleetmodel.cpp
@@ -1,5 +1,4 @@
 #include "fleetmodel.h"
-
 #include "modelserver.h"
 
 #include "papayastep/health/grayfailuretable.h"
@@ -289,8 +288,7 @@
         place(request);
         return;
     }
-    const bool refused
-        = decision.action == RetryAction::Refuse && decision.refusal.outcome == routing::Outcome::NotRun;
+    const bool refused = decision.action == RetryAction::Refuse && decision.refusal.outcome == routing::Outcome::NotRun;
     finish(request, end.result.event == AttemptEvent::Complete, refused);
 }
 
--- a/src/model/modelserver.cpp
+++ b/src/model/modelserver.cpp
@@ -28,11 +28,8 @@
 
 }
 
-ModelServer::ModelServer(const FleetShape &shape,
-                         std::size_t service,
-                         const base::Clock &clock,
-                         EventQueue &events,
-                         std::uint64_t seed)
+ModelServer::ModelServer(
+    const FleetShape &shape, std::size_t service, const base::Clock &clock, EventQueue &events, std::uint64_t seed)
     : m_shape(shape)
     , m_service(service)
     , m_clock(clock)
@@ -170,7 +167,8 @@
     if (isShedding()) {
         m_queue.finished(waiting.attempt.id, false);
         m_hold.ended(key, AttemptOutcome::Shed, 0, now);
-        waiting.done({{AttemptEvent::RefusedNotRun, ResultCode::HopBackendServerShed, {}}, m_hold.grayProbability(now)});
+        waiting.done(
+            {{AttemptEvent::RefusedNotRun, ResultCode::HopBackendServerShed, {}}, m_hold.grayProbability(now)});
         m_events.after({}, [this] { poll(); });
         return;
     }
@@ -255,7 +253,8 @@
 {
     const auto &shedding = m_shape.shedding;
     const base::Duration passed = m_clock.now() - m_begin;
-    const bool isNow = shedding && shedding->service == m_service && passed >= shedding->begin && passed < shedding->end;
+    const bool isNow
+        = shedding && shedding->service == m_service && passed >= shedding->begin && passed < shedding->end;
     return isNow && draw() < shedding->share;
 }
 
--- a/src/model/modelserver.h
+++ b/src/model/modelserver.h
@@ -40,11 +40,8 @@
     /// Makes the nested call of a run and reports whether it was answered.
     using Caller = std::function<void(std::size_t trafficClass, base::TimePoint deadline, std::function<void(bool)>)>;
 
-    ModelServer(const FleetShape &shape,
-                std::size_t service,
-                const base::Clock &clock,
-                EventQueue &events,
-                std::uint64_t seed);
+    ModelServer(
+        const FleetShape &shape, std::size_t service, const base::Clock &clock, EventQueue &events, std::uint64_t seed);
 
     routing::SlotQuote quote(const ModelAttempt &attempt);
     void serve(const ModelAttempt &attempt, Done done);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -424,7 +424,7 @@
         }
         const std::string needRestart = settingsNeedingRestart(m_context.settings, *fresh);
         m_context.settings = withReloadableSettings(m_context.settings, *fresh);
-            if (m_published) {
+        if (m_published) {
             applyCallerLimits();
         }
         m_context.metrics.countReload("taken");
