--- a/src/include/papayastep/routing/retrybudget.h
+++ b/src/include/papayastep/routing/retrybudget.h
@@ -45,7 +45,7 @@
 /// Counts of requested retries since the start.
 struct RetryBudgetCounters
 {
-    std::uint64_t spent = 0;
+    std::uint64_t spent = 0; ///< Retries accepted, including those that were given back.
     std::uint64_t refusedByService = 0; ///< Retries refused because the budget of the service was spent.
     std::uint64_t refusedByWorkspace = 0; ///< Retries refused because only the budget of the workspace was spent.
 
--- a/src/model/fleetmodel.cpp
+++ b/src/model/fleetmodel.cpp
@@ -306,7 +306,11 @@
     const base::Duration took = m_clock.now() - request->arrivedAt;
     const bool inTarget = took <= m_shape.classes[request->trafficClass].target;
     ++result.asked;
-    ++(answered ? (inTarget ? result.inTarget : result.late) : (refused ? result.refused : result.failed));
+    if (answered) {
+        ++(inTarget ? result.inTarget : result.late);
+    } else {
+        ++(refused ? result.refused : result.failed);
+    }
 }
 
 ModelAttempt FleetModel::Play::attemptOf(const Request &request) const
--- a/src/model/modelserver.h
+++ b/src/model/modelserver.h
@@ -8,7 +8,6 @@
 #include "papayastep/routing/retrypolicy.h"
 #include "papayastep/routing/slotsurvey.h"
 
-#include <deque>
 #include <random>
 
 namespace papayastep::model {
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -89,7 +89,6 @@
 {
     refreshed(m_services, service).earned += 1;
     refreshed(m_workspaces, workspace).earned += 1;
-    --m_counters.spent;
 }
 
 bool RetryBudget::spend(const base::ServiceId &service, const base::WorkspaceId &workspace)
