--- a/src/membership/directoryrelay_test.cpp
+++ b/src/membership/directoryrelay_test.cpp
@@ -246,18 +246,18 @@
     StartingFleet()
     {
         for (int i = 0; i < nodeCount; ++i) {
-            nodes.push_back(std::make_unique<Node>(clock, base::VmId("vm-" + std::to_string(i))));
+            m_nodes.push_back(std::make_unique<Node>(m_clock, base::VmId("vm-" + std::to_string(i))));
         }
     }
 
     void run(base::Duration duration)
     {
-        const base::TimePoint end = clock.now() + duration;
-        for (; clock.now() < end; clock.advance(step)) {
-            for (const auto &node : nodes) {
+        const base::TimePoint end = m_clock.now() + duration;
+        for (; m_clock.now() < end; m_clock.advance(step)) {
+            for (const auto &node : m_nodes) {
                 call(*node);
             }
-            for (const auto &node : nodes) {
+            for (const auto &node : m_nodes) {
                 deliverFrom(*node);
             }
         }
@@ -268,13 +268,13 @@
     std::size_t fewestKnown() const
     {
         const auto fewest = std::min_element(
-            nodes.begin(), nodes.end(), [](const auto &a, const auto &b) { return a->known < b->known; });
+            m_nodes.begin(), m_nodes.end(), [](const auto &a, const auto &b) { return a->known < b->known; });
         return (*fewest)->known;
     }
     int uncovered() const
     {
         return static_cast<int>(
-            std::count_if(nodes.begin(), nodes.end(), [this](const auto &node) { return !isCovered(*node); }));
+            std::count_if(m_nodes.begin(), m_nodes.end(), [this](const auto &node) { return !isCovered(*node); }));
     }
 
 private:
@@ -300,13 +300,13 @@
 
     std::size_t registered() const
     {
-        const auto passed = clock.now() - begin - 1s;
+        const auto passed = m_clock.now() - m_begin - 1s;
         const double share = std::chrono::duration<double>(passed) / std::chrono::duration<double>(registrationTime);
         return static_cast<std::size_t>(std::clamp(share, 0.0, 1.0) * nodeCount);
     }
     bool isCovered(const Node &node) const
     {
-        return !node.relay.isReader() && node.hasList && clock.now() < node.relay.freshUntil();
+        return !node.relay.isReader() && node.hasList && m_clock.now() < node.relay.freshUntil();
     }
     void learn(Node &node, std::size_t servers)
     {
@@ -316,8 +316,8 @@
         node.known = std::max(node.known, servers);
         std::vector<base::VmId> present{node.id};
         for (std::size_t i = 0; i < node.known; ++i) {
-            if (nodes[i]->id != node.id) {
-                present.push_back(nodes[i]->id);
+            if (m_nodes[i]->id != node.id) {
+                present.push_back(m_nodes[i]->id);
             }
         }
         std::sort(present.begin(), present.end());
@@ -325,7 +325,7 @@
     }
     void call(Node &node)
     {
-        if (clock.now() < node.nextCall || isCovered(node)) {
+        if (m_clock.now() < node.nextCall || isCovered(node)) {
             return;
         }
         ++calls;
@@ -341,12 +341,12 @@
         // A watch ends with the first change, or after its wait.
         const base::Duration waited = update.isComplete || !update.changed.empty() ? 0ms : 600ms;
         node.nextCall
-            = clock.now() + waited + node.schedule.answered(node.relay.isSettled(), node.relay.isReader(), false);
+            = m_clock.now() + waited + node.schedule.answered(node.relay.isSettled(), node.relay.isReader(), false);
     }
     void deliverFrom(Node &sender)
     {
         for (const wire::Outgoing &message : sender.relay.takeMessages()) {
-            Node &receiver = *nodes[std::stoul(message.to.value().substr(3))];
+            Node &receiver = *m_nodes[std::stoul(message.to.value().substr(3))];
             if (!receiver.hasList) {
                 continue;
             }
@@ -357,9 +357,9 @@
         }
     }
 
-    base::ManualClock clock;
-    base::TimePoint begin = clock.now();
-    std::vector<std::unique_ptr<Node>> nodes;
+    base::ManualClock m_clock;
+    base::TimePoint m_begin = m_clock.now();
+    std::vector<std::unique_ptr<Node>> m_nodes;
 };
 
 }
--- a/src/model/fleetmodel_test.cpp
+++ b/src/model/fleetmodel_test.cpp
@@ -53,7 +53,7 @@
     FleetResult play(std::uint64_t seed) const
     {
         FleetModel model(shape, seed);
-        const FleetResult result = model.run(14s);
+        FleetResult result = model.run(14s);
         for (std::size_t kind = 0; kind < result.classes.size(); ++kind) {
             const ClassResult &ends = result.classes[kind];
             BOOST_TEST_MESSAGE("seed " << seed << " class " << kind << " asked " << ends.asked << " in target "
