--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -124,7 +124,7 @@
     routing::AttemptRegistry m_registry;
     std::map<base::BackendServerId, std::unique_ptr<LocalServer>> m_localServers;
     std::map<limits::AttemptId, ActiveAttemptPtr> m_attempts;
-    routing::RetryBudgetCounters m_formerRetries; ///< Counts of servers that are no longer served.
+    routing::RetryBudgetCounters m_formerRetries; ///< Counts of servers that were removed from this VM.
 };
 
 }
--- a/src/node/directoryupdater_test.cpp
+++ b/src/node/directoryupdater_test.cpp
@@ -141,7 +141,7 @@
         runUntil([this] { return source.lists > 0 && directory.hasCompleteList(); });
     }
 
-    /// A heartbeat that covers the node, followed by the news that the server is gone.
+    /// A heartbeat that covers the node, followed by an update that removes the server.
     void reportRemoval()
     {
         heartbeat(10, 10, {});
