--- a/src/config/entryreader.cpp
+++ b/src/config/entryreader.cpp
@@ -19,6 +19,7 @@
 constexpr base::Duration maxRetention = std::chrono::hours(168);
 constexpr base::Duration maxTargetLatency = std::chrono::hours(1);
 constexpr base::Duration maxCallerTimeout = std::chrono::hours(1);
+constexpr base::Duration maxColdStart = std::chrono::hours(1);
 
 const json *fieldOf(const json &entry, const char *name)
 {
@@ -249,6 +250,8 @@
     }
     read(json, "floor", into.floor);
     readPath(json, "healthPath", into.healthPath, context);
+    readDuration(json, "coldStart", maxColdStart, into.coldStart.duration, context);
+    read(json, "coldRequestsPerSecond", into.coldStart.requestsPerSecond);
 }
 
 void readEntry(const json &json, Route &into, const EntryContext &context)
--- a/src/config/entrywriter.cpp
+++ b/src/config/entrywriter.cpp
@@ -28,10 +28,15 @@
 ordered_json writeEntry(const Service &service)
 {
     const bool fast = service.prefer == DetectionPreference::FastDetection;
-    return {{"id", service.id.value()},
-            {"prefer", fast ? "fast-detection" : "few-ejections"},
-            {"floor", service.floor},
-            {"healthPath", service.healthPath}};
+    ordered_json json{{"id", service.id.value()},
+                      {"prefer", fast ? "fast-detection" : "few-ejections"},
+                      {"floor", service.floor},
+                      {"healthPath", service.healthPath}};
+    if (service.coldStart.isLimited()) {
+        json["coldStart"] = formatDuration(service.coldStart.duration);
+        json["coldRequestsPerSecond"] = service.coldStart.requestsPerSecond;
+    }
+    return json;
 }
 
 ordered_json writeEntry(const Route &route)
--- a/src/ctl/statuscommand.cpp
+++ b/src/ctl/statuscommand.cpp
@@ -49,6 +49,15 @@
     return found != status.end() ? oneDecimal(found->get<double>() / 1000) + " s" : "unknown";
 }
 
+std::string evacuatedZones(const json &status)
+{
+    std::string zones;
+    for (const json &zone : status.value("evacuatedZones", json::array())) {
+        zones += (zones.empty() ? "" : ", ") + zone.get<std::string>();
+    }
+    return zones.empty() ? "-" : zones;
+}
+
 std::string usableServers(const json &status)
 {
     const json servers = status.value("servers", json::array());
@@ -153,7 +162,7 @@
     static void printNodes(const std::vector<NodeStatus> &answers, std::ostream &out)
     {
         Table table(
-            {"NODE", "VM", "ZONE", "STATE", "REVISION", "NEWS AGE", "OPEN", "SERVING", "QUEUED", "USABLE SERVERS"});
+            {"NODE", "VM", "ZONE", "STATE", "REVISION", "NEWS AGE", "OPEN", "SERVING", "QUEUED", "USABLE SERVERS", "EVACUATED ZONES"});
         for (const auto &[node, status, problem] : answers) {
             if (!problem.empty()) {
                 table.addRow({node, "no answer: " + problem});
@@ -168,7 +177,8 @@
                           textOf(status, "open"),
                           textOf(status, "serving"),
                           textOf(status, "queued"),
-                          usableServers(status)});
+                          usableServers(status),
+                          evacuatedZones(status)});
         }
         table.print(out);
     }
--- a/src/health/assessment.cpp
+++ b/src/health/assessment.cpp
@@ -118,7 +118,7 @@
             result.unhealthy = true;
             result.ejected = true;
         }
-        result.gone = result.gone || server.drain || isLeaving(server) || isUnreachable(server);
+        result.gone = result.gone || !server.acceptsRequests() || isLeaving(server) || isUnreachable(server);
         return result;
     }
 
@@ -174,6 +174,9 @@
         if (isLeaving(server) || current == ServerState::Gone) {
             return setUnavailable(view, Availability::Gone, "Its VM is leaving or gone.");
         }
+        if (server.evacuated) {
+            return setUnavailable(view, Availability::Draining, "Its availability zone is evacuated.");
+        }
         if (server.drain || current == ServerState::Draining) {
             return setUnavailable(view, Availability::Draining, "It is draining.");
         }
--- a/src/health/healthmonitor.cpp
+++ b/src/health/healthmonitor.cpp
@@ -220,12 +220,16 @@
 
 void HealthMonitor::Impl::applyDrainFlag(LocalServer &server, base::TimePoint time)
 {
-    const bool drain = server.configured().drain;
+    const bool drain = !server.configured().acceptsRequests();
     if (!server.handle(drain ? ServerEvent::Drain : ServerEvent::Undrain, time) || !drain) {
         return;
     }
     const config::BackendServer &configured = server.configured();
-    report(HealthEvent{HealthEventKind::Draining, configured.id, configured.vm, "Operators are draining the server."});
+    report(HealthEvent{HealthEventKind::Draining,
+                       configured.id,
+                       configured.vm,
+                       configured.drain ? "Operators are draining the server."
+                                        : "Operators evacuate the availability zone of the server."});
 }
 
 void HealthMonitor::Impl::applyVmList(const config::VmList &list)
--- a/src/include/papayastep/base/resultcode.h
+++ b/src/include/papayastep/base/resultcode.h
@@ -66,6 +66,7 @@
     X(4011, HopReplayed, "the attempt was seen before") \
     X(4012, HopBackendServerEjected, "the backend server is ejected") \
     X(4013, HopBackendServerReplaced, "another backend server has the address by now") \
+    X(4014, HopZoneEvacuated, "the availability zone of the backend server is evacuated") \
     X(5001, MessageMalformed, "a message between nodes is malformed") \
     X(5002, MessageUnauthenticated, "a message between nodes is not authenticated") \
     X(5003, MessageUnknownLayout, "a message between nodes has an unknown layout") \
--- a/src/include/papayastep/config/configuration.h
+++ b/src/include/papayastep/config/configuration.h
@@ -42,6 +42,20 @@
 /// healthy servers.
 enum class DetectionPreference { FastDetection, FewEjections };
 
+/// The load that a backend server bears for some time after its start. Without a rate it is not limited.
+struct ColdStart
+{
+    base::Duration duration{0}; ///< Time for which a server is cold after its start.
+    double requestsPerSecond = 0; ///< Rate that a cold server bears; 0 means no limit.
+
+    bool isLimited() const
+    {
+        return duration > base::Duration::zero() && requestsPerSecond > 0;
+    }
+
+    std::partial_ordering operator<=>(const ColdStart &) const = default;
+};
+
 /// A set of interchangeable backend servers, with the settings of their health detection.
 struct Service
 {
@@ -49,8 +63,9 @@
     DetectionPreference prefer = DetectionPreference::FastDetection;
     double floor = 0.5; ///< Share of the service's slots, from 0 to 1, that ejections must leave in use.
     std::string healthPath; ///< Only a hint. Empty if the service has no health path.
+    ColdStart coldStart;
 
-    auto operator<=>(const Service &) const = default;
+    std::partial_ordering operator<=>(const Service &) const = default;
 };
 
 /// A service that receives a share of the requests of a route.
@@ -98,6 +113,13 @@
     /// Distinguishes successive starts of a server under the same id. Only a directory provides it. 0 means unknown.
     std::uint64_t incarnation = 0;
     base::TimePoint coldUntil{}; ///< Time until which the server is slow after its start. Only a directory provides it.
+    bool evacuated = false; ///< Whether operators evacuate its availability zone. Only a directory provides it.
+
+    /// Whether new requests may be sent to the server.
+    bool acceptsRequests() const
+    {
+        return !drain && !evacuated;
+    }
 
     auto operator<=>(const BackendServer &) const = default;
 };
--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -3,6 +3,7 @@
 #include "papayastep/base/clock.h"
 #include "papayastep/base/identifiers.h"
 #include "papayastep/base/resultcode.h"
+#include "papayastep/limits/coldstartlimiter.h"
 #include "papayastep/limits/runtimes.h"
 
 #include <cstddef>
@@ -99,7 +100,7 @@
 /// Attempts wait in tiers by priority; calls made by running requests come before all others. While attempts of several
 /// tiers wait, each tier gets a fixed fraction of the slots of the next more urgent one. Within a tier, slots go to
 /// workspaces in turn (deficit round robin with a quantum of one request), so a workspace that overloads the queue
-/// delays only itself. When the queue is full, the newest attempt in the longest workspace queue of the least urgent
+/// delays only itself. While the server is cold, fewer attempts start than there are slots. When the queue is full, the newest attempt in the longest workspace queue of the least urgent
 /// tier is evicted. An attempt that can't be answered in time is refused or dropped at once, so that it can be reported
 /// as not run while its caller is still waiting.
 class SlotQueue
@@ -123,11 +124,14 @@
     /// server that fails at once would otherwise look fast, and the expected waits would be too short.
     void finished(const AttemptId &attempt, bool recordRunTime = true);
 
+    /// Drops all queued attempts with `code`, because the server gets no new work; poll() returns the decisions.
+    void dropQueued(base::ResultCode code);
+
     /// Sets the number of slots. If it is lower than the number of running attempts, none starts until enough have
     /// finished.
     void setSlots(int slots);
 
-    /// Time at which poll() will drop an attempt even if no other one finishes; nullopt if none is queued.
+    /// Time at which poll() will start or drop an attempt even if no other one finishes; nullopt if none is queued.
     std::optional<base::TimePoint> nextTick() const;
 
     int slots() const;
@@ -137,6 +141,10 @@
     /// Expected wait for a slot of an attempt offered now, from recent run times.
     base::Duration expectedWait(const base::WorkspaceId &workspace, int tier = 0) const;
 
+    /// The limit of the starts while the server is cold.
+    ColdStartLimiter &coldStart();
+    const ColdStartLimiter &coldStart() const;
+
     /// Recent run times.
     const RunTimes &runTimes() const;
     /// Time at which the last run finished; nullopt while an attempt is running.
@@ -198,6 +206,7 @@
     std::map<AttemptId, Running> m_running;
     std::vector<QueueDecision> m_evicted; ///< Attempts evicted by an offer, to be returned by the next poll().
     RunTimes m_runTimes;
+    ColdStartLimiter m_coldStart;
     std::optional<base::TimePoint> m_lastFinishedAt;
 };
 
--- a/src/include/papayastep/membership/directoryrelay.h
+++ b/src/include/papayastep/membership/directoryrelay.h
@@ -37,9 +37,11 @@
     base::Revision publishedRevision = 0; ///< The same as in ServerUpdate.
     std::vector<ServerRecord> changed;
     std::vector<base::BackendServerId> removed;
+    std::vector<base::ZoneId> evacuated; ///< The same as in ServerUpdate.
+    std::vector<base::ZoneId> restored; ///< The same as in ServerUpdate.
 
     auto operator<=>(const DirectoryNews &) const = default;
-    MSGPACK_DEFINE(from, to, answeredAgoMs, publishedRevision, changed, removed)
+    MSGPACK_DEFINE(from, to, answeredAgoMs, publishedRevision, changed, removed, evacuated, restored)
 };
 
 /// Group size, intervals and ages of a DirectoryRelay.
--- a/src/include/papayastep/membership/serverdirectory.h
+++ b/src/include/papayastep/membership/serverdirectory.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 /// Backend servers that register themselves at the platform, for fleets whose operators do not list them by hand.
@@ -20,6 +21,9 @@
     std::vector<base::BackendServerId> removed;
     /// Revision of the newest configuration that the platform holds; 0 if not reported.
     base::Revision publishedRevision = 0;
+    /// Availability zones whose evacuation has begun; in a complete list, all that are evacuated.
+    std::vector<base::ZoneId> evacuated{};
+    std::vector<base::ZoneId> restored{}; ///< Availability zones whose evacuation has ended.
 };
 
 /// Settings of a ServerDirectory.
@@ -37,7 +41,10 @@
 /// While the platform is unreachable the last known entries are kept: a service must not become unavailable because its
 /// registry is. When the platform returns, entries may be missing only because their leases expired in the meantime.
 /// Dropping them at once would empty whole services, and callers would get refusals right after the outage; so such an
-/// entry is kept for the grace period and removed if it has not returned by then. Not thread-safe.
+/// entry is kept for the grace period and removed if it has not returned by then.
+///
+/// Operators evacuate an availability zone through the same source: its servers stay registered but get no new requests
+/// until the zone is restored. An evacuation is no lease, so it ends only by a change of the platform. Not thread-safe.
 class ServerDirectory
 {
 public:
@@ -69,6 +76,9 @@
     /// reassigned to the next server before the entry of the previous one has lapsed.
     std::vector<config::BackendServer> servers() const;
 
+    /// The availability zones that are evacuated, whether or not they have servers.
+    const std::set<base::ZoneId> &evacuatedZones() const;
+
 private:
     struct Entry
     {
@@ -80,10 +90,14 @@
     bool isInOutageGracePeriod() const;
     bool put(const config::BackendServer &server);
     bool remove(Entries::iterator entry);
+    bool applyEvacuations(const ServerUpdate &update);
+    bool evacuate(const base::ZoneId &zone);
+    bool restore(const base::ZoneId &zone);
 
     const base::Clock &m_clock;
     const ServerDirectorySettings m_settings;
     Entries m_entries;
+    std::set<base::ZoneId> m_evacuated;
     std::uint64_t m_version = 0;
     bool m_hasCompleteList = false;
     bool m_unreachable = false;
--- a/src/include/papayastep/node/backendprotocol.h
+++ b/src/include/papayastep/node/backendprotocol.h
@@ -55,6 +55,9 @@
 
     /// Whether the answer to a probe of the health endpoint of `server` reports that the server is healthy.
     virtual bool isHealthy(const net::ResponseHead &answer, const base::BackendServerId &server) const = 0;
+
+    /// Time for which the server remains cold, according to its answer to a probe; no value if it does not report it.
+    virtual std::optional<base::Duration> coldTime(const net::ResponseHead &answer) const = 0;
 };
 
 /// The protocol that papayastep defines itself (docs/CALLERS.md).
@@ -65,6 +68,7 @@
     AnswerKind classify(const net::ResponseHead &answer, const net::RequestHead &request) const override;
     std::optional<ServerLoad> reportedLoad(const net::ResponseHead &answer) const override;
     bool isHealthy(const net::ResponseHead &answer, const base::BackendServerId &server) const override;
+    std::optional<base::Duration> coldTime(const net::ResponseHead &answer) const override;
 };
 
 }
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -2,14 +2,12 @@
 
 #include "papayastep/health/nestedcalltracker.h"
 #include "papayastep/health/pausedetector.h"
-#include "papayastep/health/serverhold.h"
-#include "papayastep/limits/slotqueue.h"
 #include "papayastep/net/httpclient.h"
 #include "papayastep/net/signal.h"
 #include "papayastep/node/nodecontext.h"
 #include "papayastep/node/servedanswer.h"
 #include "papayastep/routing/attemptregistry.h"
-#include "papayastep/routing/retrybudget.h"
+#include "papayastep/routing/serveradmission.h"
 #include "papayastep/wire/slotquery.h"
 
 #include <map>
@@ -66,6 +64,13 @@
 
     void applyConfiguration();
 
+    /// Returns the backend servers of this VM that must be probed now, because they may have become cold. Each probe
+    /// counts as sent, and its result is passed to probeFinished().
+    std::vector<base::BackendServerId> takeProbesDue();
+    /// `answered` is whether the server reported to be healthy, `coldTime` the remaining time for which it reported to
+    /// be cold.
+    void probeFinished(const base::BackendServerId &server, bool answered, std::optional<base::Duration> coldTime);
+
     /// Starts queued attempts whose turn it is and drops those whose time has run out.
     void poll();
     void tick();
@@ -91,6 +96,7 @@
     using ActiveAttemptPtr = std::shared_ptr<ActiveAttempt>;
 
     LocalServer *findLocalServer(const base::BackendServerId &server);
+    void configure(LocalServer &localServer, const base::BackendServerId &id) const;
     std::optional<base::ResultCode> checkKey(const wire::HopRequest &hop) const;
     std::optional<base::ResultCode> checkServer(const base::BackendServerId &server,
                                                 bool idempotent,
@@ -100,7 +106,6 @@
     base::Duration expectedRun(const LocalServer &localServer, const base::RouteId &route) const;
     void checkOverdueAttempts();
     limits::QueueOffer queueOffer(const ActiveAttempt &activeAttempt) const;
-    bool isHeldBack(const LocalServer &localServer, bool idempotent) const;
     std::optional<base::ResultCode> registerAttempt(ActiveAttempt &activeAttempt);
     std::optional<base::ResultCode> takeRetry(const wire::HopRequest &hop);
     void returnRetry(const wire::HopRequest &hop);
@@ -120,6 +125,7 @@
 
     NodeContext &m_context;
     health::PauseDetector m_pauses;
+    base::TimePoint m_lastTick;
     health::NestedCallTracker m_runCalls;
     routing::AttemptRegistry m_registry;
     std::map<base::BackendServerId, std::unique_ptr<LocalServer>> m_localServers;
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -38,6 +38,7 @@
     , m_settings(settings)
     , m_slots(std::max(0, slots))
     , m_runTimes(settings.initialRunTime)
+    , m_coldStart(clock)
 {
 }
 
@@ -110,6 +111,15 @@
     m_running.erase(found);
 }
 
+void SlotQueue::dropQueued(base::ResultCode code)
+{
+    while (!m_queued.empty()) {
+        const AttemptId attempt = m_queued.begin()->first;
+        removeQueued(attempt);
+        m_evicted.push_back(QueueDecision{attempt, false, code, {}});
+    }
+}
+
 void SlotQueue::setSlots(int slots)
 {
     m_slots = std::max(0, slots);
@@ -120,7 +130,12 @@
     if (!m_evicted.empty()) {
         return m_clock.now();
     }
-    return m_deadlines.empty() ? std::nullopt : std::optional(m_deadlines.begin()->first);
+    if (m_deadlines.empty()) {
+        return std::nullopt;
+    }
+    const base::TimePoint drop = m_deadlines.begin()->first;
+    const bool isFree = m_running.size() < static_cast<std::size_t>(m_slots);
+    return isFree ? std::min(drop, m_clock.now() + m_coldStart.wait(0)) : drop;
 }
 
 int SlotQueue::slots() const
@@ -138,6 +153,16 @@
     return m_queued.size();
 }
 
+ColdStartLimiter &SlotQueue::coldStart()
+{
+    return m_coldStart;
+}
+
+const ColdStartLimiter &SlotQueue::coldStart() const
+{
+    return m_coldStart;
+}
+
 const RunTimes &SlotQueue::runTimes() const
 {
     return m_runTimes;
@@ -293,7 +318,8 @@
 
 void SlotQueue::startNext(std::vector<QueueDecision> &decisions)
 {
-    while (!m_tiers.empty() && m_running.size() < static_cast<std::size_t>(m_slots)) {
+    while (!m_tiers.empty() && m_running.size() < static_cast<std::size_t>(m_slots)
+           && m_coldStart.wait(0) == base::Duration::zero()) {
         const auto place = selectTier();
         Tier &tier = place->second;
         m_pass = tier.pass;
@@ -303,6 +329,7 @@
         tier.queues.splice(tier.queues.end(), tier.queues, tier.queues.begin());
         removeQueued(next.attempt);
         m_running.emplace(next.attempt, Running{m_clock.now(), next.route});
+        m_coldStart.recordStart();
         decisions.push_back(QueueDecision{next.attempt, true, base::ResultCode::Ok, {}});
     }
 }
@@ -341,14 +368,15 @@
 
 base::Duration SlotQueue::waitBehind(std::size_t ahead) const
 {
+    const base::Duration coldWait = m_coldStart.wait(ahead);
     const std::size_t slots = static_cast<std::size_t>(m_slots);
     const std::size_t busy = m_running.size() + ahead;
     if (busy < slots) {
-        return {};
+        return coldWait;
     }
     // Without any slot the wait is unknown; assuming one slot keeps the result finite.
     const auto turns = static_cast<std::int64_t>(busy - slots + 1);
-    return m_runTimes.mean() * turns / static_cast<std::int64_t>(std::max<std::size_t>(1, slots));
+    return std::max(coldWait, m_runTimes.mean() * turns / static_cast<std::int64_t>(std::max<std::size_t>(1, slots)));
 }
 
 }
--- a/src/membership/directoryrelay.cpp
+++ b/src/membership/directoryrelay.cpp
@@ -123,7 +123,8 @@
     m_answeredAt = now;
     m_version = std::max(m_version, update.version);
     m_publishedRevision = std::max(m_publishedRevision, update.publishedRevision);
-    const bool changes = update.isComplete || !update.changed.empty() || !update.removed.empty();
+    const bool changes = update.isComplete || !update.changed.empty() || !update.removed.empty()
+        || !update.evacuated.empty() || !update.restored.empty();
     const std::uint64_t from = m_lastChangeVersion;
     m_lastChangeVersion = changes ? std::max(m_lastChangeVersion, update.version) : m_lastChangeVersion;
     // A complete list does not show what changed since an older version, so a node that holds one asks the platform
@@ -131,7 +132,8 @@
     if (!isReader() || !isSettled() || !changes || update.isComplete) {
         return;
     }
-    DirectoryNews message{from, update.version, 0, m_publishedRevision, {}, update.removed};
+    DirectoryNews message{
+        from, update.version, 0, m_publishedRevision, {}, update.removed, update.evacuated, update.restored};
     for (const config::BackendServer &server : update.changed) {
         message.changed.push_back(recordOf(server, now));
     }
@@ -161,6 +163,8 @@
         serverUpdate.changed.push_back(serverOf(record, now));
     }
     serverUpdate.removed = news.removed;
+    serverUpdate.evacuated = news.evacuated;
+    serverUpdate.restored = news.restored;
     // A reader receives changes from other readers too. The platform's next answer to it starts after them and does not
     // contain them, so it must not be sent as complete to nodes that have missed them.
     m_lastChangeVersion = std::max(m_lastChangeVersion, news.to);
@@ -173,7 +177,7 @@
     if (m_answeredAt && now >= m_nextHeartbeat && isReader() && isSettled()) {
         // A node that holds a version from before the last change has missed something and must ask the platform.
         sendToAll(DirectoryNews{
-            m_lastChangeVersion, m_version, milliseconds(now - *m_answeredAt), m_publishedRevision, {}, {}});
+            m_lastChangeVersion, m_version, milliseconds(now - *m_answeredAt), m_publishedRevision, {}, {}, {}, {}});
     }
     return std::exchange(m_messages, {});
 }
--- a/src/membership/directoryrelay_test.cpp
+++ b/src/membership/directoryrelay_test.cpp
@@ -134,6 +134,23 @@
     BOOST_TEST(isCovered(follower()));
 }
 
+// Guards against a node whose platform calls fail and which never receives that an availability zone is evacuated.
+BOOST_AUTO_TEST_CASE(evacuation_readByAReader_reachesAllOthers)
+{
+    ServerUpdate update;
+    update.version = 11;
+    update.evacuated = {base::ZoneId("arima")};
+    answer(readers().front(), update);
+    BOOST_TEST(versions[follower()] == 11U);
+    BOOST_CHECK(applied[follower()].back().evacuated == update.evacuated);
+    clock.advance(300ms);
+    ServerUpdate end;
+    end.version = 12;
+    end.restored = update.evacuated;
+    answer(readers().front(), end);
+    BOOST_CHECK(applied[follower()].back().restored == update.evacuated);
+}
+
 // A server leaves, and the message that says so is lost on its way to one node. That node must not send work to the
 // server any longer because later heartbeats show that its reader is well.
 BOOST_AUTO_TEST_CASE(follower_thatMissedAnUpdate_isNotCoveredByLaterHeartbeats)
--- a/src/membership/serverdirectory.cpp
+++ b/src/membership/serverdirectory.cpp
@@ -17,6 +17,18 @@
     return a.incarnation > b.incarnation;
 }
 
+/// Returns whether the entries differ by no more than the delays of two reports of the same cold start. A cold server
+/// reports its remaining time with each heartbeat, and no node needs to act on that.
+bool isSameReport(const config::BackendServer &a, const config::BackendServer &b, base::TimePoint now)
+{
+    constexpr base::Duration tolerance = std::chrono::milliseconds(500);
+    const bool areBothWarm = a.coldUntil <= now && b.coldUntil <= now;
+    const base::Duration difference = std::max(a.coldUntil, b.coldUntil) - std::min(a.coldUntil, b.coldUntil);
+    config::BackendServer sameCold = a;
+    sameCold.coldUntil = b.coldUntil;
+    return sameCold == b && (areBothWarm || difference <= tolerance);
+}
+
 }
 
 ServerDirectory::ServerDirectory(const base::Clock &clock, ServerDirectorySettings settings)
@@ -67,6 +79,7 @@
             changed = remove(entry) || changed;
         }
     }
+    changed = applyEvacuations(update) || changed;
     m_version = std::max(m_version, update.version);
     return changed;
 }
@@ -139,11 +152,17 @@
     servers.reserve(byAddress.size());
     for (const auto &[address, server] : byAddress) {
         servers.push_back(*server);
+        servers.back().evacuated = m_evacuated.contains(server->zone);
     }
     std::sort(servers.begin(), servers.end(), [](const auto &a, const auto &b) { return a.id < b.id; });
     return servers;
 }
 
+const std::set<base::ZoneId> &ServerDirectory::evacuatedZones() const
+{
+    return m_evacuated;
+}
+
 bool ServerDirectory::isInOutageGracePeriod() const
 {
     return m_returnedAt && m_clock.now() < *m_returnedAt + m_settings.outageGracePeriod;
@@ -152,8 +171,9 @@
 bool ServerDirectory::put(const config::BackendServer &server)
 {
     auto &entry = m_entries[server.id];
-    const bool isSame = !entry.missing && entry.server == server;
-    if (entry.server != server) {
+    const bool isKnown = isSameReport(entry.server, server, m_clock.now());
+    const bool isSame = !entry.missing && isKnown;
+    if (!isKnown) {
         PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server registered or changed." << base::field("server", server.id)
                                         << base::field("service", server.service) << base::field("vm", server.vm)
                                         << base::field("slots", server.slots) << base::field("drain", server.drain);
@@ -177,4 +197,42 @@
     return true;
 }
 
+bool ServerDirectory::applyEvacuations(const ServerUpdate &update)
+{
+    bool changed = false;
+    for (const base::ZoneId &zone : update.evacuated) {
+        changed = evacuate(zone) || changed;
+    }
+    for (const base::ZoneId &zone : update.restored) {
+        changed = restore(zone) || changed;
+    }
+    if (update.isComplete) {
+        const std::set<base::ZoneId> listed(update.evacuated.begin(), update.evacuated.end());
+        const std::set<base::ZoneId> before = m_evacuated;
+        for (const base::ZoneId &zone : before) {
+            changed = (!listed.contains(zone) && restore(zone)) || changed;
+        }
+    }
+    return changed;
+}
+
+bool ServerDirectory::evacuate(const base::ZoneId &zone)
+{
+    if (!m_evacuated.insert(zone).second) {
+        return false;
+    }
+    PAPAYASTEP_LOG(WARNING, logPrefix) << "Operators evacuate an availability zone." << base::field("zone", zone);
+    return true;
+}
+
+bool ServerDirectory::restore(const base::ZoneId &zone)
+{
+    if (m_evacuated.erase(zone) == 0) {
+        return false;
+    }
+    PAPAYASTEP_LOG(WARNING, logPrefix) << "The evacuation of an availability zone has ended."
+                                       << base::field("zone", zone);
+    return true;
+}
+
 }
--- a/src/membership/serverdirectory_test.cpp
+++ b/src/membership/serverdirectory_test.cpp
@@ -125,3 +125,100 @@
     clock.advance(30s);
     BOOST_TEST(builder.update(3, {}).vms.size() == 1U);
 }
+
+namespace {
+
+struct EvacuatedDirectory : DirectoryFixture
+{
+    EvacuatedDirectory()
+    {
+        directory.apply(list({server("a")}));
+        directory.apply(evacuation(2));
+    }
+
+    static ServerUpdate evacuation(std::uint64_t version)
+    {
+        ServerUpdate update;
+        update.version = version;
+        update.evacuated = {base::ZoneId("arima")};
+        return update;
+    }
+    static ServerUpdate restoration(std::uint64_t version)
+    {
+        ServerUpdate update;
+        update.version = version;
+        update.restored = {base::ZoneId("arima")};
+        return update;
+    }
+    bool accepts() const
+    {
+        return directory.servers().front().acceptsRequests();
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(evacuation, EvacuatedDirectory)
+
+BOOST_AUTO_TEST_CASE(servers_ofAnEvacuatedZone_acceptNoRequestsUntilItIsRestored)
+{
+    BOOST_TEST(!accepts());
+    BOOST_TEST(!directory.apply(evacuation(3)));
+    BOOST_TEST(directory.apply(restoration(4)));
+    BOOST_TEST(accepts());
+}
+
+BOOST_AUTO_TEST_CASE(server_thatRegistersInAnEvacuatedZone_acceptsNoRequests)
+{
+    ServerUpdate update;
+    update.version = 3;
+    update.changed = {server("b", "10.0.0.2")};
+    directory.apply(update);
+    for (const config::BackendServer &entry : directory.servers()) {
+        BOOST_TEST(!entry.acceptsRequests());
+    }
+}
+
+// Guards against requests to an evacuated zone after an outage, during which only leases expire.
+BOOST_AUTO_TEST_CASE(evacuation_duringAnOutageOfThePlatform_staysInForce)
+{
+    directory.noteUnreachable();
+    clock.advance(30s);
+    directory.tick();
+    BOOST_TEST(!accepts());
+}
+
+// Guards against an answer from before the evacuation that arrives after it.
+BOOST_AUTO_TEST_CASE(evacuation_beforeAnOlderCompleteList_staysInForce)
+{
+    BOOST_TEST(!directory.apply(list({server("a")}, 1)));
+    BOOST_TEST(!accepts());
+}
+
+// Guards against an evacuation that never ends for a node that missed its end because the history was discarded.
+BOOST_AUTO_TEST_CASE(evacuation_missingInANewerCompleteList_hasEnded)
+{
+    ServerUpdate complete = list({server("a")}, 9);
+    complete.evacuated = {base::ZoneId("elsewhere")};
+    BOOST_TEST(directory.apply(complete));
+    BOOST_TEST(accepts());
+    BOOST_TEST(directory.evacuatedZones().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against work for all nodes with each heartbeat of a cold server.
+BOOST_FIXTURE_TEST_CASE(coldServer_thatReportsItsRemainingTime_changesNothing, DirectoryFixture)
+{
+    config::BackendServer cold = server("a");
+    cold.coldUntil = clock.now() + 3s;
+    BOOST_TEST(directory.apply(list({cold})));
+    clock.advance(1500ms);
+    cold.coldUntil = clock.now() + 1600ms;
+    BOOST_TEST(!directory.apply(ServerUpdate{2, false, {cold}, {}, 0}));
+    clock.advance(1600ms);
+    cold.coldUntil = {};
+    BOOST_TEST(!directory.apply(ServerUpdate{3, false, {cold}, {}, 0}));
+    cold.coldUntil = clock.now() + 3s;
+    BOOST_TEST(directory.apply(ServerUpdate{4, false, {cold}, {}, 0}));
+}
--- a/src/model/fleetmodel.cpp
+++ b/src/model/fleetmodel.cpp
@@ -19,6 +19,11 @@
 
 /// Time before the measurement, in which nodes learn the run times of their servers.
 constexpr base::Duration warmUp = std::chrono::seconds(1);
+base::ZoneId zoneId(int zone)
+{
+    return base::ZoneId("zone-" + std::to_string(zone));
+}
+
 /// Slots in which repeats are counted for the sliding window of the retry limit.
 constexpr base::Duration countingStep = std::chrono::milliseconds(500);
 
@@ -44,6 +49,8 @@
         health::GrayFailureTable gray;
         routing::ServerIdleTimes idle;
         routing::LeastCostPlacement placement;
+        base::TimePoint evacuationFrom; ///< Time at which this node receives the evacuation of a zone, if there is one.
+        base::TimePoint evacuationUntil;
     };
 
     /// A request at its entry.
@@ -61,6 +68,7 @@
     };
     using RequestPtr = std::shared_ptr<Request>;
 
+    base::TimePoint receiptTime(base::Duration change);
     void scheduleArrivals(std::size_t trafficClass);
     void arrive(std::size_t trafficClass);
     RequestPtr makeRequest(std::size_t entry, std::size_t trafficClass);
@@ -75,9 +83,11 @@
     void attemptEnded(const RequestPtr &request, std::size_t vm, const ModelEnd &end);
     void finish(const RequestPtr &request, bool answered, bool refused);
     ModelAttempt attemptOf(const Request &request) const;
+    bool isEvacuated(const Vm &entry, const Vm &vm) const;
     base::Duration delay(std::size_t from, std::size_t to) const;
     void countRepeats();
     double busiestToMean() const;
+    void collectServerCounts();
 
     const FleetShape m_shape;
     base::ManualClock m_clock;
@@ -108,13 +118,16 @@
             const base::VmId id("vm-" + name);
             m_serversOf[service].push_back(m_vms.size());
             m_vms.push_back(Vm{id,
-                               base::ZoneId("zone-" + std::to_string(server % m_shape.zones)),
+                               zoneId(server % m_shape.zones),
                                service,
-                               std::make_unique<ModelServer>(m_shape, service, m_clock, m_events, m_random()),
+                               std::make_unique<ModelServer>(
+                                   m_shape, service, server % m_shape.zones, m_clock, m_events, m_random()),
                                base::BackendServerId("server-" + name),
                                health::GrayFailureTable(m_clock),
                                routing::ServerIdleTimes(m_clock),
-                               routing::LeastCostPlacement(id)});
+                               routing::LeastCostPlacement(id),
+                               receiptTime(m_shape.evacuation ? m_shape.evacuation->begin : base::Duration()),
+                               receiptTime(m_shape.evacuation ? m_shape.evacuation->end : base::Duration())});
         }
     }
     for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
@@ -126,6 +139,14 @@
     m_result.classes.resize(m_shape.classes.size());
 }
 
+/// Draws the time at which a node receives a change that is published `change` after the begin.
+base::TimePoint FleetModel::Play::receiptTime(base::Duration change)
+{
+    const double longest = m_shape.evacuation ? std::chrono::duration<double>(m_shape.evacuation->maxDelay).count() : 0;
+    const std::chrono::duration<double> delay(std::uniform_real_distribution<double>(0, 1)(m_random) * longest);
+    return m_begin + change + std::chrono::duration_cast<base::Duration>(delay);
+}
+
 FleetResult FleetModel::Play::run(base::Duration duration)
 {
     m_end = m_begin + warmUp + duration;
@@ -137,6 +158,7 @@
     countRepeats();
     m_events.runUntil(m_end + std::chrono::seconds(10));
     m_result.busiestToMean = busiestToMean();
+    collectServerCounts();
     return m_result;
 }
 
@@ -208,6 +230,7 @@
         candidate.latency = kind.meanRun;
         candidate.failureRisk = entry.gray.probability(vm.serverId);
         candidate.idle = entry.idle.idle(vm.serverId);
+        candidate.drained = isEvacuated(entry, vm);
         candidates.push_back(candidate);
     }
     routing::PlacementRequest wanted{entry.zone, kind.idempotent, request->tried};
@@ -325,6 +348,14 @@
     return attempt;
 }
 
+/// Whether the node of `entry` has received that the zone of `vm` is evacuated.
+bool FleetModel::Play::isEvacuated(const Vm &entry, const Vm &vm) const
+{
+    const auto now = m_clock.now();
+    return m_shape.evacuation && vm.zone == zoneId(m_shape.evacuation->zone) && now >= entry.evacuationFrom
+        && now < entry.evacuationUntil;
+}
+
 base::Duration FleetModel::Play::delay(std::size_t from, std::size_t to) const
 {
     if (from == to) {
@@ -340,7 +371,7 @@
     for (std::size_t service = 0; service < m_shape.services.size(); ++service) {
         std::uint64_t repeats = 0;
         for (const std::size_t vm : m_serversOf[service]) {
-            repeats += m_vms[vm].server->repeats();
+            repeats += m_vms[vm].server->counts().repeats;
         }
         auto &counts = m_counts[service];
         counts.emplace_back(m_requestsOf[service], repeats);
@@ -355,6 +386,19 @@
     }
 }
 
+void FleetModel::Play::collectServerCounts()
+{
+    for (const Vm &vm : m_vms) {
+        const ModelCounts &counts = vm.server->counts();
+        m_result.crashes += counts.crashes;
+        m_result.mostColdStarts = std::max(m_result.mostColdStarts, counts.mostColdStarts);
+        if (m_shape.evacuation && counts.lastStart > base::TimePoint()) {
+            const base::Duration after = counts.lastStart - (m_begin + m_shape.evacuation->begin);
+            m_result.lastStartInEvacuation = std::max(m_result.lastStartInEvacuation, after);
+        }
+    }
+}
+
 double FleetModel::Play::busiestToMean() const
 {
     double result = 0;
@@ -362,8 +406,8 @@
         std::uint64_t most = 0;
         std::uint64_t sum = 0;
         for (const std::size_t vm : servers) {
-            most = std::max(most, m_vms[vm].server->runs());
-            sum += m_vms[vm].server->runs();
+            most = std::max(most, m_vms[vm].server->counts().runs);
+            sum += m_vms[vm].server->counts().runs;
         }
         if (sum > 0) {
             result = std::max(result, static_cast<double>(most * servers.size()) / static_cast<double>(sum));
--- a/src/model/fleetmodel.h
+++ b/src/model/fleetmodel.h
@@ -2,6 +2,7 @@
 
 #include "papayastep/base/clock.h"
 #include "papayastep/base/identifiers.h"
+#include "papayastep/config/configuration.h"
 #include "papayastep/routing/retrybudget.h"
 
 #include <cstdint>
@@ -19,6 +20,7 @@
 {
     int servers = 0;
     int slots = 5;
+    config::ColdStart coldStart{};
 };
 
 /// Requests of one kind. Services and other classes are referred to by their index in FleetShape.
@@ -35,6 +37,7 @@
     base::Duration deadline{0};
     std::optional<std::size_t> call; ///< Class of the nested call that a part of the runs make halfway.
     double callShare = 0; ///< Fraction of the runs that make it.
+    int calls = 1; ///< Number of such calls that a run makes at once. It fails if one of them does.
 };
 
 /// Gray failures: a server answers most requests with an immediate error for some seconds.
@@ -63,6 +66,23 @@
     double factor = 1;
 };
 
+/// A time in which the backend servers of an availability zone are down. They return together and cold.
+struct ColdReturn
+{
+    int zone = 0;
+    base::Duration begin{0};
+    base::Duration end{0};
+};
+
+/// A time in which an availability zone is evacuated. Each node receives the change after a delay of its own.
+struct Evacuation
+{
+    int zone = 0;
+    base::Duration begin{0};
+    base::Duration end{0};
+    base::Duration maxDelay{0}; ///< Longest time until a node has received the change.
+};
+
 /// The fleet, its traffic and its faults.
 struct FleetShape
 {
@@ -72,6 +92,8 @@
     GraySpells spells;
     std::optional<Shedding> shedding;
     std::optional<Burst> burst;
+    std::optional<ColdReturn> coldReturn;
+    std::optional<Evacuation> evacuation;
     double errorShare = 0; ///< Fraction of the runs of a healthy server that end with an error.
     routing::FleetRetryLimit retryLimit;
     base::Duration zoneDelay = std::chrono::microseconds(200); ///< One way, within a zone.
@@ -102,6 +124,10 @@
     std::uint64_t repeatsRefused = 0; ///< Repeats for which no server had a retry left.
     /// Largest number of repeats that reached one service in a window of the retry limit, as a fraction of the limit.
     double retryLimitUsed = 0;
+    std::uint64_t crashes = 0; ///< Times at which a cold server received too much and went down.
+    std::uint64_t mostColdStarts = 0; ///< Most attempts that a cold server received in any second.
+    /// Time from the beginning of an evacuation to the last start of an attempt in the zone before its end; 0: none.
+    base::Duration lastStartInEvacuation{0};
     double busiestToMean = 0; ///< Runs of the busiest server over the mean, the larger value of all services.
 };
 
--- a/src/model/fleetmodel_test.cpp
+++ b/src/model/fleetmodel_test.cpp
@@ -101,3 +101,105 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// 104 VMs in four availability zones with short runs: lookups whose runs make two calls at once to a small service,
+/// whose backend servers bear eleven requests a second while they are cold.
+struct ShortRunFleet
+{
+    ShortRunFleet()
+    {
+        shape.zones = 4;
+        shape.services = {{90, 5, {3s, 11}}, {14, 5, {3s, 11}}};
+        TrafficClass lookup;
+        lookup.perSecond = 370;
+        lookup.idempotent = true;
+        lookup.priority = 2;
+        lookup.meanRun = 130ms;
+        lookup.runSpread = 0.8;
+        lookup.target = 600ms;
+        lookup.deadline = 800ms;
+        lookup.call = 3;
+        lookup.callShare = 0.7;
+        lookup.calls = 2;
+        TrafficClass refund;
+        refund.perSecond = 250;
+        refund.priority = 1;
+        refund.meanRun = 180ms;
+        refund.target = 600ms;
+        refund.deadline = 1200ms;
+        TrafficClass pickup;
+        pickup.service = 1;
+        pickup.perSecond = 75;
+        pickup.meanRun = 94ms;
+        pickup.runSpread = 0.8;
+        pickup.target = 300ms;
+        pickup.deadline = 1200ms;
+        TrafficClass price;
+        price.service = 1;
+        price.idempotent = true;
+        price.meanRun = 33ms;
+        price.target = 120ms;
+        price.deadline = 400ms;
+        shape.classes = {lookup, refund, pickup, price};
+        shape.errorShare = 0.012;
+        shape.retryLimit = {0.2, 210, 10s};
+    }
+
+    FleetResult play(std::uint64_t seed) const
+    {
+        FleetModel model(shape, seed);
+        FleetResult result = model.run(14s);
+        for (std::size_t kind = 0; kind < result.classes.size(); ++kind) {
+            const ClassResult &ends = result.classes[kind];
+            BOOST_TEST_MESSAGE("seed " << seed << " class " << kind << " asked " << ends.asked << " in target "
+                                       << ends.inTarget << " late " << ends.late << " refused " << ends.refused
+                                       << " failed " << ends.failed);
+        }
+        BOOST_TEST_MESSAGE("crashes " << result.crashes << " most cold starts " << result.mostColdStarts
+                                      << " last start in the evacuation "
+                                      << std::chrono::duration<double>(result.lastStartInEvacuation).count());
+        return result;
+    }
+
+    FleetShape shape;
+};
+
+/// Requests that a cold server bears in a second: its rate times 1.5, and 8 more.
+constexpr std::uint64_t coldBound = 24;
+constexpr std::size_t pickups = 2;
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(shortRunFleet, ShortRunFleet)
+
+// Guards against backend servers that return cold together and fail again and again under the load of their zone.
+BOOST_AUTO_TEST_CASE(servers_thatReturnColdTogether_stayUp)
+{
+    shape.coldReturn = ColdReturn{1, 4s, 6500ms};
+    for (const std::uint64_t seed : seeds) {
+        const FleetResult result = play(seed);
+        BOOST_TEST(result.crashes == 0U);
+        BOOST_TEST(result.mostColdStarts <= coldBound);
+        BOOST_TEST(result.classes[refunds].served() >= 0.95);
+        BOOST_TEST(result.classes[pickups].served() >= 0.9);
+    }
+}
+
+// Guards against attempts that reach an availability zone whose evacuation was acknowledged five seconds before, and
+// against a burst at its servers, which are cold when it ends.
+BOOST_AUTO_TEST_CASE(attempts_whileAZoneIsEvacuated_goElsewhereWithinTheBound)
+{
+    shape.evacuation = Evacuation{2, 3s, 10s, 3s};
+    for (const std::uint64_t seed : seeds) {
+        const FleetResult result = play(seed);
+        BOOST_TEST((result.lastStartInEvacuation <= 5s));
+        BOOST_TEST(result.crashes == 0U);
+        BOOST_TEST(result.mostColdStarts <= coldBound);
+        BOOST_TEST(result.classes[refunds].served() >= 0.95);
+        BOOST_TEST(result.classes[pickups].served() >= 0.9);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/model/modelserver.cpp
+++ b/src/model/modelserver.cpp
@@ -13,6 +13,11 @@
 
 /// Time after which a server in a gray failure answers with an error.
 constexpr base::Duration immediately = std::chrono::milliseconds(2);
+constexpr double coldFactor = 2; ///< Slowdown of the runs at a cold server.
+/// Multiple of the published rate at which a cold server goes down.
+constexpr double crashFactor = 2;
+constexpr base::Duration restartTime = std::chrono::seconds(1); ///< Time until a server that went down is back.
+constexpr base::Duration probeTime = std::chrono::milliseconds(25);
 /// All requests belong to one workspace; the fair turns between workspaces are not modelled.
 const base::WorkspaceId workspace("all");
 
@@ -21,6 +26,14 @@
     return base::ServiceId("service-" + std::to_string(service));
 }
 
+config::BackendServer serverOf(const FleetShape &shape, std::size_t service)
+{
+    config::BackendServer server;
+    server.service = serviceId(service);
+    server.slots = shape.services[service].slots;
+    return server;
+}
+
 base::Duration scaled(base::Duration duration, double factor)
 {
     return std::chrono::duration_cast<base::Duration>(duration * factor);
@@ -28,20 +41,26 @@
 
 }
 
-ModelServer::ModelServer(
-    const FleetShape &shape, std::size_t service, const base::Clock &clock, EventQueue &events, std::uint64_t seed)
+ModelServer::ModelServer(const FleetShape &shape,
+                         std::size_t service,
+                         int zone,
+                         const base::Clock &clock,
+                         EventQueue &events,
+                         std::uint64_t seed)
     : m_shape(shape)
     , m_service(service)
     , m_clock(clock)
     , m_events(events)
     , m_random(seed)
-    , m_queue(clock, shape.services[service].slots, limits::backendServerQueueSettings())
-    , m_hold(clock.now())
-    , m_budget(clock)
+    , m_server(serverOf(shape, service))
+    , m_admission(clock, m_server)
     , m_begin(clock.now())
     , m_lastStart(clock.now())
+    , m_zone(zone)
 {
-    m_budget.setSettings(
+    m_admission.configure(&m_server, shape.services[service].coldStart);
+    m_admission.recordProbe(true, base::Duration::zero());
+    m_admission.retryBudget().setSettings(
         routing::serverRetryBudget(shape.retryLimit, static_cast<std::size_t>(shape.services[service].servers)));
     m_hasSpells = draw() < shape.spells.serverShare;
     if (m_hasSpells) {
@@ -50,6 +69,7 @@
         m_spellBegin = m_begin - shape.spells.length + scaled(cycle, draw());
         m_spellEnd = m_spellBegin + shape.spells.length;
     }
+    scheduleFaults();
 }
 
 void ModelServer::setCaller(Caller caller)
@@ -57,14 +77,9 @@
     m_caller = std::move(caller);
 }
 
-std::uint64_t ModelServer::runs() const
-{
-    return m_runs;
-}
-
-std::uint64_t ModelServer::repeats() const
+const ModelCounts &ModelServer::counts() const
 {
-    return m_repeats;
+    return m_counts;
 }
 
 routing::SlotQuote ModelServer::quote(const ModelAttempt &attempt)
@@ -72,17 +87,21 @@
     const bool idempotent = m_shape.classes[attempt.trafficClass].idempotent;
     const auto now = m_clock.now();
     routing::SlotQuote quote;
-    quote.failureRisk = m_hold.grayProbability(now);
+    quote.failureRisk = m_admission.hold().grayProbability(now);
     quote.run = usualRun(attempt.trafficClass);
     quote.idle = now - m_lastStart;
-    if (attempt.isRepeat && !m_budget.canSpend(serviceId(m_service), workspace)) {
+    if (attempt.isRepeat && !m_admission.retryBudget().canSpend(serviceId(m_service), workspace)) {
         quote.code = ResultCode::RetryBudgetSpent;
         return quote;
     }
-    const limits::OfferResult result = m_queue.quote(offerOf(attempt));
+    if (const auto closed = m_admission.closedCode()) {
+        quote.code = *closed;
+        return quote;
+    }
+    const limits::OfferResult result = m_admission.queue().quote(offerOf(attempt));
     quote.code = result.code;
     quote.wait = result.retryAfter;
-    quote.held = !m_hold.admits(idempotent, now);
+    quote.held = !m_admission.hold().admits(idempotent, now);
     return quote;
 }
 
@@ -90,15 +109,19 @@
 {
     const Waiting waiting{attempt, std::move(done)};
     const bool idempotent = m_shape.classes[attempt.trafficClass].idempotent;
-    if (!attempt.lastResort && !m_hold.admits(idempotent, m_clock.now())) {
+    if (const auto closed = m_admission.closedCode()) {
+        refuse(waiting, *closed, {});
+        return;
+    }
+    if (!attempt.lastResort && !m_admission.hold().admits(idempotent, m_clock.now())) {
         refuse(waiting, ResultCode::HopBackendServerEjected, {});
         return;
     }
-    if (attempt.isRepeat && !m_budget.spend(serviceId(m_service), workspace)) {
+    if (attempt.isRepeat && !m_admission.retryBudget().spend(serviceId(m_service), workspace)) {
         refuse(waiting, ResultCode::RetryBudgetSpent, {});
         return;
     }
-    const limits::OfferResult result = m_queue.offer(offerOf(attempt));
+    const limits::OfferResult result = m_admission.queue().offer(offerOf(attempt));
     if (!result.accepted) {
         refuse(waiting, result.code, result.retryAfter);
         return;
@@ -127,13 +150,13 @@
 
 base::Duration ModelServer::usualRun(std::size_t trafficClass) const
 {
-    return m_queue.runTimes().runs() > 0 ? m_queue.runTimes().mean(routeOf(trafficClass))
+    return m_admission.queue().runTimes().runs() > 0 ? m_admission.queue().runTimes().mean(routeOf(trafficClass))
                                          : m_shape.classes[trafficClass].meanRun;
 }
 
 void ModelServer::poll()
 {
-    for (const limits::QueueDecision &decision : m_queue.poll()) {
+    for (const limits::QueueDecision &decision : m_admission.queue().poll()) {
         const auto found = m_waiting.find(decision.attempt);
         const Waiting waiting = std::move(found->second);
         m_waiting.erase(found);
@@ -143,9 +166,9 @@
             refuse(waiting, decision.code, decision.retryAfter);
         }
     }
-    if (const auto next = m_queue.nextTick()) {
+    if (const auto next = m_admission.queue().nextTick()) {
         m_events.at(*next, [this, due = *next] {
-            if (m_queue.nextTick() && *m_queue.nextTick() <= due) {
+            if (m_admission.queue().nextTick() && *m_admission.queue().nextTick() <= due) {
                 poll();
             }
         });
@@ -156,19 +179,31 @@
 {
     const auto now = m_clock.now();
     const health::AttemptKey key{waiting.attempt.id.request, static_cast<std::uint32_t>(waiting.attempt.id.attempt)};
-    m_hold.started(key, now);
+    m_admission.hold().started(key, now);
     m_lastStart = now;
-    ++m_runs;
+    ++m_counts.runs;
+    recordArrival();
+    if (isDown()) {
+        m_events.after({}, [this, waiting, key] {
+            m_admission.queue().finished(waiting.attempt.id, false);
+            m_admission.recordConnectionFailure();
+            waiting.done({{AttemptEvent::ConnectionRefused, ResultCode::HopBackendServerRefused, {}},
+                          m_admission.hold().grayProbability(m_clock.now())});
+            probe();
+            poll();
+        });
+        return;
+    }
     if (waiting.attempt.isRepeat) {
-        ++m_repeats;
+        ++m_counts.repeats;
     } else {
-        m_budget.countRequest(serviceId(m_service), workspace);
+        m_admission.retryBudget().countRequest(serviceId(m_service), workspace);
     }
     if (isShedding()) {
-        m_queue.finished(waiting.attempt.id, false);
-        m_hold.ended(key, AttemptOutcome::Shed, 0, now);
+        m_admission.queue().finished(waiting.attempt.id, false);
+        m_admission.hold().ended(key, AttemptOutcome::Shed, 0, now);
         waiting.done(
-            {{AttemptEvent::RefusedNotRun, ResultCode::HopBackendServerShed, {}}, m_hold.grayProbability(now)});
+            {{AttemptEvent::RefusedNotRun, ResultCode::HopBackendServerShed, {}}, m_admission.hold().grayProbability(now)});
         m_events.after({}, [this] { poll(); });
         return;
     }
@@ -185,12 +220,19 @@
     const TrafficClass &kind = m_shape.classes[waiting.attempt.trafficClass];
     const double sigma = kind.runSpread;
     const double factor = std::exp(std::normal_distribution<double>(-sigma * sigma / 2, sigma)(m_random));
-    const base::Duration run = scaled(kind.meanRun, factor);
+    const base::Duration run = scaled(kind.meanRun, isCold() ? coldFactor * factor : factor);
     if (kind.call && draw() < kind.callShare) {
-        m_events.after(run / 2, [this, waiting, run, now, call = *kind.call] {
-            m_caller(call, waiting.attempt.deadline, [this, waiting, run, now](bool answered) {
-                callDone(waiting, run - run / 2, now, answered);
-            });
+        m_events.after(run / 2, [this, waiting, run, now, call = *kind.call, calls = kind.calls] {
+            const auto open = std::make_shared<int>(calls);
+            for (int number = 0; number < calls; ++number) {
+                m_caller(call, waiting.attempt.deadline, [this, waiting, run, now, open](bool answered) {
+                    // The first failure or the last answer continues the run.
+                    *open = answered ? *open - 1 : std::min(*open, 0) - 1;
+                    if (*open == 0 || (!answered && *open == -1)) {
+                        callDone(waiting, run - run / 2, now, answered);
+                    }
+                });
+            }
         });
         return;
     }
@@ -217,15 +259,21 @@
 void ModelServer::finish(const Waiting &waiting, base::TimePoint startedAt, AttemptOutcome outcome)
 {
     const auto now = m_clock.now();
+    const bool answered = startedAt >= m_aliveSince;
+    if (!answered) {
+        outcome = AttemptOutcome::Partial;
+    }
     const health::AttemptKey key{waiting.attempt.id.request, static_cast<std::uint32_t>(waiting.attempt.id.attempt)};
     const std::chrono::duration<double> run = now - startedAt;
     const double relativeTime = run / usualRun(waiting.attempt.trafficClass);
-    m_queue.finished(waiting.attempt.id, outcome == AttemptOutcome::Success || outcome == AttemptOutcome::Timeout);
-    m_hold.ended(key, outcome, relativeTime, now);
+    m_admission.queue().finished(waiting.attempt.id, outcome == AttemptOutcome::Success || outcome == AttemptOutcome::Timeout);
+    m_admission.hold().ended(key, outcome, relativeTime, now);
+    m_admission.recordEnd(outcome, answered);
     const AttemptEvent event = outcome == AttemptOutcome::Success ? AttemptEvent::Complete
+        : outcome == AttemptOutcome::Partial                      ? AttemptEvent::Partial
         : outcome == AttemptOutcome::Timeout                      ? AttemptEvent::DeadlinePassed
                                                                   : AttemptEvent::ServerError;
-    waiting.done({{event, ResultCode::Ok, {}}, m_hold.grayProbability(now)});
+    waiting.done({{event, ResultCode::Ok, {}}, m_admission.hold().grayProbability(now)});
     poll();
 }
 
@@ -233,9 +281,99 @@
 {
     if (waiting.attempt.isRepeat && code != ResultCode::RetryBudgetSpent
         && code != ResultCode::HopBackendServerEjected) {
-        m_budget.giveBack(serviceId(m_service), workspace);
+        m_admission.retryBudget().giveBack(serviceId(m_service), workspace);
     }
-    waiting.done({{AttemptEvent::RefusedNotRun, code, retryAfter}, m_hold.grayProbability(m_clock.now())});
+    waiting.done({{AttemptEvent::RefusedNotRun, code, retryAfter}, m_admission.hold().grayProbability(m_clock.now())});
+}
+
+void ModelServer::scheduleFaults()
+{
+    if (const auto &fault = m_shape.coldReturn; fault && fault->zone == m_zone) {
+        m_events.at(m_begin + fault->begin, [this, length = fault->end - fault->begin] { goDown(length); });
+    }
+    if (const auto &evacuation = m_shape.evacuation; evacuation && evacuation->zone == m_zone) {
+        const auto delay = [&] { return scaled(evacuation->maxDelay, draw()); };
+        m_events.at(m_begin + evacuation->begin + delay(), [this] { setEvacuated(true); });
+        m_events.at(m_begin + evacuation->end + delay(), [this] { setEvacuated(false); });
+        // The servers were restarted during the evacuation.
+        m_events.at(m_begin + evacuation->end, [this] { comeBack(); });
+    }
+}
+
+void ModelServer::setEvacuated(bool evacuated)
+{
+    m_server.evacuated = evacuated;
+    m_admission.configure(&m_server, m_shape.services[m_service].coldStart);
+    probe();
+    poll();
+}
+
+void ModelServer::goDown(base::Duration length)
+{
+    m_downUntil = m_clock.now() + length;
+    m_aliveSince = m_downUntil;
+    m_events.at(m_downUntil, [this] { comeBack(); });
+}
+
+void ModelServer::comeBack()
+{
+    m_coldUntil = m_clock.now() + m_shape.services[m_service].coldStart.duration;
+    m_arrivals.clear();
+}
+
+bool ModelServer::isDown() const
+{
+    return m_clock.now() < m_downUntil;
+}
+
+bool ModelServer::isCold() const
+{
+    return m_clock.now() < m_coldUntil;
+}
+
+/// Counts the attempts that arrive within a second at a cold server, which goes down if there are far too many.
+void ModelServer::recordArrival()
+{
+    const auto now = m_clock.now();
+    if (isInEvacuation()) {
+        m_counts.lastStart = now;
+    }
+    if (!isCold() || isDown()) {
+        return;
+    }
+    m_arrivals.push_back(now);
+    while (now - m_arrivals.front() >= std::chrono::seconds(1)) {
+        m_arrivals.pop_front();
+    }
+    m_counts.mostColdStarts = std::max<std::uint64_t>(m_counts.mostColdStarts, m_arrivals.size());
+    const double rate = m_shape.services[m_service].coldStart.requestsPerSecond;
+    if (rate > 0 && static_cast<double>(m_arrivals.size()) > crashFactor * rate) {
+        ++m_counts.crashes;
+        goDown(restartTime);
+    }
+}
+
+bool ModelServer::isInEvacuation() const
+{
+    const auto &evacuation = m_shape.evacuation;
+    const base::Duration passed = m_clock.now() - m_begin;
+    return evacuation && evacuation->zone == m_zone && passed >= evacuation->begin && passed < evacuation->end;
+}
+
+void ModelServer::probe()
+{
+    if (!m_admission.takeProbeDue()) {
+        if (const auto next = m_admission.nextProbe()) {
+            m_events.at(*next, [this] { probe(); });
+        }
+        return;
+    }
+    m_events.after(probeTime, [this] {
+        const base::Duration cold = std::max(base::Duration::zero(), m_coldUntil - m_clock.now());
+        m_admission.recordProbe(!isDown(), isDown() ? std::nullopt : std::optional(cold));
+        probe();
+        poll();
+    });
 }
 
 bool ModelServer::isGray()
--- a/src/model/modelserver.h
+++ b/src/model/modelserver.h
@@ -3,11 +3,11 @@
 #include "eventqueue.h"
 #include "fleetmodel.h"
 
-#include "papayastep/health/serverhold.h"
-#include "papayastep/limits/slotqueue.h"
 #include "papayastep/routing/retrypolicy.h"
+#include "papayastep/routing/serveradmission.h"
 #include "papayastep/routing/slotsurvey.h"
 
+#include <deque>
 #include <random>
 
 namespace papayastep::model {
@@ -31,6 +31,18 @@
     double grayProbability = 0;
 };
 
+/// What a ModelServer counts.
+struct ModelCounts
+{
+    std::uint64_t runs = 0;
+    std::uint64_t repeats = 0;
+    std::uint64_t crashes = 0;
+    std::uint64_t mostColdStarts = 0; ///< Most attempts that arrived in any second while the server was cold.
+    base::TimePoint lastStart{}; ///< Time of the last start of an attempt during an evacuation of its zone.
+
+    auto operator<=>(const ModelCounts &) const = default;
+};
+
 /// A backend server and the decisions of the node beside it.
 class ModelServer
 {
@@ -39,15 +51,19 @@
     /// Makes the nested call of a run and reports whether it was answered.
     using Caller = std::function<void(std::size_t trafficClass, base::TimePoint deadline, std::function<void(bool)>)>;
 
-    ModelServer(
-        const FleetShape &shape, std::size_t service, const base::Clock &clock, EventQueue &events, std::uint64_t seed);
+    /// `zone` is the number of its availability zone.
+    ModelServer(const FleetShape &shape,
+                std::size_t service,
+                int zone,
+                const base::Clock &clock,
+                EventQueue &events,
+                std::uint64_t seed);
 
     routing::SlotQuote quote(const ModelAttempt &attempt);
     void serve(const ModelAttempt &attempt, Done done);
     void setCaller(Caller caller);
 
-    std::uint64_t runs() const;
-    std::uint64_t repeats() const;
+    const ModelCounts &counts() const;
 
 private:
     struct Waiting
@@ -59,6 +75,15 @@
     limits::QueueOffer offerOf(const ModelAttempt &attempt) const;
     base::RouteId routeOf(std::size_t trafficClass) const;
     base::Duration usualRun(std::size_t trafficClass) const;
+    void scheduleFaults();
+    void setEvacuated(bool evacuated);
+    void goDown(base::Duration length);
+    void comeBack();
+    bool isDown() const;
+    bool isCold() const;
+    bool isInEvacuation() const;
+    void recordArrival();
+    void probe();
     void poll();
     void start(const Waiting &waiting);
     void runOn(const Waiting &waiting);
@@ -74,9 +99,8 @@
     const base::Clock &m_clock;
     EventQueue &m_events;
     std::mt19937_64 m_random;
-    limits::SlotQueue m_queue;
-    health::ServerHold m_hold;
-    routing::RetryBudget m_budget;
+    config::BackendServer m_server;
+    routing::ServerAdmission m_admission;
     std::map<limits::AttemptId, Waiting> m_waiting;
     Caller m_caller;
     const base::TimePoint m_begin;
@@ -84,8 +108,12 @@
     bool m_hasSpells = false;
     base::TimePoint m_spellBegin = base::TimePoint::max();
     base::TimePoint m_spellEnd;
-    std::uint64_t m_runs = 0;
-    std::uint64_t m_repeats = 0;
+    const int m_zone;
+    base::TimePoint m_downUntil;
+    base::TimePoint m_coldUntil;
+    base::TimePoint m_aliveSince; ///< Runs that started before it ended without an answer.
+    std::deque<base::TimePoint> m_arrivals; ///< Attempts of the last second.
+    ModelCounts m_counts;
 };
 
 }
--- a/src/node/backendprotocol.cpp
+++ b/src/node/backendprotocol.cpp
@@ -35,4 +35,9 @@
     return answer.result_int() < firstFailure;
 }
 
+std::optional<base::Duration> NativeBackendProtocol::coldTime(const net::ResponseHead &) const
+{
+    return std::nullopt;
+}
+
 }
--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -49,6 +49,7 @@
     metrics.setGauge("vms", real(m_context.vms.vms.size()));
     if (m_directoryUpdater) {
         metrics.setGauge("directory_news_age_seconds", ageSeconds(m_serverDirectory.timeSinceAnswer()));
+        metrics.setGauge("evacuated_zones", real(m_serverDirectory.evacuatedZones().size()));
     }
     for (const auto &[kind, total] : m_context.interfaces.platformCalls->totals()) {
         const NodeMetrics::Labels labels{{"call", kind.call}, {"answer", kind.answer}};
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -134,7 +134,7 @@
     , m_roster(clock, ownEntry(m_context.settings), fleetPorts(m_context.settings))
     , m_configurationFetcher(m_context, m_spread, *m_context.interfaces.platform)
     , m_servingNode(m_context)
-    , m_prober(m_context)
+    , m_prober(m_context, m_servingNode)
     , m_entryHandler(m_context, m_servingNode)
     , m_hopHandler(m_context, m_servingNode)
     , m_peerMessenger(m_context, [this](const wire::Envelope &envelope) { dispatch(envelope); })
@@ -199,6 +199,7 @@
 {
     m_pumpScheduled = false;
     m_servingNode.poll();
+    m_prober.startDueProbes();
     sendAll(m_context.tokens.takeMessages());
     for (const limits::AdmissionDecision &decision : m_context.tokens.takeDecisions()) {
         m_entryHandler.deliver(decision);
--- a/src/node/nodepages.cpp
+++ b/src/node/nodepages.cpp
@@ -137,6 +137,10 @@
     if (spread.confirmationAge) {
         status["newsAgeMs"] = milliseconds(*spread.confirmationAge);
     }
+    status["evacuatedZones"] = Json::array();
+    for (const base::ZoneId &zone : m_serverDirectory.evacuatedZones()) {
+        status["evacuatedZones"].push_back(zone.value());
+    }
     status["servers"] = Json::array();
     const auto &configuration = m_context.active.configuration;
     const auto workspace = query.find("workspace");
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -14,8 +14,9 @@
 
 }
 
-Prober::Prober(NodeContext &context)
+Prober::Prober(NodeContext &context, ServingNode &serving)
     : m_context(context)
+    , m_serving(serving)
 {
 }
 
@@ -32,15 +33,22 @@
         timer.expires_after(probeInterval);
         co_await timer.async_wait(net::into(error));
         if (m_context.active.configuration && !m_context.draining) {
-            startProbes();
+            startProbes(m_context.health.serversToProbe());
         }
     }
 }
 
-void Prober::startProbes()
+void Prober::startDueProbes()
+{
+    if (m_context.active.configuration && !m_context.draining) {
+        startProbes(m_serving.takeProbesDue());
+    }
+}
+
+void Prober::startProbes(const std::vector<base::BackendServerId> &servers)
 {
     const auto &configuration = *m_context.active.configuration;
-    for (const base::BackendServerId &id : m_context.health.serversToProbe()) {
+    for (const base::BackendServerId &id : servers) {
         const config::BackendServer *server = configuration.backendServer(id);
         const config::Service *service = server != nullptr ? configuration.service(server->service) : nullptr;
         if (service != nullptr && !service->healthPath.empty()) {
@@ -71,6 +79,8 @@
     const bool whole = exchange->progress() == net::ExchangeProgress::Complete;
     const bool good = whole && m_context.backends().isHealthy(exchange->head(), server.id);
     m_context.health.probeFinished(server.id, good);
+    m_serving.probeFinished(
+        server.id, good, good ? m_context.backends().coldTime(exchange->head()) : std::optional<base::Duration>());
     m_context.schedulePump();
     VLOG(1) << "health: Probed a backend server." << base::field("server", server.id) << base::field("good", good);
 }
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -62,34 +62,21 @@
 
 }
 
-/// A backend server of this VM and its queue.
+/// A backend server of this VM, with what the node records for its entries.
 struct ServingNode::LocalServer
 {
-    LocalServer(const base::Clock &clock, const config::BackendServer &serverConfiguration)
-        : configured(serverConfiguration)
-        , queue(clock, serverConfiguration.slots, limits::backendServerQueueSettings())
-        , hold(clock.now())
-        , retryBudget(clock)
+    LocalServer(const base::Clock &clock, const config::BackendServer &server)
+        : admission(clock, server)
         , lastStart(clock.now())
     {
     }
 
-    /// Returns the probability that the server has a gray failure, in percent.
-    std::uint8_t grayPercent(base::TimePoint now) const
-    {
-        return static_cast<std::uint8_t>(100 * hold.grayProbability(now));
-    }
-
-    config::BackendServer configured;
-    limits::SlotQueue queue;
-    health::ServerHold hold;
-    routing::RetryBudget retryBudget;
+    routing::ServerAdmission admission;
     std::map<base::VmId, base::TimePoint>
         recentEntries; ///< Entries that recently sent attempts, with the time of the last one.
     base::TimePoint lastStart; ///< Start time of the last attempt.
     int offersSinceStart = 0; ///< Number of slot offers since lastStart. It distinguishes a server that is not asked
                               ///< from a server that is asked and not chosen.
-    bool removed = false; ///< The server is no longer configured; it is kept until its attempts have ended.
 };
 
 /// One attempt, from its arrival to the end of its answer.
@@ -205,7 +192,7 @@
     }
     LocalServer &localServer = *findLocalServer(activeAttempt->hop.server);
     recordEntry(localServer, activeAttempt->hop.entry);
-    const limits::OfferResult verdict = localServer.queue.offer(queueOffer(*activeAttempt));
+    const limits::OfferResult verdict = localServer.admission.queue().offer(queueOffer(*activeAttempt));
     if (!verdict.accepted) {
         returnRetry(activeAttempt->hop);
         m_registry.drop({activeAttempt->hop.requestId(), static_cast<int>(activeAttempt->hop.attempt)});
@@ -232,7 +219,7 @@
     if (refused) {
         returnRetry(activeAttempt->hop);
         m_registry.drop({activeAttempt->hop.requestId(), static_cast<int>(activeAttempt->hop.attempt)});
-        findLocalServer(activeAttempt->hop.server)->queue.finished(activeAttempt->id(), false);
+        findLocalServer(activeAttempt->hop.server)->admission.queue().finished(activeAttempt->id(), false);
         m_attempts.erase(activeAttempt->id());
         m_context.schedulePump();
         co_return refusalOf(*activeAttempt, *refused, {});
@@ -253,7 +240,7 @@
         offer.code = number(refused.value_or(ResultCode::HopBackendServerGone));
         return offer;
     }
-    if (ask.isRepeat && !localServer->retryBudget.canSpend(localServer->configured.service, ask.workspace)) {
+    if (ask.isRepeat && !localServer->admission.retryBudget().canSpend(localServer->admission.server().service, ask.workspace)) {
         offer.code = number(ResultCode::RetryBudgetSpent);
         return offer;
     }
@@ -268,12 +255,12 @@
     if (ask.remainingTarget > 0) {
         wanted.wantedBy = now + base::Duration(ask.remainingTarget);
     }
-    const limits::OfferResult verdict = localServer->queue.quote(wanted);
+    const limits::OfferResult verdict = localServer->admission.queue().quote(wanted);
     offer.code = number(verdict.code);
     offer.heldAsGray = refused.has_value();
     offer.waitMicros = static_cast<std::uint32_t>(microseconds(verdict.retryAfter));
     offer.runMicros = static_cast<std::uint32_t>(microseconds(expectedRun(*localServer, ask.route)));
-    offer.grayPercent = localServer->grayPercent(now);
+    offer.grayPercent = localServer->admission.grayPercent();
     offer.idleMs = milliseconds(now - localServer->lastStart);
     return offer;
 }
@@ -295,7 +282,7 @@
     }
     if (answer == routing::CancelAnswer::NeverStarted) {
         LocalServer *localServer = findLocalServer(found->second->hop.server);
-        localServer->queue.cancel(found->second->id());
+        localServer->admission.queue().cancel(found->second->id());
         found->second->stopped = true;
         found->second->changed.notify();
     } else if (cancel.stop) {
@@ -314,7 +301,7 @@
     if (!activeAttempt.running && !activeAttempt.decision) {
         // The attempt is still queued. It can be dropped even if it is not idempotent.
         m_registry.drop({request, attempt});
-        findLocalServer(activeAttempt.hop.server)->queue.cancel(activeAttempt.id());
+        findLocalServer(activeAttempt.hop.server)->admission.queue().cancel(activeAttempt.id());
         activeAttempt.stopped = true;
         activeAttempt.changed.notify();
         return;
@@ -336,10 +323,6 @@
 void ServingNode::applyConfiguration()
 {
     const auto &configuration = *m_context.active.configuration;
-    for (auto &[id, localServer] : m_localServers) {
-        const config::BackendServer *server = configuration.backendServer(id);
-        localServer->removed = server == nullptr || server->vm != m_context.settings.vm;
-    }
     for (const config::BackendServer &server : configuration.backendServers()) {
         if (server.vm != m_context.settings.vm) {
             continue;
@@ -350,31 +333,73 @@
             PAPAYASTEP_LOG(INFO, logPrefix) << "Began to serve a backend server." << base::field("server", server.id)
                                             << base::field("slots", server.slots);
         }
-        localServer->configured = server;
-        localServer->queue.setSlots(server.slots);
-        if (m_context.settings.retryLimit) {
-            const std::size_t servers = configuration.serversOf(server.service).size();
-            localServer->retryBudget.setSettings(routing::serverRetryBudget(*m_context.settings.retryLimit, servers));
-        }
+    }
+    for (auto &[id, localServer] : m_localServers) {
+        configure(*localServer, id);
     }
     std::erase_if(m_localServers, [this](const auto &entry) {
         const LocalServer &localServer = *entry.second;
         const bool isUnused
-            = localServer.removed && localServer.queue.running() == 0 && localServer.queue.queued() == 0;
+            = localServer.admission.isRemoved() && localServer.admission.queue().running() == 0 && localServer.admission.queue().queued() == 0;
         if (isUnused) {
-            m_formerRetries += localServer.retryBudget.counters();
+            m_formerRetries += localServer.admission.retryBudget().counters();
         }
         return isUnused;
     });
 }
 
+void ServingNode::configure(LocalServer &localServer, const base::BackendServerId &id) const
+{
+    const auto &configuration = *m_context.active.configuration;
+    const config::BackendServer *server = configuration.backendServer(id);
+    if (server != nullptr && server->vm != m_context.settings.vm) {
+        server = nullptr;
+    }
+    const config::Service *service = configuration.service(localServer.admission.server().service);
+    localServer.admission.configure(server, service != nullptr ? service->coldStart : config::ColdStart());
+    if (server != nullptr && m_context.settings.retryLimit) {
+        const std::size_t servers = configuration.serversOf(server->service).size();
+        localServer.admission.retryBudget().setSettings(
+            routing::serverRetryBudget(*m_context.settings.retryLimit, servers));
+    }
+}
+
+std::vector<base::BackendServerId> ServingNode::takeProbesDue()
+{
+    std::vector<base::BackendServerId> due;
+    for (auto &[id, localServer] : m_localServers) {
+        if (localServer->admission.takeProbeDue()) {
+            due.push_back(id);
+        }
+    }
+    return due;
+}
+
+void ServingNode::probeFinished(const base::BackendServerId &server,
+                                bool answered,
+                                std::optional<base::Duration> coldTime)
+{
+    LocalServer *localServer = findLocalServer(server);
+    if (localServer == nullptr) {
+        return;
+    }
+    const bool wasCold = localServer->admission.queue().coldStart().isCold();
+    localServer->admission.recordProbe(answered, coldTime);
+    if (wasCold || localServer->admission.queue().coldStart().isCold()) {
+        PAPAYASTEP_LOG(INFO, logPrefix) << "Probed a backend server that may be cold." << base::field("server", server)
+                                        << base::field("answered", answered)
+                                        << base::field("coldMs", milliseconds(coldTime.value_or(base::Duration(0))));
+    }
+    m_context.schedulePump();
+}
+
 void ServingNode::poll()
 {
     for (auto &[id, localServer] : m_localServers) {
-        for (const limits::QueueDecision &decision : localServer->queue.poll()) {
+        for (const limits::QueueDecision &decision : localServer->admission.queue().poll()) {
             const auto found = m_attempts.find(decision.attempt);
             if (found == m_attempts.end()) {
-                localServer->queue.finished(decision.attempt, false);
+                localServer->admission.queue().finished(decision.attempt, false);
                 continue;
             }
             if (!decision.start) {
@@ -383,7 +408,7 @@
             found->second->decision = decision;
             found->second->changed.notify();
         }
-        m_context.health.setQueueLength(id, static_cast<int>(localServer->queue.queued()));
+        m_context.health.setQueueLength(id, static_cast<int>(localServer->admission.queue().queued()));
     }
 }
 
@@ -397,8 +422,8 @@
 base::TimePoint ServingNode::overdueAt(const ActiveAttempt &activeAttempt)
 {
     const LocalServer &localServer = *findLocalServer(activeAttempt.hop.server);
-    const base::Duration usual = m_context.health.usualLatency(localServer.configured.service);
-    const limits::RunTimes &runs = localServer.queue.runTimes();
+    const base::Duration usual = m_context.health.usualLatency(localServer.admission.server().service);
+    const limits::RunTimes &runs = localServer.admission.queue().runTimes();
     return activeAttempt.started
         + health::overdueAfter(runs.mean(activeAttempt.hop.route), runs.runs(activeAttempt.hop.route), usual);
 }
@@ -407,12 +432,12 @@
 /// becomes outdated while the server runs no attempts.
 base::Duration ServingNode::expectedRun(const LocalServer &localServer, const base::RouteId &route) const
 {
-    const limits::RunTimes &runs = localServer.queue.runTimes();
-    const base::Duration usual = m_context.health.usualLatency(localServer.configured.service);
+    const limits::RunTimes &runs = localServer.admission.queue().runTimes();
+    const base::Duration usual = m_context.health.usualLatency(localServer.admission.server().service);
     if (runs.runs() == 0) {
         return usual > base::Duration::zero() ? usual : runs.mean();
     }
-    const auto idleSince = localServer.queue.idleSince();
+    const auto idleSince = localServer.admission.queue().idleSince();
     const base::Duration age = idleSince ? m_context.clock.now() - *idleSince : base::Duration::zero();
     const std::chrono::duration<double> drifted = health::decayedLatency(runs.mean(), usual, age);
     const double slowness = drifted / std::max(runs.mean(), minMeanRunTime);
@@ -432,18 +457,18 @@
         }
         LocalServer *localServer = findLocalServer(activeAttempt->hop.server);
         activeAttempt->overdue = true;
-        if (localServer->hold.recordOverdue(now) == health::HoldChange::Held) {
+        if (localServer->admission.hold().recordOverdue(now) == health::HoldChange::Held) {
             notifyHold(*localServer, "overdue");
         }
         const bool mayRetry = activeAttempt->hop.idempotent
-            && activeAttempt->deadline - now > localServer->queue.runTimes().mean(activeAttempt->hop.route);
+            && activeAttempt->deadline - now > localServer->admission.queue().runTimes().mean(activeAttempt->hop.route);
         PAPAYASTEP_LOG(INFO, logPrefix)
             << "An attempt is overdue." << base::field("request", activeAttempt->hop.logId())
             << base::field("server", activeAttempt->hop.server)
             << base::field("runMs", milliseconds(now - activeAttempt->started))
-            << base::field("usualMs", milliseconds(localServer->queue.runTimes().mean(activeAttempt->hop.route)))
-            << base::field("grayPercent", int{localServer->grayPercent(now)});
-        if (mayRetry && localServer->hold.grayProbability(now) > hangReportProbability) {
+            << base::field("usualMs", milliseconds(localServer->admission.queue().runTimes().mean(activeAttempt->hop.route)))
+            << base::field("grayPercent", int{localServer->admission.grayPercent()});
+        if (mayRetry && localServer->admission.hold().grayProbability(now) > hangReportProbability) {
             activeAttempt->onHangSuspected();
         }
     }
@@ -451,7 +476,14 @@
 
 void ServingNode::tick()
 {
+    const base::TimePoint before = m_lastTick;
+    m_lastTick = m_context.clock.now();
     m_pauses.check();
+    if (m_pauses.pausedSince(before)) {
+        for (auto &[id, localServer] : m_localServers) {
+            localServer->admission.recordPause();
+        }
+    }
     m_registry.tick();
     checkOverdueAttempts();
     poll();
@@ -460,23 +492,23 @@
 void ServingNode::sweep()
 {
     for (auto &[id, localServer] : m_localServers) {
-        localServer->retryBudget.tick();
+        localServer->admission.retryBudget().tick();
     }
 }
 
 std::optional<base::TimePoint> ServingNode::nextTick()
 {
     std::optional<base::TimePoint> next;
+    const auto include = [&next](std::optional<base::TimePoint> due) {
+        next = due && (!next || *due < *next) ? due : next;
+    };
     for (const auto &[id, localServer] : m_localServers) {
-        const auto due = localServer->queue.nextTick();
-        if (due && (!next || *due < *next)) {
-            next = due;
-        }
+        include(localServer->admission.queue().nextTick());
+        include(localServer->admission.nextProbe());
     }
     for (const auto &[id, activeAttempt] : m_attempts) {
         if (mayBecomeOverdue(*activeAttempt)) {
-            const auto due = overdueAt(*activeAttempt);
-            next = std::min(next.value_or(due), due);
+            include(overdueAt(*activeAttempt));
         }
     }
     return next;
@@ -491,10 +523,10 @@
 {
     std::map<base::ServiceId, SlotUse> result;
     for (const auto &[id, localServer] : m_localServers) {
-        result[localServer->configured.service] += {localServer->queue.slots(),
-                                                    localServer->queue.running(),
-                                                    localServer->queue.queued(),
-                                                    localServer->hold.isHeldBack() ? 1U : 0U};
+        result[localServer->admission.server().service] += {localServer->admission.queue().slots(),
+                                                    localServer->admission.queue().running(),
+                                                    localServer->admission.queue().queued(),
+                                                    localServer->admission.hold().isHeldBack() ? 1U : 0U};
     }
     return result;
 }
@@ -503,7 +535,7 @@
 {
     routing::RetryBudgetCounters sum = m_formerRetries;
     for (const auto &[id, localServer] : m_localServers) {
-        sum += localServer->retryBudget.counters();
+        sum += localServer->admission.retryBudget().counters();
     }
     return sum;
 }
@@ -512,7 +544,7 @@
 {
     std::map<base::ServiceId, double> sums;
     for (const auto &[id, localServer] : m_localServers) {
-        for (const auto &[service, retries] : localServer->retryBudget.availableRetries()) {
+        for (const auto &[service, retries] : localServer->admission.retryBudget().availableRetries()) {
             sums[service] += retries;
         }
     }
@@ -523,7 +555,7 @@
 {
     std::size_t count = 0;
     for (const auto &[id, localServer] : m_localServers) {
-        count += localServer->queue.queued();
+        count += localServer->admission.queue().queued();
     }
     return count;
 }
@@ -562,16 +594,19 @@
                                                    bool lastResort)
 {
     LocalServer *localServer = findLocalServer(server);
-    if (localServer == nullptr || localServer->removed || localServer->configured.drain) {
+    if (localServer == nullptr) {
         return ResultCode::HopBackendServerGone;
     }
+    if (const auto closed = localServer->admission.closedCode()) {
+        return closed;
+    }
     if (m_context.draining) {
         return ResultCode::NodeDraining;
     }
     if (!m_context.settings.ejection || lastResort) {
         return std::nullopt;
     }
-    if (isHeldBack(*localServer, idempotent)) {
+    if (localServer->admission.isHeldBack(idempotent)) {
         return ResultCode::HopBackendServerEjected;
     }
     switch (m_context.health.admission(server)) {
@@ -589,14 +624,6 @@
     return std::nullopt;
 }
 
-/// Whether attempts at this server are refused because it is held back. Such a refusal proves that the request did not
-/// run, so that the entry can send it to another server immediately. The trial request that shows the state of the
-/// server should be idempotent, so that it may fail.
-bool ServingNode::isHeldBack(const LocalServer &localServer, bool idempotent) const
-{
-    return !localServer.hold.admits(idempotent, m_context.clock.now());
-}
-
 std::optional<ResultCode> ServingNode::registerAttempt(ActiveAttempt &activeAttempt)
 {
     const routing::AttemptId id{activeAttempt.hop.requestId(), static_cast<int>(activeAttempt.hop.attempt)};
@@ -644,7 +671,7 @@
         return std::nullopt;
     }
     LocalServer &localServer = *findLocalServer(hop.server);
-    if (localServer.retryBudget.spend(localServer.configured.service, hop.workspace)) {
+    if (localServer.admission.retryBudget().spend(localServer.admission.server().service, hop.workspace)) {
         return std::nullopt;
     }
     m_registry.drop({hop.requestId(), static_cast<int>(hop.attempt)});
@@ -656,7 +683,7 @@
 {
     LocalServer *localServer = findLocalServer(hop.server);
     if (hop.isRepeat && localServer != nullptr) {
-        localServer->retryBudget.giveBack(localServer->configured.service, hop.workspace);
+        localServer->admission.retryBudget().giveBack(localServer->admission.server().service, hop.workspace);
     }
 }
 
@@ -669,7 +696,7 @@
 
 net::Awaitable<void> ServingNode::runOnBackend(ActiveAttemptPtr activeAttempt, net::ClientRequest request)
 {
-    const config::BackendServer &server = findLocalServer(activeAttempt->hop.server)->configured;
+    const config::BackendServer &server = findLocalServer(activeAttempt->hop.server)->admission.server();
     const net::Endpoint endpoint{server.address, server.port};
     activeAttempt->started = m_context.clock.now();
     activeAttempt->running = true;
@@ -678,18 +705,18 @@
     m_context.health.attemptStarted(activeAttempt->hop.server, activeAttempt->healthKey(), activeAttempt->hop.route);
     m_runCalls.runStarted(activeAttempt->healthKey(), activeAttempt->deadline);
     LocalServer &localServer = *findLocalServer(activeAttempt->hop.server);
-    localServer.hold.started(activeAttempt->healthKey(), activeAttempt->started);
+    localServer.admission.hold().started(activeAttempt->healthKey(), activeAttempt->started);
     if (!activeAttempt->hop.isRepeat) {
-        localServer.retryBudget.countRequest(server.service, activeAttempt->hop.workspace);
+        localServer.admission.retryBudget().countRequest(server.service, activeAttempt->hop.workspace);
     }
     PAPAYASTEP_LOG(INFO, logPrefix)
         << "Started an attempt." << base::field("request", activeAttempt->hop.logId())
         << base::field("attempt", activeAttempt->hop.attempt) << base::field("entry", activeAttempt->hop.entry)
         << base::field("server", activeAttempt->hop.server)
         << base::field("waitedMs", milliseconds(activeAttempt->started - activeAttempt->arrived))
-        << base::field("running", localServer.queue.running()) << base::field("queued", localServer.queue.queued())
-        << base::field("grayPercent", int{localServer.grayPercent(activeAttempt->started)})
-        << base::field("usualMs", milliseconds(localServer.queue.runTimes().mean(activeAttempt->hop.route)))
+        << base::field("running", localServer.admission.queue().running()) << base::field("queued", localServer.admission.queue().queued())
+        << base::field("grayPercent", int{localServer.admission.grayPercent()})
+        << base::field("usualMs", milliseconds(localServer.admission.queue().runTimes().mean(activeAttempt->hop.route)))
         << base::field("offers", localServer.offersSinceStart)
         << base::field("sinceLastMs", milliseconds(activeAttempt->started - localServer.lastStart));
     localServer.lastStart = activeAttempt->started;
@@ -733,9 +760,12 @@
         const bool ranToItsEnd
             = outcome == health::AttemptOutcome::Success || outcome == health::AttemptOutcome::Timeout;
         m_pauses.check();
-        localServer->queue.finished(activeAttempt.id(), ranToItsEnd && !m_pauses.pausedSince(activeAttempt.started));
+        localServer->admission.queue().finished(activeAttempt.id(), ranToItsEnd && !m_pauses.pausedSince(activeAttempt.started));
         m_context.metrics.countServed(
-            {localServer->configured.service, health::name(outcome), m_context.clock.now() - activeAttempt.started});
+            {localServer->admission.server().service, health::name(outcome), m_context.clock.now() - activeAttempt.started});
+        const bool answered
+            = activeAttempt.exchange && activeAttempt.exchange->progress() >= net::ExchangeProgress::HeadReceived;
+        localServer->admission.recordEnd(outcome, answered);
         recordOutcome(*localServer, activeAttempt, outcome);
     }
     m_attempts.erase(activeAttempt.id());
@@ -759,13 +789,13 @@
 void ServingNode::notifyHold(const LocalServer &localServer, std::string_view evidence)
 {
     const auto now = m_context.clock.now();
-    const base::BackendServerId &server = localServer.configured.id;
-    m_context.gray.update(server, localServer.hold.grayProbability(now));
-    m_context.metrics.countHold(localServer.configured.service, evidence);
+    const base::BackendServerId &server = localServer.admission.server().id;
+    m_context.gray.update(server, localServer.admission.hold().grayProbability(now));
+    m_context.metrics.countHold(localServer.admission.server().service, evidence);
     PAPAYASTEP_LOG(INFO, logPrefix) << "Held back a backend server." << base::field("server", server)
                                     << base::field("evidence", evidence)
-                                    << base::field("grayPercent", int{localServer.grayPercent(now)});
-    const health::GrayNotice notice{server.value(), localServer.grayPercent(now)};
+                                    << base::field("grayPercent", int{localServer.admission.grayPercent()});
+    const health::GrayNotice notice{server.value(), localServer.admission.grayPercent()};
     for (const auto &[entry, seen] : localServer.recentEntries) {
         if (now - seen <= entryRetention) {
             m_context.send(wire::outgoing(entry, wire::MessageKind::GrayNotice, notice));
@@ -785,12 +815,12 @@
     }
     const std::chrono::duration<double> run = now - activeAttempt.started;
     const double relativeTime = run / std::max(expectedRun(localServer, activeAttempt.hop.route), minMeanRunTime);
-    switch (localServer.hold.ended(activeAttempt.healthKey(), outcome, relativeTime, now)) {
+    switch (localServer.admission.hold().ended(activeAttempt.healthKey(), outcome, relativeTime, now)) {
     case health::HoldChange::Held:
         notifyHold(localServer, "failed");
         break;
     case health::HoldChange::Returned:
-        m_context.metrics.countReturn(localServer.configured.service);
+        m_context.metrics.countReturn(localServer.admission.server().service);
         PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server answers again."
                                         << base::field("request", activeAttempt.hop.logId())
                                         << base::field("server", activeAttempt.hop.server);
@@ -799,14 +829,14 @@
         break;
     }
     if (outcome == health::AttemptOutcome::Success) {
-        m_context.gray.update(activeAttempt.hop.server, localServer.hold.grayProbability(now));
+        m_context.gray.update(activeAttempt.hop.server, localServer.admission.hold().grayProbability(now));
     } else if (isFailure(outcome)) {
         PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server failed."
                                         << base::field("request", activeAttempt.hop.logId())
                                         << base::field("server", activeAttempt.hop.server)
                                         << base::field("how", health::name(outcome))
                                         << base::field("runMs", milliseconds(now - activeAttempt.started))
-                                        << base::field("grayPercent", int{localServer.grayPercent(now)});
+                                        << base::field("grayPercent", int{localServer.admission.grayPercent()});
     }
 }
 
@@ -845,11 +875,15 @@
         outcome = health::AttemptOutcome::CancelledByUs;
         code = ResultCode::HopCancelled;
     }
+    if (neverSent && !activeAttempt->stopped) {
+        if (LocalServer *localServer = findLocalServer(activeAttempt->hop.server)) {
+            localServer->admission.recordConnectionFailure();
+        }
+    }
+    finishAttempt(*activeAttempt, outcome);
     if (neverSent) {
-        finishAttempt(*activeAttempt, outcome);
         return refusalOf(*activeAttempt, code, {});
     }
-    finishAttempt(*activeAttempt, outcome);
     answer.reply = replyOf(*activeAttempt);
     answer.reply.outcome = static_cast<std::uint8_t>(wire::HopOutcome::Unknown);
     answer.reply.code = number(code);
@@ -911,8 +945,8 @@
                                     << base::field("entry", activeAttempt.hop.entry)
                                     << base::field("server", activeAttempt.hop.server)
                                     << base::field("code", reply.code)
-                                    << base::field("running", localServer != nullptr ? localServer->queue.running() : 0)
-                                    << base::field("queued", localServer != nullptr ? localServer->queue.queued() : 0)
+                                    << base::field("running", localServer != nullptr ? localServer->admission.queue().running() : 0)
+                                    << base::field("queued", localServer != nullptr ? localServer->admission.queue().queued() : 0)
                                     << base::field("grayPercent", int{reply.grayPercent})
                                     << base::field("revision", reply.revision)
                                     << base::field("retryAfterMs", reply.retryAfterMs)
@@ -936,7 +970,7 @@
     }
     const auto localServer = m_localServers.find(activeAttempt.hop.server);
     if (localServer != m_localServers.end()) {
-        reply.grayPercent = localServer->second->grayPercent(now);
+        reply.grayPercent = localServer->second->admission.grayPercent();
     }
     reply.report = wire::encode(m_context.health.report(activeAttempt.hop.server));
     return reply;
--- /dev/null
+++ b/src/routing/serveradmission.cpp
@@ -0,0 +1,154 @@
+#include "papayastep/routing/serveradmission.h"
+
+namespace papayastep::routing {
+
+namespace {
+
+/// Interval of the probes while a restart is suspected and no probe is answered.
+constexpr base::Duration probeInterval = std::chrono::seconds(1);
+
+}
+
+ServerAdmission::ServerAdmission(const base::Clock &clock, const config::BackendServer &server)
+    : m_clock(clock)
+    , m_server(server)
+    , m_queue(clock, server.slots, limits::backendServerQueueSettings())
+    , m_hold(clock.now())
+    , m_retryBudget(clock)
+{
+    // The server may have been started together with this node.
+    m_queue.coldStart().suspectRestart();
+    if (server.coldUntil > clock.now()) {
+        m_queue.coldStart().setColdUntil(server.coldUntil);
+    }
+}
+
+void ServerAdmission::configure(const config::BackendServer *server, const config::ColdStart &coldStart)
+{
+    const config::BackendServer before = m_server;
+    m_removed = server == nullptr;
+    if (server != nullptr) {
+        m_server = *server;
+        m_queue.setSlots(server->slots);
+        m_queue.coldStart().setColdStart(coldStart);
+        // The servers of an availability zone may have been restarted while it was evacuated.
+        if (m_server.incarnation != before.incarnation || (before.evacuated && !m_server.evacuated)) {
+            m_queue.coldStart().suspectRestart();
+        }
+        const bool isNewReport = m_server.coldUntil != before.coldUntil;
+        if (isNewReport && m_server.coldUntil > m_clock.now()) {
+            m_queue.coldStart().setColdUntil(m_server.coldUntil);
+        }
+    }
+    if (const auto code = closedCode()) {
+        m_queue.dropQueued(*code);
+    }
+}
+
+const config::BackendServer &ServerAdmission::server() const
+{
+    return m_server;
+}
+
+bool ServerAdmission::isRemoved() const
+{
+    return m_removed;
+}
+
+std::optional<base::ResultCode> ServerAdmission::closedCode() const
+{
+    if (m_removed || m_server.drain) {
+        return base::ResultCode::HopBackendServerGone;
+    }
+    return m_server.evacuated ? std::optional(base::ResultCode::HopZoneEvacuated) : std::nullopt;
+}
+
+bool ServerAdmission::isHeldBack(bool idempotent) const
+{
+    return !m_hold.admits(idempotent, m_clock.now());
+}
+
+std::uint8_t ServerAdmission::grayPercent() const
+{
+    return static_cast<std::uint8_t>(100 * m_hold.grayProbability(m_clock.now()));
+}
+
+void ServerAdmission::recordEnd(health::AttemptOutcome outcome, bool answered)
+{
+    if (outcome == health::AttemptOutcome::CancelledByUs) {
+        return; // This includes the answer of another server at the same address.
+    }
+    if (answered) {
+        m_queue.coldStart().recordAnswer();
+    } else if (outcome != health::AttemptOutcome::ConnectionRefused) {
+        m_queue.coldStart().recordLostAttempt();
+    }
+}
+
+void ServerAdmission::recordConnectionFailure()
+{
+    m_queue.coldStart().suspectRestart();
+}
+
+void ServerAdmission::recordPause()
+{
+    m_queue.coldStart().suspectRestart();
+}
+
+void ServerAdmission::recordProbe(bool answered, std::optional<base::Duration> coldTime)
+{
+    if (!answered) {
+        return;
+    }
+    if (coldTime) {
+        m_queue.coldStart().setColdUntil(m_clock.now() + *coldTime);
+    } else {
+        m_queue.coldStart().recordAnswer();
+    }
+}
+
+bool ServerAdmission::takeProbeDue()
+{
+    const auto due = nextProbe();
+    if (!due || m_clock.now() < *due) {
+        return false;
+    }
+    m_probedAt = m_clock.now();
+    m_queue.coldStart().recordStart();
+    return true;
+}
+
+std::optional<base::TimePoint> ServerAdmission::nextProbe() const
+{
+    if (!m_queue.coldStart().isUnverified() || closedCode()) {
+        return std::nullopt;
+    }
+    return m_probedAt ? *m_probedAt + probeInterval : m_clock.now();
+}
+
+limits::SlotQueue &ServerAdmission::queue()
+{
+    return m_queue;
+}
+
+const limits::SlotQueue &ServerAdmission::queue() const
+{
+    return m_queue;
+}
+
+health::ServerHold &ServerAdmission::hold()
+{
+    return m_hold;
+}
+
+const health::ServerHold &ServerAdmission::hold() const
+{
+    return m_hold;
+}
+
+RetryBudget &ServerAdmission::retryBudget()
+{
+    return m_retryBudget;
+}
+
+}
--- /dev/null
+++ b/src/routing/serveradmission_test.cpp
@@ -0,0 +1,163 @@
+#include "papayastep/routing/serveradmission.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace papayastep;
+using namespace papayastep::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A backend server with two slots and a published cold start, which is warm at first.
+struct OneServer
+{
+    OneServer()
+    {
+        server.id = base::BackendServerId("s");
+        server.service = base::ServiceId("refunds");
+        server.slots = 2;
+        server.incarnation = 1;
+        configure();
+        admission.recordProbe(true, base::Duration::zero());
+    }
+
+    void configure()
+    {
+        admission.configure(&server, coldStart);
+    }
+
+    static limits::AttemptId attempt(std::uint64_t number)
+    {
+        return {base::RequestId{1, number}, 1};
+    }
+    limits::OfferResult offer(std::uint64_t number)
+    {
+        limits::QueueOffer offer;
+        offer.attempt = attempt(number);
+        offer.workspace = base::WorkspaceId("w");
+        offer.deadline = clock.now() + 2s;
+        return admission.queue().offer(offer);
+    }
+    std::size_t startNow()
+    {
+        std::size_t started = 0;
+        for (const limits::QueueDecision &decision : admission.queue().poll()) {
+            started += decision.start ? 1 : 0;
+        }
+        return started;
+    }
+
+    base::ManualClock clock;
+    config::BackendServer server;
+    config::ColdStart coldStart{3s, 11};
+    ServerAdmission admission{clock, server};
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(serverAdmission, OneServer)
+
+// Guards against queued attempts that wait for a slot of a server in an evacuated zone although others are free.
+BOOST_AUTO_TEST_CASE(queuedAttempts_whenTheZoneIsEvacuated_areRefusedAtOnce)
+{
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        BOOST_TEST(offer(number).accepted);
+    }
+    BOOST_TEST(startNow() == 2U);
+    server.evacuated = true;
+    configure();
+    const auto decisions = admission.queue().poll();
+    BOOST_REQUIRE(decisions.size() == 2U);
+    for (const limits::QueueDecision &decision : decisions) {
+        BOOST_TEST(!decision.start);
+        BOOST_CHECK(decision.code == base::ResultCode::HopZoneEvacuated);
+    }
+    BOOST_TEST(admission.queue().running() == 2U);
+    BOOST_CHECK(admission.closedCode() == base::ResultCode::HopZoneEvacuated);
+}
+
+BOOST_AUTO_TEST_CASE(server_thatDrainsOrIsRemoved_isClosedAsGone)
+{
+    server.drain = true;
+    server.evacuated = true;
+    configure();
+    BOOST_CHECK(admission.closedCode() == base::ResultCode::HopBackendServerGone);
+    server.drain = false;
+    server.evacuated = false;
+    configure();
+    BOOST_CHECK(!admission.closedCode());
+    admission.configure(nullptr, {});
+    BOOST_CHECK(admission.closedCode() == base::ResultCode::HopBackendServerGone);
+}
+
+// Guards against a burst at servers that are cold when the evacuation of their zone ends.
+BOOST_AUTO_TEST_CASE(server_whoseZoneIsRestored_isColdUntilItReportsOtherwise)
+{
+    server.evacuated = true;
+    configure();
+    BOOST_TEST(!admission.takeProbeDue());
+    server.evacuated = false;
+    configure();
+    BOOST_TEST(admission.queue().coldStart().isCold());
+    BOOST_TEST(admission.takeProbeDue());
+    admission.recordProbe(true, 800ms);
+    clock.advance(790ms);
+    BOOST_TEST(admission.queue().coldStart().isCold());
+    clock.advance(20ms);
+    BOOST_TEST(!admission.queue().coldStart().isCold());
+}
+
+// Guards against a burst at a server that was restarted under its id, whose directory entry is not updated yet.
+BOOST_AUTO_TEST_CASE(server_thatRefusedAConnection_isColdUntilItReportsOtherwise)
+{
+    admission.recordConnectionFailure();
+    BOOST_TEST(admission.queue().coldStart().isCold());
+    BOOST_TEST(admission.takeProbeDue());
+    admission.recordProbe(false, {});
+    BOOST_TEST(admission.queue().coldStart().isCold());
+}
+
+BOOST_AUTO_TEST_CASE(server_withANewIncarnation_isCold)
+{
+    server.incarnation = 2;
+    server.coldUntil = clock.now() + 2s;
+    configure();
+    BOOST_TEST(admission.queue().coldStart().isCold());
+    BOOST_TEST(!admission.takeProbeDue());
+    clock.advance(2s);
+    BOOST_TEST(!admission.queue().coldStart().isCold());
+}
+
+// Guards against liveness checks without end at a server that does not answer them.
+BOOST_AUTO_TEST_CASE(probes_ofAServerThatDoesNotAnswer_areSentOnceASecond)
+{
+    admission.recordPause();
+    int probes = 0;
+    for (int step = 0; step < 1000; ++step) {
+        probes += admission.takeProbeDue() ? 1 : 0;
+        clock.advance(10ms);
+    }
+    BOOST_TEST(probes == 10);
+}
+
+// Guards against attempts that wait at a cold server although their caller could be told at once to return later.
+BOOST_AUTO_TEST_CASE(attempts_beyondTheColdRate_areRefusedAtOnceWithTheTimeToReturn)
+{
+    admission.recordProbe(true, 3s);
+    std::size_t started = 0;
+    std::size_t refused = 0;
+    for (std::uint64_t number = 1; number <= 40; ++number) {
+        const limits::OfferResult result = offer(number);
+        refused += result.accepted ? 0 : 1;
+        if (!result.accepted) {
+            BOOST_TEST((result.retryAfter > 500ms));
+        }
+        started += startNow();
+        admission.queue().finished(attempt(number));
+        clock.advance(1ms);
+    }
+    BOOST_TEST(started == 11U);
+    BOOST_TEST(refused >= 25U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
