Assess servers less often, and place a request among a sample of them

Cause: each message of a sibling discarded the assessment of all servers of the service, and usualLatency, which every attempt at work asks for at every wake-up, made it anew. Each wave of questions copied the state of all servers.

News of single siblings now only mark an assessment as outdated; it is made anew at a pace that grows with the servers. Missing entries of the directory are counted instead of searched.

--- a/src/health/healthmonitor.cpp
+++ b/src/health/healthmonitor.cpp
@@ -88,11 +88,21 @@
         }
     }
 
+    /// To be called for events after which an older assessment would send requests to the wrong servers.
     void invalidateAssessments()
     {
         m_assessments.clear();
     }
 
+    /// To be called for the news of single siblings, of which hundreds arrive each second in a large fleet. An
+    /// assessment compares all servers of the service, so it may miss such news for a time that grows with their number.
+    void markAssessmentsOutdated()
+    {
+        for (auto &[service, assessment] : m_assessments) {
+            assessment.isOutdated = true;
+        }
+    }
+
     void setUpToDate()
     {
         m_upToDate = true;
@@ -117,6 +127,13 @@
         auto operator<=>(const Announcement &) const = default;
     };
 
+    struct CachedAssessment
+    {
+        base::TimePoint madeAt;
+        bool isOutdated = false; ///< News have arrived since.
+        Assessment assessment;
+    };
+
     void handlePause(base::TimePoint time);
     void updateLocalServers(base::TimePoint time);
     void applyDrainFlag(LocalServer &server, base::TimePoint time);
@@ -144,7 +161,7 @@
     std::map<base::ServiceId, base::TimePoint> m_evaluated; ///< Time of the last evaluation, by service.
     base::TimePoint m_entryEvaluated; ///< Time of the last evaluation of the evidence at this entry.
     bool m_upToDate = false;
-    std::map<base::ServiceId, std::pair<base::TimePoint, Assessment>> m_assessments;
+    std::map<base::ServiceId, CachedAssessment> m_assessments;
     std::map<base::ServiceId, std::set<base::BackendServerId>> m_ejectedSets;
     std::map<base::VmId, bool> m_prefersFew; ///< Whether some service on the VM prefers few ejections, by VM.
     std::uint64_t m_ejectedVersion = 1;
@@ -294,7 +311,7 @@
     const bool ejectedChanged
         = m_state.entry.recordEjected(server->service, from, report.ejectedVersion, report.ejected, time);
     if (ejectedChanged || first || remote.state != before) {
-        invalidateAssessments();
+        markAssessmentsOutdated();
     }
 }
 
@@ -334,7 +351,7 @@
         m_state.leaving.erase(leaving);
     }
     setUpToDate();
-    invalidateAssessments();
+    markAssessmentsOutdated();
 }
 
 void HealthMonitor::Impl::tick()
@@ -631,13 +648,18 @@
 const Assessment *HealthMonitor::Impl::assessmentOf(const base::ServiceId &service, base::TimePoint time)
 {
     const auto found = m_assessments.find(service);
-    const base::Duration lifetime = evaluationInterval(m_state.configuration->serversOf(service).size());
-    if (found != m_assessments.end() && time - found->second.first < lifetime) {
-        return &found->second.second;
+    const std::size_t servers = m_state.configuration->serversOf(service).size();
+    if (found != m_assessments.end()) {
+        const base::Duration lifetime = found->second.isOutdated
+            ? m_state.settings.evaluationTimePerServer * static_cast<std::int64_t>(servers)
+            : evaluationInterval(servers);
+        if (time - found->second.madeAt < lifetime) {
+            return &found->second.assessment;
+        }
     }
     auto &place = m_assessments[service];
-    place = {time, assess(m_state, service, time)};
-    return &place.second;
+    place = {time, false, assess(m_state, service, time)};
+    return &place.assessment;
 }
 
 std::vector<base::BackendServerId> HealthMonitor::Impl::serversToProbe(base::TimePoint time)
--- a/src/include/papayastep/health/serverview.h
+++ b/src/include/papayastep/health/serverview.h
@@ -38,7 +38,7 @@
     base::Duration latency{}; ///< Recent median time to a complete answer; 0 if not known.
     std::optional<base::Duration> age; ///< Time since the last report; empty if there was none.
     bool spread = false; ///< Whether work is spread over all servers because all of the service look unhealthy.
-    std::string reason; ///< One short sentence.
+    std::string_view reason; ///< One short sentence; a literal.
 
     bool usable() const
     {
--- a/src/include/papayastep/membership/serverdirectory.h
+++ b/src/include/papayastep/membership/serverdirectory.h
@@ -98,6 +98,7 @@
     const ServerDirectorySettings m_settings;
     Entries m_entries;
     std::set<base::ZoneId> m_evacuated;
+    std::size_t m_missingCount = 0; ///< Entries that are missing.
     std::uint64_t m_version = 0;
     bool m_hasCompleteList = false;
     bool m_unreachable = false;
--- a/src/membership/serverdirectory.cpp
+++ b/src/membership/serverdirectory.cpp
@@ -97,9 +97,10 @@
 
 bool ServerDirectory::tick()
 {
-    if (m_unreachable || isInOutageGracePeriod()) {
+    if (!anyMissing() || m_unreachable || isInOutageGracePeriod()) {
         return false;
     }
+    m_missingCount = 0;
     return std::erase_if(m_entries,
                          [](const auto &entry) {
                              if (entry.second.missing) {
@@ -121,7 +122,7 @@
 
 bool ServerDirectory::anyMissing() const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(), [](const auto &entry) { return entry.second.missing; });
+    return m_missingCount > 0;
 }
 
 bool ServerDirectory::hasCompleteList() const
@@ -178,6 +179,7 @@
                                         << base::field("service", server.service) << base::field("vm", server.vm)
                                         << base::field("slots", server.slots) << base::field("drain", server.drain);
     }
+    m_missingCount -= entry.missing ? 1 : 0;
     entry = Entry{server, false};
     return !isSame;
 }
@@ -189,10 +191,12 @@
         PAPAYASTEP_LOG(INFO, logPrefix)
             << "Keeping a backend server that is missing after an outage." << base::field("server", entry->first)
             << base::field("forMs", std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
+        m_missingCount += entry->second.missing ? 0 : 1;
         entry->second.missing = true;
         return false;
     }
     PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server is gone." << base::field("server", entry->first);
+    m_missingCount -= entry->second.missing ? 1 : 0;
     m_entries.erase(entry);
     return true;
 }
--- a/src/node/candidates.cpp
+++ b/src/node/candidates.cpp
@@ -1,11 +1,18 @@
 #include "papayastep/node/candidates.h"
 
+#include "papayastep/routing/leastcostplacement.h"
+
 #include <algorithm>
+#include <iterator>
 
 namespace papayastep::node {
 
 namespace {
 
+/// Number of servers above which a request is placed among a random sample of them, so that the work for a request does
+/// not grow with the service. It is as many as the placement policy scores.
+const std::size_t maxSampledCandidates = routing::LeastCostSettings().maxScored;
+
 routing::Candidate candidateOf(const NodeContext &context, const config::BackendServer &server)
 {
     routing::Candidate candidate;
@@ -40,11 +47,9 @@
     return candidate;
 }
 
-}
-
-std::vector<routing::Candidate> candidatesOf(const NodeContext &context, const base::ServiceId &service)
+std::vector<routing::Candidate> candidatesOf(const NodeContext &context,
+                                             const std::vector<const config::BackendServer *> &servers)
 {
-    const auto &servers = context.active.configuration->serversOf(service);
     std::vector<routing::Candidate> candidates;
     candidates.reserve(servers.size());
     for (const config::BackendServer *server : servers) {
@@ -53,6 +58,31 @@
     return candidates;
 }
 
+}
+
+std::vector<routing::Candidate> candidatesOf(const NodeContext &context, const base::ServiceId &service)
+{
+    const auto &servers = context.active.configuration->serversOf(service);
+    return candidatesOf(context, servers);
+}
+
+std::vector<routing::Candidate> sampledCandidates(NodeContext &context, const base::ServiceId &service)
+{
+    const auto &all = context.active.configuration->serversOf(service);
+    std::vector<const config::BackendServer *> open;
+    open.reserve(all.size());
+    std::copy_if(all.begin(), all.end(), std::back_inserter(open), [](const config::BackendServer *server) {
+        return server->acceptsRequests();
+    });
+    if (open.size() <= maxSampledCandidates) {
+        return candidatesOf(context, open);
+    }
+    std::vector<const config::BackendServer *> sample;
+    sample.reserve(maxSampledCandidates);
+    std::sample(open.begin(), open.end(), std::back_inserter(sample), maxSampledCandidates, context.random);
+    return candidatesOf(context, sample);
+}
+
 base::Duration medianLatency(const std::vector<routing::Candidate> &candidates)
 {
     std::vector<base::Duration> latencies;
--- a/src/node/serverselector.cpp
+++ b/src/node/serverselector.cpp
@@ -85,7 +85,7 @@
 
 ServerSelector::Result ServerSelector::chooseByEstimates(const ServerRequirements &need)
 {
-    const auto candidates = candidatesOf(m_context, need.service);
+    const auto candidates = sampledCandidates(m_context, need.service);
     routing::PlacementRequest request = placementRequest(need);
     auto placement = m_context.placement->place(candidates, request, m_context.random);
     const auto advised = std::find_if(candidates.begin(), candidates.end(), [&](const routing::Candidate &candidate) {
@@ -116,7 +116,7 @@
 net::Awaitable<ServerSelector::Result> ServerSelector::chooseBySurvey(const ServerRequirements &need,
                                                                       const bool &callerGone)
 {
-    auto candidates = candidatesOf(m_context, need.service);
+    auto candidates = sampledCandidates(m_context, need.service);
     const base::Duration typical = medianLatency(candidates);
     m_survey
         = std::make_unique<routing::SlotSurvey>(*m_context.placement, std::move(candidates), placementRequest(need));
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -982,7 +982,7 @@
 base::BackendServerId ServingNode::advise(const ActiveAttempt &activeAttempt)
 {
     const auto &configuration = m_context.active.configuration;
-    if (!configuration || activeAttempt.hop.redirected) {
+    if (!configuration || activeAttempt.hop.redirected || !m_context.placement->followsAdvice()) {
         return {};
     }
     const config::BackendServer *server = configuration->backendServer(activeAttempt.hop.server);
