--- a/src/health/nestedcalltracker.cpp
+++ b/src/health/nestedcalltracker.cpp
@@ -20,9 +20,9 @@
 {
 }
 
-void NestedCallTracker::runStarted(const AttemptKey &run, base::TimePoint deadline)
+void NestedCallTracker::runStarted(const AttemptKey &run, base::TimePoint deadline, bool isRepeat)
 {
-    m_runs[run] = Run{m_clock.now(), deadline + deadlineTolerance};
+    m_runs[run] = Run{m_clock.now(), deadline + deadlineTolerance, isRepeat};
 }
 
 void NestedCallTracker::runEnded(const AttemptKey &run)
@@ -36,6 +36,13 @@
         m_runs.begin(), m_runs.end(), [&](const auto &entry) { return deadline <= entry.second.deadline; });
 }
 
+bool NestedCallTracker::mayBeCallOfRepeat(base::TimePoint deadline) const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [&](const auto &entry) {
+        return entry.second.isRepeat && deadline <= entry.second.deadline;
+    });
+}
+
 void NestedCallTracker::callFailed(base::TimePoint deadline)
 {
     expire();
--- a/src/health/nestedcalltracker_test.cpp
+++ b/src/health/nestedcalltracker_test.cpp
@@ -64,6 +64,16 @@
     BOOST_TEST(tracker.mayBeNestedCall(start + 2102ms));
 }
 
+BOOST_AUTO_TEST_CASE(call_duringARepeatedRun_mayBeCallOfARepeat)
+{
+    BOOST_TEST(!tracker.mayBeCallOfRepeat(start + 500ms));
+    tracker.runStarted(run(9), start + 600ms, true);
+    BOOST_TEST(tracker.mayBeCallOfRepeat(start + 500ms));
+    BOOST_TEST(!tracker.mayBeCallOfRepeat(start + 700ms));
+    tracker.runEnded(run(9));
+    BOOST_TEST(!tracker.mayBeCallOfRepeat(start + 500ms));
+}
+
 // Guards against regarding the failed request of a caller on the VM as the cause of a failed run.
 BOOST_AUTO_TEST_CASE(request_outlastingAllRuns_isNoCall)
 {
--- a/src/include/papayastep/health/nestedcalltracker.h
+++ b/src/include/papayastep/health/nestedcalltracker.h
@@ -20,12 +20,16 @@
     explicit NestedCallTracker(const base::Clock &clock);
 
     /// `deadline` is the one that was sent to the backend server.
-    void runStarted(const AttemptKey &run, base::TimePoint deadline);
+    /// `isRepeat` is whether an earlier attempt of the request may have run.
+    void runStarted(const AttemptKey &run, base::TimePoint deadline, bool isRepeat = false);
     void runEnded(const AttemptKey &run);
 
     /// Whether a request with this deadline may be a nested call of a current run.
     bool mayBeNestedCall(base::TimePoint deadline) const;
 
+    /// Whether a request with this deadline may be a nested call of a current run that is itself a repeat.
+    bool mayBeCallOfRepeat(base::TimePoint deadline) const;
+
     /// Records that a request with this deadline, which may be a nested call, failed or got no answer.
     void callFailed(base::TimePoint deadline);
 
@@ -38,6 +42,7 @@
     {
         base::TimePoint started;
         base::TimePoint deadline;
+        bool isRepeat;
     };
     struct FailedCall
     {
--- a/src/include/papayastep/wire/hop.h
+++ b/src/include/papayastep/wire/hop.h
@@ -35,6 +35,7 @@
     bool lastResort = false; ///< All servers were ejected, so this server is tried whatever its own state is.
     bool isNestedCall = false; ///< Sent by a backend server on the entry's VM during a run that is in progress there.
     bool isRepeat = false; ///< An earlier attempt of the request reached, or may have reached, a backend server.
+    bool isCallOfRepeat = false; ///< A nested call that a repeated run may have made.
 
     base::RequestId requestId() const
     {
@@ -68,7 +69,8 @@
                    remainingTarget,
                    lastResort,
                    isNestedCall,
-                   isRepeat)
+                   isRepeat,
+                   isCallOfRepeat)
 };
 
 /// The outcome of an attempt as far as the serving node knows it.
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -138,6 +138,8 @@
     try {
         m_caller = m_context.callers().read(m_exchange.head());
         m_isCall = mayBeCall();
+        m_isCallOfRepeat
+            = m_isCall && m_handler.m_serving.runCalls().mayBeCallOfRepeat(m_arrived + *m_caller.timeout);
         refused = identify();
     } catch (const base::Error &error) {
         refused = notRunRefusal(error.code());
@@ -437,6 +439,7 @@
     }
     hop.lastResort = chosen.lastResort;
     hop.isNestedCall = m_isCall;
+    hop.isCallOfRepeat = m_isCallOfRepeat;
     hop.isRepeat = m_progress.serverAttempts > 1;
     const config::VmEntry *vm = m_context.vms.find(server.vm);
     if (server.vm == m_context.settings.vm || vm == nullptr) {
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -98,6 +98,7 @@
     base::WorkspaceId m_workspace; ///< Empty for a public route.
     const config::Route *m_route = nullptr;
     bool m_isCall = false; ///< The request may be a call of a backend server of this VM.
+    bool m_isCallOfRepeat = false; ///< The run that may have made this call is a repeat.
     int m_priority = 0;
     std::string m_body;
 
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -703,10 +703,12 @@
     activeAttempt->exchange = std::make_shared<net::HttpExchange>(m_context.io, m_context.backendPool, endpoint);
     m_context.metrics.observeQueueWait(server.service, activeAttempt->started - activeAttempt->arrived);
     m_context.health.attemptStarted(activeAttempt->hop.server, activeAttempt->healthKey(), activeAttempt->hop.route);
-    m_runCalls.runStarted(activeAttempt->healthKey(), activeAttempt->deadline);
+    m_runCalls.runStarted(activeAttempt->healthKey(), activeAttempt->deadline, activeAttempt->hop.isRepeat);
     LocalServer &localServer = *findLocalServer(activeAttempt->hop.server);
     localServer.admission.hold().started(activeAttempt->healthKey(), activeAttempt->started);
-    if (!activeAttempt->hop.isRepeat) {
+    if (activeAttempt->hop.isCallOfRepeat && !activeAttempt->hop.isRepeat) {
+        localServer.admission.retryBudget().charge(server.service, activeAttempt->hop.workspace);
+    } else if (!activeAttempt->hop.isRepeat) {
         localServer.admission.retryBudget().countRequest(server.service, activeAttempt->hop.workspace);
     }
     PAPAYASTEP_LOG(INFO, logPrefix)
