Send nothing to a server that refused a connection until it answers a probe

Its queue is emptied, its node quotes 4009, probes it twice a second and drops the connections that it kept.

--- a/src/include/papayastep/routing/serveradmission.h
+++ b/src/include/papayastep/routing/serveradmission.h
@@ -23,7 +23,8 @@
 
     /// Applies the present entry of the server, or marks it as removed if `server` is null. If the server gets no new
     /// requests from now on, its queued attempts are dropped, so that the entries can send them elsewhere at once.
-    void configure(const config::BackendServer *server, const config::ColdStart &coldStart);
+    /// `canBeProbed` is whether the service has a health endpoint.
+    void configure(const config::BackendServer *server, const config::ColdStart &coldStart, bool canBeProbed);
 
     const config::BackendServer &server() const;
     bool isRemoved() const;
@@ -41,13 +42,14 @@
     /// Records the end of an attempt, which may show that the server was restarted. `answered` is whether the head of
     /// an answer was received.
     void recordEnd(health::AttemptOutcome outcome, bool answered);
-    /// Records that no connection to the server could be established.
+    /// Records that no connection to the server could be established. If it can be probed, it gets no attempts until a
+    /// probe is answered: each one would only lose time on its way to another server.
     void recordConnectionFailure();
     /// Records that the process was paused, so that a restart of the server may have gone unnoticed.
     void recordPause();
     /// Records the result of a probe: the time for which the server is cold, if it reported one.
     void recordProbe(bool answered, std::optional<base::Duration> coldTime);
-    /// Whether a probe is due that shows whether the server is cold. The probe counts as sent.
+    /// Whether a probe is due that shows whether the server is up or cold. The probe counts as sent.
     bool takeProbeDue();
     /// Time of the next such probe; empty if none is needed.
     std::optional<base::TimePoint> nextProbe() const;
@@ -61,11 +63,13 @@
 private:
     const base::Clock &m_clock;
     config::BackendServer m_server;
+    bool m_canBeProbed = false;
+    bool m_isDown = false; ///< The server refused a connection and has not answered since.
     bool m_removed = false; ///< The server is no longer configured; it is kept until its attempts have ended.
     limits::SlotQueue m_queue;
     health::ServerHold m_hold;
     RetryBudget m_retryBudget;
-    std::optional<base::TimePoint> m_probedAt; ///< Time of the last probe for a suspected restart.
+    std::optional<base::TimePoint> m_probedAt; ///< Time of the last probe that takeProbeDue() ordered.
 };
 
 }
--- a/src/model/modelserver.cpp
+++ b/src/model/modelserver.cpp
@@ -58,7 +58,7 @@
     , m_lastStart(clock.now())
     , m_zone(zone)
 {
-    m_admission.configure(&m_server, shape.services[service].coldStart);
+    m_admission.configure(&m_server, shape.services[service].coldStart, true);
     m_admission.recordProbe(true, base::Duration::zero());
     m_admission.retryBudget().setSettings(
         routing::serverRetryBudget(shape.retryLimit, static_cast<std::size_t>(shape.services[service].servers)));
@@ -303,7 +303,7 @@
 void ModelServer::setEvacuated(bool evacuated)
 {
     m_server.evacuated = evacuated;
-    m_admission.configure(&m_server, m_shape.services[m_service].coldStart);
+    m_admission.configure(&m_server, m_shape.services[m_service].coldStart, true);
     probe();
     poll();
 }
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -356,7 +356,9 @@
         server = nullptr;
     }
     const config::Service *service = configuration.service(localServer.admission.server().service);
-    localServer.admission.configure(server, service != nullptr ? service->coldStart : config::ColdStart());
+    localServer.admission.configure(server,
+                                    service != nullptr ? service->coldStart : config::ColdStart(),
+                                    service != nullptr && !service->healthPath.empty());
     if (server != nullptr && m_context.settings.retryLimit) {
         const std::size_t servers = configuration.serversOf(server->service).size();
         localServer.admission.retryBudget().setSettings(
@@ -880,6 +882,8 @@
     if (neverSent && !activeAttempt->stopped) {
         if (LocalServer *localServer = findLocalServer(activeAttempt->hop.server)) {
             localServer->admission.recordConnectionFailure();
+            // A server that is down loses its open connections too, without a notice if its VM lost power.
+            m_context.backendPool.clear();
         }
     }
     finishAttempt(*activeAttempt, outcome);
--- a/src/routing/serveradmission.cpp
+++ b/src/routing/serveradmission.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/// Interval of the probes while a restart is suspected and no probe is answered.
-constexpr base::Duration probeInterval = std::chrono::seconds(1);
+/// Interval of the probes while a server is down, or a restart is suspected, and no probe is answered.
+constexpr base::Duration probeInterval = std::chrono::milliseconds(500);
 
 }
 
@@ -23,8 +23,9 @@
     }
 }
 
-void ServerAdmission::configure(const config::BackendServer *server, const config::ColdStart &coldStart)
+void ServerAdmission::configure(const config::BackendServer *server, const config::ColdStart &coldStart, bool canBeProbed)
 {
+    m_canBeProbed = canBeProbed;
     const config::BackendServer before = m_server;
     m_removed = server == nullptr;
     if (server != nullptr) {
@@ -34,6 +35,7 @@
         // The servers of an availability zone may have been restarted while it was evacuated.
         if (m_server.incarnation != before.incarnation || (before.evacuated && !m_server.evacuated)) {
             m_queue.coldStart().suspectRestart();
+            m_isDown = false;
         }
         const bool isNewReport = m_server.coldUntil != before.coldUntil;
         if (isNewReport && m_server.coldUntil > m_clock.now()) {
@@ -60,7 +62,10 @@
     if (m_removed || m_server.drain) {
         return base::ResultCode::HopBackendServerGone;
     }
-    return m_server.evacuated ? std::optional(base::ResultCode::HopZoneEvacuated) : std::nullopt;
+    if (m_server.evacuated) {
+        return base::ResultCode::HopZoneEvacuated;
+    }
+    return m_isDown && m_canBeProbed ? std::optional(base::ResultCode::HopBackendServerRefused) : std::nullopt;
 }
 
 bool ServerAdmission::isHeldBack(bool idempotent) const
@@ -79,6 +84,7 @@
         return; // This includes the answer of another server at the same address.
     }
     if (answered) {
+        m_isDown = false;
         m_queue.coldStart().recordAnswer();
     } else if (outcome != health::AttemptOutcome::ConnectionRefused) {
         m_queue.coldStart().recordLostAttempt();
@@ -88,6 +94,10 @@
 void ServerAdmission::recordConnectionFailure()
 {
     m_queue.coldStart().suspectRestart();
+    m_isDown = true;
+    if (const auto code = closedCode()) {
+        m_queue.dropQueued(*code);
+    }
 }
 
 void ServerAdmission::recordPause()
@@ -100,6 +110,7 @@
     if (!answered) {
         return;
     }
+    m_isDown = false;
     if (coldTime) {
         m_queue.coldStart().setColdUntil(m_clock.now() + *coldTime);
     } else {
@@ -120,7 +131,8 @@
 
 std::optional<base::TimePoint> ServerAdmission::nextProbe() const
 {
-    if (!m_queue.coldStart().isUnverified() || closedCode()) {
+    const bool isNeeded = m_isDown || m_queue.coldStart().isUnverified();
+    if (!isNeeded || !m_canBeProbed || m_removed || !m_server.acceptsRequests()) {
         return std::nullopt;
     }
     return m_probedAt ? *m_probedAt + probeInterval : m_clock.now();
--- a/src/routing/serveradmission_test.cpp
+++ b/src/routing/serveradmission_test.cpp
@@ -23,7 +23,7 @@
 
     void configure()
     {
-        admission.configure(&server, coldStart);
+        admission.configure(&server, coldStart, true);
     }
 
     static limits::AttemptId attempt(std::uint64_t number)
@@ -86,7 +86,7 @@
     server.evacuated = false;
     configure();
     BOOST_CHECK(!admission.closedCode());
-    admission.configure(nullptr, {});
+    admission.configure(nullptr, {}, true);
     BOOST_CHECK(admission.closedCode() == base::ResultCode::HopBackendServerGone);
 }
 
@@ -117,6 +117,30 @@
     BOOST_TEST(admission.queue().coldStart().isCold());
 }
 
+// Guards against attempts that are offered to a dead server one after the other, while others have free slots.
+BOOST_AUTO_TEST_CASE(server_thatRefusedAConnection_isClosedUntilAProbeIsAnswered)
+{
+    BOOST_TEST(offer(1).accepted);
+    BOOST_TEST(offer(2).accepted);
+    BOOST_TEST(startNow() == 2U);
+    BOOST_TEST(offer(3).accepted);
+    admission.recordConnectionFailure();
+    BOOST_CHECK(admission.closedCode() == base::ResultCode::HopBackendServerRefused);
+    BOOST_TEST(admission.queue().queued() == 0U);
+    admission.recordProbe(false, {});
+    BOOST_TEST(admission.closedCode().has_value());
+    admission.recordProbe(true, 3s);
+    BOOST_TEST(!admission.closedCode().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(server_withoutHealthEndpoint_isNotClosedAfterARefusedConnection)
+{
+    admission.configure(&server, coldStart, false);
+    admission.recordConnectionFailure();
+    BOOST_TEST(!admission.closedCode().has_value());
+    BOOST_TEST(!admission.takeProbeDue());
+}
+
 BOOST_AUTO_TEST_CASE(server_withANewIncarnation_isCold)
 {
     server.incarnation = 2;
@@ -129,7 +153,7 @@
 }
 
 // Guards against liveness checks without end at a server that does not answer them.
-BOOST_AUTO_TEST_CASE(probes_ofAServerThatDoesNotAnswer_areSentOnceASecond)
+BOOST_AUTO_TEST_CASE(probes_ofAServerThatDoesNotAnswer_areSentTwiceASecond)
 {
     admission.recordPause();
     int probes = 0;
@@ -137,7 +161,7 @@
         probes += admission.takeProbeDue() ? 1 : 0;
         clock.advance(10ms);
     }
-    BOOST_TEST(probes == 10);
+    BOOST_TEST(probes == 20);
 }
 
 // Guards against attempts that wait at a cold server although their caller could be told at once to return later.
