Count calls of repeated runs as repeats at the service that they call

The operators' limit counts them so. Nothing identifies the run that made a call, so it is drawn among the runs that may have: the counts are right on average, and a call that counts as a repeat is refused when the budget is spent, like any other.

--- a/src/health/healthmonitor.cpp
+++ b/src/health/healthmonitor.cpp
@@ -311,7 +311,7 @@
     const bool ejectedChanged
         = m_state.entry.recordEjected(server->service, from, report.ejectedVersion, report.ejected, time);
     if (ejectedChanged || first || remote.state != before) {
-        markAssessmentsOutdated();
+        invalidateAssessments();
     }
 }
 
@@ -349,6 +349,7 @@
     if (kind == wire::MessageKind::SiblingState && leaving != m_state.leaving.end() && leaving->second.incarnation != 0
         && leaving->second.incarnation != incarnation) {
         m_state.leaving.erase(leaving);
+        invalidateAssessments();
     }
     setUpToDate();
     markAssessmentsOutdated();
--- a/src/health/nestedcalltracker.cpp
+++ b/src/health/nestedcalltracker.cpp
@@ -36,11 +36,16 @@
         m_runs.begin(), m_runs.end(), [&](const auto &entry) { return deadline <= entry.second.deadline; });
 }
 
-bool NestedCallTracker::mayBeCallOfRepeat(base::TimePoint deadline) const
+double NestedCallTracker::repeatShare(base::TimePoint deadline) const
 {
-    return std::any_of(m_runs.begin(), m_runs.end(), [&](const auto &entry) {
-        return entry.second.isRepeat && deadline <= entry.second.deadline;
-    });
+    int possible = 0;
+    int repeats = 0;
+    for (const auto &[key, run] : m_runs) {
+        const bool mayHaveMadeIt = deadline <= run.deadline;
+        possible += mayHaveMadeIt ? 1 : 0;
+        repeats += mayHaveMadeIt && run.isRepeat ? 1 : 0;
+    }
+    return possible > 0 ? static_cast<double>(repeats) / possible : 0;
 }
 
 void NestedCallTracker::callFailed(base::TimePoint deadline)
--- a/src/health/syntheticfleet.cpp
+++ b/src/health/syntheticfleet.cpp
@@ -90,7 +90,7 @@
 {
     config::Configuration::Parts parts;
     parts.services.push_back(
-        config::Service{base::ServiceId(serviceName), m_profile.prefer, m_profile.floor, "/health"});
+        config::Service{base::ServiceId(serviceName), m_profile.prefer, m_profile.floor, "/health", {}});
     for (int index = 0; index < m_profile.servers; ++index) {
         const base::ZoneId zone("zone-" + std::to_string(index % m_profile.zones));
         parts.backendServers.push_back(config::BackendServer{serverId(index),
--- a/src/include/papayastep/config/configuration.h
+++ b/src/include/papayastep/config/configuration.h
@@ -63,7 +63,7 @@
     DetectionPreference prefer = DetectionPreference::FastDetection;
     double floor = 0.5; ///< Share of the service's slots, from 0 to 1, that ejections must leave in use.
     std::string healthPath; ///< Only a hint. Empty if the service has no health path.
-    ColdStart coldStart;
+    ColdStart coldStart{};
 
     std::partial_ordering operator<=>(const Service &) const = default;
 };
--- a/src/include/papayastep/health/nestedcalltracker.h
+++ b/src/include/papayastep/health/nestedcalltracker.h
@@ -27,8 +27,9 @@
     /// Whether a request with this deadline may be a nested call of a current run.
     bool mayBeNestedCall(base::TimePoint deadline) const;
 
-    /// Whether a request with this deadline may be a nested call of a current run that is itself a repeat.
-    bool mayBeCallOfRepeat(base::TimePoint deadline) const;
+    /// Returns the fraction of the current runs that may have made a nested call with this deadline that are repeats; 0
+    /// if there is no such run.
+    double repeatShare(base::TimePoint deadline) const;
 
     /// Records that a request with this deadline, which may be a nested call, failed or got no answer.
     void callFailed(base::TimePoint deadline);
--- a/src/include/papayastep/routing/retrybudget.h
+++ b/src/include/papayastep/routing/retrybudget.h
@@ -80,10 +80,6 @@
     /// Counts a first attempt.
     void countRequest(const base::ServiceId &service, const base::WorkspaceId &workspace);
 
-    /// Counts a request that repeats work without being a retry of its own, such as a call of a repeated run. It is
-    /// never refused, as its run would be lost with it, but leaves less for retries.
-    void charge(const base::ServiceId &service, const base::WorkspaceId &workspace);
-
     /// Returns whether spend() would take a retry now.
     bool canSpend(const base::ServiceId &service, const base::WorkspaceId &workspace);
 
--- a/src/include/papayastep/routing/serveradmission.h
+++ b/src/include/papayastep/routing/serveradmission.h
@@ -59,6 +59,7 @@
     health::ServerHold &hold();
     const health::ServerHold &hold() const;
     RetryBudget &retryBudget();
+    const RetryBudget &retryBudget() const;
 
 private:
     const base::Clock &m_clock;
--- a/src/include/papayastep/wire/hop.h
+++ b/src/include/papayastep/wire/hop.h
@@ -34,8 +34,9 @@
     std::int64_t remainingTarget = 0;
     bool lastResort = false; ///< All servers were ejected, so this server is tried whatever its own state is.
     bool isNestedCall = false; ///< Sent by a backend server on the entry's VM during a run that is in progress there.
-    bool isRepeat = false; ///< An earlier attempt of the request reached, or may have reached, a backend server.
-    bool isCallOfRepeat = false; ///< A nested call that a repeated run may have made.
+    /// An earlier attempt of the request reached, or may have reached, a backend server, or the request is a nested call
+    /// of a run to which this applies.
+    bool isRepeat = false;
 
     base::RequestId requestId() const
     {
@@ -69,8 +70,7 @@
                    remainingTarget,
                    lastResort,
                    isNestedCall,
-                   isRepeat,
-                   isCallOfRepeat)
+                   isRepeat)
 };
 
 /// The outcome of an attempt as far as the serving node knows it.
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -138,8 +138,7 @@
     try {
         m_caller = m_context.callers().read(m_exchange.head());
         m_isCall = mayBeCall();
-        m_isCallOfRepeat
-            = m_isCall && m_handler.m_serving.runCalls().mayBeCallOfRepeat(m_arrived + *m_caller.timeout);
+        m_isCallOfRepeat = m_isCall && drawIsCallOfRepeat();
         refused = identify();
     } catch (const base::Error &error) {
         refused = notRunRefusal(error.code());
@@ -161,6 +160,14 @@
         && m_handler.m_serving.runCalls().mayBeNestedCall(m_arrived + *m_caller.timeout);
 }
 
+/// Whether to count the call as one of a repeated run. Nothing identifies the run that made it, so it is drawn among those
+/// that may have; on average the counts are right.
+bool EntryRequest::drawIsCallOfRepeat()
+{
+    const double share = m_handler.m_serving.runCalls().repeatShare(m_arrived + *m_caller.timeout);
+    return std::bernoulli_distribution(share)(m_context.random);
+}
+
 void EntryRequest::reportFailedCall()
 {
     if (m_isCall) {
@@ -403,7 +410,7 @@
     need.route = m_route->id;
     need.priority = m_priority;
     need.idempotent = m_progress.idempotent;
-    need.isRepeat = m_progress.serverAttempts > 0;
+    need.isRepeat = m_progress.serverAttempts > 0 || m_isCallOfRepeat;
     need.deadline = m_progress.deadline;
     need.isCall = m_isCall;
     if (m_route->targetLatency > base::Duration::zero()) {
@@ -439,8 +446,7 @@
     }
     hop.lastResort = chosen.lastResort;
     hop.isNestedCall = m_isCall;
-    hop.isCallOfRepeat = m_isCallOfRepeat;
-    hop.isRepeat = m_progress.serverAttempts > 1;
+    hop.isRepeat = m_progress.serverAttempts > 1 || m_isCallOfRepeat;
     const config::VmEntry *vm = m_context.vms.find(server.vm);
     if (server.vm == m_context.settings.vm || vm == nullptr) {
         return std::make_shared<LocalAttempt>(m_context, std::move(hop), m_handler.m_serving);
--- a/src/node/entryrequest.h
+++ b/src/node/entryrequest.h
@@ -43,6 +43,7 @@
 
     net::Awaitable<Step> prepare();
     bool mayBeCall() const;
+    bool drawIsCallOfRepeat();
     void reportFailedCall();
     Step identify();
     Step identifyWorkspace();
@@ -98,7 +99,7 @@
     base::WorkspaceId m_workspace; ///< Empty for a public route.
     const config::Route *m_route = nullptr;
     bool m_isCall = false; ///< The request may be a call of a backend server of this VM.
-    bool m_isCallOfRepeat = false; ///< The run that may have made this call is a repeat.
+    bool m_isCallOfRepeat = false; ///< The request counts as a call of a repeated run, and so as a repeat.
     int m_priority = 0;
     std::string m_body;
 
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -339,8 +339,8 @@
     }
     std::erase_if(m_localServers, [this](const auto &entry) {
         const LocalServer &localServer = *entry.second;
-        const bool isUnused
-            = localServer.admission.isRemoved() && localServer.admission.queue().running() == 0 && localServer.admission.queue().queued() == 0;
+        const limits::SlotQueue &queue = localServer.admission.queue();
+        const bool isUnused = localServer.admission.isRemoved() && queue.running() == 0 && queue.queued() == 0;
         if (isUnused) {
             m_formerRetries += localServer.admission.retryBudget().counters();
         }
@@ -708,9 +708,7 @@
     m_runCalls.runStarted(activeAttempt->healthKey(), activeAttempt->deadline, activeAttempt->hop.isRepeat);
     LocalServer &localServer = *findLocalServer(activeAttempt->hop.server);
     localServer.admission.hold().started(activeAttempt->healthKey(), activeAttempt->started);
-    if (activeAttempt->hop.isCallOfRepeat && !activeAttempt->hop.isRepeat) {
-        localServer.admission.retryBudget().charge(server.service, activeAttempt->hop.workspace);
-    } else if (!activeAttempt->hop.isRepeat) {
+    if (!activeAttempt->hop.isRepeat) {
         localServer.admission.retryBudget().countRequest(server.service, activeAttempt->hop.workspace);
     }
     PAPAYASTEP_LOG(INFO, logPrefix)
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -80,15 +80,6 @@
     refreshed(m_workspaces, workspace).earned += m_settings.share * m_settings.workspaceFactor;
 }
 
-void RetryBudget::charge(const base::ServiceId &service, const base::WorkspaceId &workspace)
-{
-    for (Account *account : {&refreshed(m_services, service), &refreshed(m_workspaces, workspace)}) {
-        take(*account);
-        // What is older than the window of the limit does not count any more.
-        account->reserve = std::max(account->reserve, -std::max(1.0, m_settings.maxReserve));
-    }
-}
-
 bool RetryBudget::canSpend(const base::ServiceId &service, const base::WorkspaceId &workspace)
 {
     return canSpend(refreshed(m_services, service)) && canSpend(refreshed(m_workspaces, workspace));
--- a/src/routing/serveradmission.cpp
+++ b/src/routing/serveradmission.cpp
@@ -163,4 +163,9 @@
     return m_retryBudget;
 }
 
+const RetryBudget &ServerAdmission::retryBudget() const
+{
+    return m_retryBudget;
+}
+
 }
