--- a/src/health/nestedcalltracker.cpp
+++ b/src/health/nestedcalltracker.cpp
@@ -20,9 +20,9 @@
 {
 }
 
-void NestedCallTracker::runStarted(const AttemptKey &run, base::TimePoint deadline, bool isRepeat)
+void NestedCallTracker::runStarted(const AttemptKey &run, base::TimePoint deadline, RunKind kind)
 {
-    m_runs[run] = Run{m_clock.now(), deadline + deadlineTolerance, isRepeat};
+    m_runs[run] = Run{m_clock.now(), deadline + deadlineTolerance, kind};
 }
 
 void NestedCallTracker::runEnded(const AttemptKey &run)
@@ -41,9 +41,9 @@
     int possible = 0;
     int repeats = 0;
     for (const auto &[key, run] : m_runs) {
-        const bool mayHaveMadeIt = deadline <= run.deadline;
+        const bool mayHaveMadeIt = run.kind != RunKind::Once && deadline <= run.deadline;
         possible += mayHaveMadeIt ? 1 : 0;
-        repeats += mayHaveMadeIt && run.isRepeat ? 1 : 0;
+        repeats += mayHaveMadeIt && run.kind == RunKind::Repeat ? 1 : 0;
     }
     return possible > 0 ? static_cast<double>(repeats) / possible : 0;
 }
--- a/src/health/nestedcalltracker_test.cpp
+++ b/src/health/nestedcalltracker_test.cpp
@@ -68,7 +68,8 @@
 BOOST_AUTO_TEST_CASE(call_duringARepeatedRun_isOneOfARepeatWithItsShareOfTheRuns)
 {
     BOOST_TEST(tracker.repeatShare(start + 500ms) == 0);
-    tracker.runStarted(run(9), start + 600ms, true);
+    tracker.runStarted(run(8), start + 600ms, RunKind::Once);
+    tracker.runStarted(run(9), start + 600ms, RunKind::Repeat);
     BOOST_TEST(tracker.repeatShare(start + 500ms) == 0.25);
     BOOST_TEST(tracker.repeatShare(start + 650ms) == 0);
     BOOST_TEST(tracker.repeatShare(start + 10s) == 0);
--- a/src/include/papayastep/health/nestedcalltracker.h
+++ b/src/include/papayastep/health/nestedcalltracker.h
@@ -8,6 +8,13 @@
 
 namespace papayastep::health {
 
+/// What is known of a run with regard to repeats.
+enum class RunKind {
+    Once, ///< Its request must not run twice.
+    Repeatable, ///< The first run of an idempotent request.
+    Repeat, ///< An earlier attempt of its request may have run, too.
+};
+
 /// Distinguishes nested calls, which backend servers of this VM make while they run a request, from requests of
 /// callers, and detects whether a run failed because one of its nested calls did.
 ///
@@ -20,15 +27,14 @@
     explicit NestedCallTracker(const base::Clock &clock);
 
     /// `deadline` is the one that was sent to the backend server.
-    /// `isRepeat` is whether an earlier attempt of the request may have run.
-    void runStarted(const AttemptKey &run, base::TimePoint deadline, bool isRepeat = false);
+    void runStarted(const AttemptKey &run, base::TimePoint deadline, RunKind kind = RunKind::Repeatable);
     void runEnded(const AttemptKey &run);
 
     /// Whether a request with this deadline may be a nested call of a current run.
     bool mayBeNestedCall(base::TimePoint deadline) const;
 
-    /// Returns the fraction of the current runs that may have made a nested call with this deadline that are repeats; 0
-    /// if there is no such run.
+    /// Returns the probability that a nested call with this deadline was made by a repeated run. Runs of requests that
+    /// must not run twice are left out: they are no repeats, and it is not known whether they make calls.
     double repeatShare(base::TimePoint deadline) const;
 
     /// Records that a request with this deadline, which may be a nested call, failed or got no answer.
@@ -43,7 +49,7 @@
     {
         base::TimePoint started;
         base::TimePoint deadline;
-        bool isRepeat;
+        RunKind kind;
     };
     struct FailedCall
     {
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -54,6 +54,14 @@
     return static_cast<unsigned>(status) >= 500 ? health::AttemptOutcome::Error : health::AttemptOutcome::Success;
 }
 
+health::RunKind runKind(const wire::HopRequest &hop)
+{
+    if (hop.isRepeat) {
+        return health::RunKind::Repeat;
+    }
+    return hop.idempotent ? health::RunKind::Repeatable : health::RunKind::Once;
+}
+
 bool isFailure(health::AttemptOutcome outcome)
 {
     return outcome == health::AttemptOutcome::Error || outcome == health::AttemptOutcome::Partial
@@ -705,7 +713,7 @@
     activeAttempt->exchange = std::make_shared<net::HttpExchange>(m_context.io, m_context.backendPool, endpoint);
     m_context.metrics.observeQueueWait(server.service, activeAttempt->started - activeAttempt->arrived);
     m_context.health.attemptStarted(activeAttempt->hop.server, activeAttempt->healthKey(), activeAttempt->hop.route);
-    m_runCalls.runStarted(activeAttempt->healthKey(), activeAttempt->deadline, activeAttempt->hop.isRepeat);
+    m_runCalls.runStarted(activeAttempt->healthKey(), activeAttempt->deadline, runKind(activeAttempt->hop));
     LocalServer &localServer = *findLocalServer(activeAttempt->hop.server);
     localServer.admission.hold().started(activeAttempt->healthKey(), activeAttempt->started);
     if (!activeAttempt->hop.isRepeat) {
