--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -18,7 +18,7 @@
 
 RetryBudgetSettings serverRetryBudget(const FleetRetryLimit &limit, std::size_t servers)
 {
-    constexpr double ratioPart = 0.65;
+    constexpr double ratioPart = 0.55;
     constexpr double slackPart = 0.3;
     constexpr double longestDebt = 0.7;
     constexpr int windowDivisor = 2; ///< Divides the window of the limit to the decay time of the node's budget.
