--- a/src/health/healthmonitor.cpp
+++ b/src/health/healthmonitor.cpp
@@ -153,16 +153,20 @@
     void report(const HealthEvent &event);
     double allowedFalseEjections(const config::Service *service) const;
     double pathThreshold(const base::VmId &vm) const;
+    void updatePathThresholds();
 
     base::TimePoint m_lastCall;
     base::TimePoint m_lastPauseEnd;
     base::TimePoint m_referencesUpdated;
     base::TimePoint m_lastExpiry;
     std::map<base::ServiceId, base::TimePoint> m_evaluated; ///< Time of the last evaluation, by service.
+    base::TimePoint m_pathsEvaluated; ///< Time of the last evaluation of the paths from this entry.
     base::TimePoint m_entryEvaluated; ///< Time of the last evaluation of the evidence at this entry.
     bool m_upToDate = false;
     std::map<base::ServiceId, CachedAssessment> m_assessments;
     std::map<base::ServiceId, std::set<base::BackendServerId>> m_ejectedSets;
+    double m_pathThresholdFew = 0; ///< For VMs with such a service.
+    double m_pathThresholdFast = 0; ///< For other VMs.
     std::map<base::VmId, bool> m_prefersFew; ///< Whether some service on the VM prefers few ejections, by VM.
     std::uint64_t m_ejectedVersion = 1;
     std::map<base::BackendServerId, Announcement> m_announced;
@@ -207,6 +211,7 @@
         const config::Service *service = configuration->service(server.service);
         m_prefersFew[server.vm] = m_prefersFew[server.vm] || prefersFew(service);
     }
+    updatePathThresholds();
     m_referencesUpdated = {};
     setUpToDate();
     invalidateAssessments();
@@ -372,7 +377,9 @@
             evaluated = true;
         }
     }
-    evaluatePaths(time);
+    if (isDue(m_pathsEvaluated, m_state.entry.paths().size(), time)) {
+        evaluatePaths(time);
+    }
     if (isDue(m_entryEvaluated, m_state.entry.servers().size(), time)) {
         evaluateEntryEvidence(time);
     }
@@ -478,9 +485,16 @@
 double HealthMonitor::Impl::pathThreshold(const base::VmId &vm) const
 {
     const auto found = m_prefersFew.find(vm);
-    const bool few = found != m_prefersFew.end() && found->second;
-    const double allowed = few ? m_state.settings.maxFalseEjectionsFew : m_state.settings.maxFalseEjectionsFast;
-    return ejectionThreshold(FalseEjectionTarget{assumedHopRate, static_cast<int>(m_prefersFew.size()), allowed});
+    return found != m_prefersFew.end() && found->second ? m_pathThresholdFew : m_pathThresholdFast;
+}
+
+void HealthMonitor::Impl::updatePathThresholds()
+{
+    const auto threshold = [this](double allowed) {
+        return ejectionThreshold(FalseEjectionTarget{assumedHopRate, static_cast<int>(m_prefersFew.size()), allowed});
+    };
+    m_pathThresholdFew = threshold(m_state.settings.maxFalseEjectionsFew);
+    m_pathThresholdFast = threshold(m_state.settings.maxFalseEjectionsFast);
 }
 
 void HealthMonitor::Impl::evaluatePaths(base::TimePoint time)
