--- a/src/health/nestedcalltracker.cpp
+++ b/src/health/nestedcalltracker.cpp
@@ -20,9 +20,9 @@
 {
 }
 
-void NestedCallTracker::runStarted(const AttemptKey &run, base::TimePoint deadline, RunKind kind)
+void NestedCallTracker::runStarted(const AttemptKey &run, base::TimePoint deadline, RunKind kind, int priority)
 {
-    m_runs[run] = Run{m_clock.now(), deadline + deadlineTolerance, kind};
+    m_runs[run] = Run{m_clock.now(), deadline + deadlineTolerance, kind, priority};
 }
 
 void NestedCallTracker::runEnded(const AttemptKey &run)
@@ -48,6 +48,17 @@
     return possible > 0 ? static_cast<double>(repeats) / possible : 0;
 }
 
+std::optional<int> NestedCallTracker::leastUrgentPriority(base::TimePoint deadline) const
+{
+    std::optional<int> result;
+    for (const auto &[key, run] : m_runs) {
+        if (deadline <= run.deadline) {
+            result = std::max(result.value_or(run.priority), run.priority);
+        }
+    }
+    return result;
+}
+
 void NestedCallTracker::callFailed(base::TimePoint deadline)
 {
     expire();
--- a/src/include/papayastep/health/nestedcalltracker.h
+++ b/src/include/papayastep/health/nestedcalltracker.h
@@ -4,6 +4,7 @@
 #include "papayastep/health/attempt.h"
 
 #include <deque>
+#include <optional>
 #include <unordered_map>
 
 namespace papayastep::health {
@@ -27,7 +28,9 @@
     explicit NestedCallTracker(const base::Clock &clock);
 
     /// `deadline` is the one that was sent to the backend server.
-    void runStarted(const AttemptKey &run, base::TimePoint deadline, RunKind kind = RunKind::Repeatable);
+    /// `priority` is the one of its request; 0 is the most urgent.
+    void runStarted(
+        const AttemptKey &run, base::TimePoint deadline, RunKind kind = RunKind::Repeatable, int priority = 0);
     void runEnded(const AttemptKey &run);
 
     /// Whether a request with this deadline may be a nested call of a current run.
@@ -37,6 +40,10 @@
     /// must not run twice are left out: they are no repeats, and it is not known whether they make calls.
     double repeatShare(base::TimePoint deadline) const;
 
+    /// Returns the priority of the least urgent current run that may have made a nested call with this deadline; empty if
+    /// there is no such run.
+    std::optional<int> leastUrgentPriority(base::TimePoint deadline) const;
+
     /// Records that a request with this deadline, which may be a nested call, failed or got no answer.
     void callFailed(base::TimePoint deadline);
 
@@ -50,6 +57,7 @@
         base::TimePoint started;
         base::TimePoint deadline;
         RunKind kind;
+        int priority;
     };
     struct FailedCall
     {
--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -65,8 +65,8 @@
     int priority = 0; ///< Priority of the attempt; 0 is the most urgent.
     std::optional<base::TimePoint> wantedBy; ///< Time after which an answer is worth less to the caller.
     base::RouteId route{}; ///< Route by which the run time is estimated.
-    /// The attempt is a call made by a request that is running on another backend server. It is started first and may
-    /// wait until its deadline: if it is refused, the work of that request is lost, and the request holds a slot until
+    /// The attempt is a call made by a request that is running on another backend server, with the priority of that
+    /// request. It may wait until its deadline: if it is refused, the work of that request is lost, and the request holds a slot until
     /// the call is answered.
     bool isCall = false;
 };
@@ -97,7 +97,9 @@
 
 /// The queue in front of one backend server.
 ///
-/// Attempts wait in tiers by priority; calls made by running requests come before all others. While attempts of several
+/// Attempts wait in tiers by priority. Calls of running requests come before other attempts of the priority of their run,
+/// as a slot and its work depend on them, but behind more urgent ones: a less urgent kind of request whose runs make many
+/// calls would otherwise displace a more urgent kind from the service that it calls. While attempts of several
 /// tiers wait, each tier gets a fixed fraction of the slots of the next more urgent one. Within a tier, slots go to
 /// workspaces in turn (deficit round robin with a quantum of one request), so a workspace that overloads the queue
 /// delays only itself. While the server is cold, fewer attempts start than there are slots. When the queue is full, the newest attempt in the longest workspace queue of the least urgent
@@ -184,7 +186,7 @@
 
     static std::list<WorkspaceQueue>::iterator queueOf(Tier &tier, const base::WorkspaceId &workspace);
     std::size_t queueLength(const base::WorkspaceId &workspace, int priority) const;
-    double weight(int priority) const;
+    double weight(int tier) const;
     OfferResult refusal(base::ResultCode code, const base::WorkspaceId &workspace, int priority) const;
     base::TimePoint latestStart(const QueueOffer &offer) const;
     bool canAnswerInTime(const QueueOffer &offer) const;
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -9,12 +9,13 @@
 namespace {
 
 constexpr base::Duration shortestRetryAfter = std::chrono::milliseconds(1);
-constexpr int leastUrgent = 8; ///< Less urgent tiers have the same weight, which is close to 0 already.
-constexpr int callTier = -1; ///< Tier of calls, before the most urgent priority.
+constexpr int leastUrgent = 8; ///< Less urgent priorities have the same weight, which is close to 0 already.
+constexpr int tiersPerPriority = 2;
 
 int tierOf(const QueueOffer &offer)
 {
-    return offer.isCall ? callTier : offer.priority;
+    const int tier = tiersPerPriority * std::clamp(offer.priority, 0, leastUrgent);
+    return offer.isCall ? tier - 1 : tier;
 }
 
 base::Duration part(base::Duration duration, double share)
@@ -213,9 +214,9 @@
     return lane != tier->second.queues.end() ? lane->attempts.size() : 0;
 }
 
-double SlotQueue::weight(int priority) const
+double SlotQueue::weight(int tier) const
 {
-    return std::pow(m_settings.nextTierWeight, std::clamp(priority, callTier, leastUrgent));
+    return std::pow(m_settings.nextTierWeight, static_cast<double>(tier) / tiersPerPriority);
 }
 
 OfferResult SlotQueue::refusal(base::ResultCode code, const base::WorkspaceId &workspace, int priority) const
--- a/src/model/fleetmodel.cpp
+++ b/src/model/fleetmodel.cpp
@@ -61,6 +61,7 @@
         base::RequestId id;
         base::TimePoint arrivedAt;
         bool isCall = false;
+        std::optional<int> priority; ///< For a call: the priority of its run.
         routing::RequestProgress progress;
         std::vector<base::BackendServerId> tried;
         std::unique_ptr<routing::SlotSurvey> survey;
@@ -74,6 +75,7 @@
     RequestPtr makeRequest(std::size_t entry, std::size_t trafficClass);
     void call(std::size_t entry,
               std::size_t trafficClass,
+              int priority,
               base::TimePoint deadline,
               const std::function<void(bool)> &done);
     void place(const RequestPtr &request);
@@ -132,8 +134,10 @@
     }
     for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
         m_vms[vm].server->setCaller(
-            [this, vm](std::size_t trafficClass, base::TimePoint deadline, const std::function<void(bool)> &done) {
-                call(vm, trafficClass, deadline, done);
+            [this, vm](std::size_t trafficClass,
+                       int priority,
+                       base::TimePoint deadline,
+                       const std::function<void(bool)> &done) { call(vm, trafficClass, priority, deadline, done);
             });
     }
     m_result.classes.resize(m_shape.classes.size());
@@ -202,11 +206,13 @@
 
 void FleetModel::Play::call(std::size_t entry,
                             std::size_t trafficClass,
+                            int priority,
                             base::TimePoint deadline,
                             const std::function<void(bool)> &done)
 {
     const RequestPtr request = makeRequest(entry, trafficClass);
     request->isCall = true;
+    request->priority = priority;
     request->progress.deadline = std::min(request->progress.deadline, deadline);
     request->done = done;
     place(request);
@@ -344,6 +350,7 @@
     attempt.deadline = request.progress.deadline;
     attempt.wantedBy = request.arrivedAt + m_shape.classes[request.trafficClass].target;
     attempt.isCall = request.isCall;
+    attempt.priority = request.priority;
     attempt.isRepeat = request.progress.serverAttempts > 0;
     return attempt;
 }
--- a/src/model/modelserver.cpp
+++ b/src/model/modelserver.cpp
@@ -136,7 +136,7 @@
     offer.attempt = attempt.id;
     offer.workspace = workspace;
     offer.deadline = attempt.deadline;
-    offer.priority = m_shape.classes[attempt.trafficClass].priority;
+    offer.priority = attempt.priority.value_or(m_shape.classes[attempt.trafficClass].priority);
     offer.wantedBy = attempt.wantedBy;
     offer.route = routeOf(attempt.trafficClass);
     offer.isCall = attempt.isCall;
@@ -222,10 +222,10 @@
     const double factor = std::exp(std::normal_distribution<double>(-sigma * sigma / 2, sigma)(m_random));
     const base::Duration run = scaled(kind.meanRun, isCold() ? coldFactor * factor : factor);
     if (kind.call && draw() < kind.callShare) {
-        m_events.after(run / 2, [this, waiting, run, now, call = *kind.call, calls = kind.calls] {
+        m_events.after(run / 2, [this, waiting, run, now, call = *kind.call, calls = kind.calls, priority = kind.priority] {
             const auto open = std::make_shared<int>(calls);
             for (int number = 0; number < calls; ++number) {
-                m_caller(call, waiting.attempt.deadline, [this, waiting, run, now, open](bool answered) {
+                m_caller(call, priority, waiting.attempt.deadline, [this, waiting, run, now, open](bool answered) {
                     // The first failure or the last answer continues the run.
                     *open = answered ? *open - 1 : std::min(*open, 0) - 1;
                     if (*open == 0 || (!answered && *open == -1)) {
--- a/src/model/modelserver.h
+++ b/src/model/modelserver.h
@@ -20,6 +20,7 @@
     base::TimePoint deadline;
     base::TimePoint wantedBy;
     bool isCall = false;
+    std::optional<int> priority; ///< Of a call: the priority of its run.
     bool isRepeat = false;
     bool lastResort = false;
 };
@@ -49,7 +50,8 @@
 public:
     using Done = std::function<void(const ModelEnd &)>;
     /// Makes the nested call of a run and reports whether it was answered.
-    using Caller = std::function<void(std::size_t trafficClass, base::TimePoint deadline, std::function<void(bool)>)>;
+    using Caller = std::function<void(
+        std::size_t trafficClass, int priority, base::TimePoint deadline, std::function<void(bool)>)>;
 
     /// `zone` is the number of its availability zone.
     ModelServer(const FleetShape &shape,
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -226,6 +226,11 @@
     m_progress.hasIdempotencyKey = !m_caller.idempotencyKey.empty();
     const config::Workspace *workspace = m_active.configuration->workspace(m_workspace);
     m_priority = workspace != nullptr ? workspace->priority.value_or(m_route->priority) : m_route->priority;
+    if (m_isCall) {
+        // The work of the run is lost if the call fails, so the call is as urgent as the run, whatever its route states.
+        const auto priority = m_handler.m_serving.runCalls().leastUrgentPriority(m_arrived + *m_caller.timeout);
+        m_priority = priority.value_or(m_priority);
+    }
 }
 
 net::Awaitable<EntryRequest::Step> EntryRequest::readBody()
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -713,7 +713,10 @@
     activeAttempt->exchange = std::make_shared<net::HttpExchange>(m_context.io, m_context.backendPool, endpoint);
     m_context.metrics.observeQueueWait(server.service, activeAttempt->started - activeAttempt->arrived);
     m_context.health.attemptStarted(activeAttempt->hop.server, activeAttempt->healthKey(), activeAttempt->hop.route);
-    m_runCalls.runStarted(activeAttempt->healthKey(), activeAttempt->deadline, runKind(activeAttempt->hop));
+    m_runCalls.runStarted(activeAttempt->healthKey(),
+                          activeAttempt->deadline,
+                          runKind(activeAttempt->hop),
+                          activeAttempt->hop.priority);
     LocalServer &localServer = *findLocalServer(activeAttempt->hop.server);
     localServer.admission.hold().started(activeAttempt->healthKey(), activeAttempt->started);
     if (!activeAttempt->hop.isRepeat) {
