--- a/src/ctl/statuscommand.cpp
+++ b/src/ctl/statuscommand.cpp
@@ -161,8 +161,17 @@
 
     static void printNodes(const std::vector<NodeStatus> &answers, std::ostream &out)
     {
-        Table table(
-            {"NODE", "VM", "ZONE", "STATE", "REVISION", "NEWS AGE", "OPEN", "SERVING", "QUEUED", "USABLE SERVERS", "EVACUATED ZONES"});
+        Table table({"NODE",
+                     "VM",
+                     "ZONE",
+                     "STATE",
+                     "REVISION",
+                     "NEWS AGE",
+                     "OPEN",
+                     "SERVING",
+                     "QUEUED",
+                     "USABLE SERVERS",
+                     "EVACUATED ZONES"});
         for (const auto &[node, status, problem] : answers) {
             if (!problem.empty()) {
                 table.addRow({node, "no answer: " + problem});
--- a/src/health/healthmonitor.cpp
+++ b/src/health/healthmonitor.cpp
@@ -95,7 +95,8 @@
     }
 
     /// To be called for the news of single siblings, of which hundreds arrive each second in a large fleet. An
-    /// assessment compares all servers of the service, so it may miss such news for a time that grows with their number.
+    /// assessment compares all servers of the service, so it may miss such news for a time that grows with their
+    /// number.
     void markAssessmentsOutdated()
     {
         for (auto &[service, assessment] : m_assessments) {
--- a/src/include/papayastep/health/nestedcalltracker.h
+++ b/src/include/papayastep/health/nestedcalltracker.h
@@ -29,8 +29,10 @@
 
     /// `deadline` is the one that was sent to the backend server.
     /// `priority` is the one of its request; 0 is the most urgent.
-    void runStarted(
-        const AttemptKey &run, base::TimePoint deadline, RunKind kind = RunKind::Repeatable, int priority = 0);
+    void runStarted(const AttemptKey &run,
+                    base::TimePoint deadline,
+                    RunKind kind = RunKind::Repeatable,
+                    int priority = 0);
     void runEnded(const AttemptKey &run);
 
     /// Whether a request with this deadline may be a nested call of a current run.
@@ -40,8 +42,8 @@
     /// must not run twice are left out: they are no repeats, and it is not known whether they make calls.
     double repeatShare(base::TimePoint deadline) const;
 
-    /// Returns the priority of the least urgent current run that may have made a nested call with this deadline; empty if
-    /// there is no such run.
+    /// Returns the priority of the least urgent current run that may have made a nested call with this deadline; empty
+    /// if there is no such run.
     std::optional<int> leastUrgentPriority(base::TimePoint deadline) const;
 
     /// Records that a request with this deadline, which may be a nested call, failed or got no answer.
--- a/src/include/papayastep/limits/coldstartlimiter.h
+++ b/src/include/papayastep/limits/coldstartlimiter.h
@@ -26,8 +26,8 @@
     void setColdUntil(base::TimePoint until);
     /// Records that the server may have become cold, without a report.
     void suspectRestart();
-    /// Records an answer of the server to a request. After a suspected restart, the time of being cold begins with it at
-    /// the latest.
+    /// Records an answer of the server to a request. After a suspected restart, the time of being cold begins with it
+    /// at the latest.
     void recordAnswer();
     /// Records an attempt that was sent to the server and got no answer. Two in a row without an answer between them
     /// count as a suspected restart; a single one is more often a broken connection.
--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -66,8 +66,8 @@
     std::optional<base::TimePoint> wantedBy; ///< Time after which an answer is worth less to the caller.
     base::RouteId route{}; ///< Route by which the run time is estimated.
     /// The attempt is a call made by a request that is running on another backend server, with the priority of that
-    /// request. It may wait until its deadline: if it is refused, the work of that request is lost, and the request holds a slot until
-    /// the call is answered.
+    /// request. It may wait until its deadline: if it is refused, the work of that request is lost, and the request
+    /// holds a slot until the call is answered.
     bool isCall = false;
 };
 
@@ -97,14 +97,15 @@
 
 /// The queue in front of one backend server.
 ///
-/// Attempts wait in tiers by priority. Calls of running requests come before other attempts of the priority of their run,
-/// as a slot and its work depend on them, but behind more urgent ones: a less urgent kind of request whose runs make many
-/// calls would otherwise displace a more urgent kind from the service that it calls. While attempts of several
-/// tiers wait, each tier gets a fixed fraction of the slots of the next more urgent one. Within a tier, slots go to
-/// workspaces in turn (deficit round robin with a quantum of one request), so a workspace that overloads the queue
-/// delays only itself. While the server is cold, fewer attempts start than there are slots. When the queue is full, the newest attempt in the longest workspace queue of the least urgent
-/// tier is evicted. An attempt that can't be answered in time is refused or dropped at once, so that it can be reported
-/// as not run while its caller is still waiting.
+/// Attempts wait in tiers by priority. Calls of running requests come before other attempts of the priority of their
+/// run, as a slot and its work depend on them, but behind more urgent ones: a less urgent kind of request whose runs
+/// make many calls would otherwise displace a more urgent kind from the service that it calls. While attempts of
+/// several tiers wait, each tier gets a fixed fraction of the slots of the next more urgent one. Within a tier, slots
+/// go to workspaces in turn (deficit round robin with a quantum of one request), so a workspace that overloads the
+/// queue delays only itself. While the server is cold, fewer attempts start than there are slots. When the queue is
+/// full, the newest attempt in the longest workspace queue of the least urgent tier is evicted. An attempt that can't
+/// be answered in time is refused or dropped at once, so that it can be reported as not run while its caller is still
+/// waiting.
 class SlotQueue
 {
 public:
--- a/src/include/papayastep/routing/retrybudget.h
+++ b/src/include/papayastep/routing/retrybudget.h
@@ -39,8 +39,8 @@
 /// Returns the part of `limit` that one of the `servers` of a service accounts for. Accumulated retries can be spent at
 /// once, in addition to those earned during the window. Each part is therefore reduced until the worst case adds up to
 /// the limit: with a decay time of half a window, 0.55 of the ratio counts over one and a half windows, and 0.3 of the
-/// slack counts twice. The debt uses the rest of the slack, and the rest of the ratio is for calls of repeated runs, whose
-/// number is estimated.
+/// slack counts twice. The debt uses the rest of the slack, and the rest of the ratio is for calls of repeated runs,
+/// whose number is estimated.
 RetryBudgetSettings serverRetryBudget(const FleetRetryLimit &limit, std::size_t servers);
 
 /// Counts of requested retries since the start.
--- a/src/include/papayastep/wire/hop.h
+++ b/src/include/papayastep/wire/hop.h
@@ -34,8 +34,8 @@
     std::int64_t remainingTarget = 0;
     bool lastResort = false; ///< All servers were ejected, so this server is tried whatever its own state is.
     bool isNestedCall = false; ///< Sent by a backend server on the entry's VM during a run that is in progress there.
-    /// An earlier attempt of the request reached, or may have reached, a backend server, or the request is a nested call
-    /// of a run to which this applies.
+    /// An earlier attempt of the request reached, or may have reached, a backend server, or the request is a nested
+    /// call of a run to which this applies.
     bool isRepeat = false;
 
     base::RequestId requestId() const
--- a/src/model/fleetmodel.cpp
+++ b/src/model/fleetmodel.cpp
@@ -119,17 +119,17 @@
             const std::string name = std::to_string(service) + "-" + std::to_string(server);
             const base::VmId id("vm-" + name);
             m_serversOf[service].push_back(m_vms.size());
-            m_vms.push_back(Vm{id,
-                               zoneId(server % m_shape.zones),
-                               service,
-                               std::make_unique<ModelServer>(
-                                   m_shape, service, server % m_shape.zones, m_clock, m_events, m_random()),
-                               base::BackendServerId("server-" + name),
-                               health::GrayFailureTable(m_clock),
-                               routing::ServerIdleTimes(m_clock),
-                               routing::LeastCostPlacement(id),
-                               receiptTime(m_shape.evacuation ? m_shape.evacuation->begin : base::Duration()),
-                               receiptTime(m_shape.evacuation ? m_shape.evacuation->end : base::Duration())});
+            m_vms.push_back(Vm{
+                id,
+                zoneId(server % m_shape.zones),
+                service,
+                std::make_unique<ModelServer>(m_shape, service, server % m_shape.zones, m_clock, m_events, m_random()),
+                base::BackendServerId("server-" + name),
+                health::GrayFailureTable(m_clock),
+                routing::ServerIdleTimes(m_clock),
+                routing::LeastCostPlacement(id),
+                receiptTime(m_shape.evacuation ? m_shape.evacuation->begin : base::Duration()),
+                receiptTime(m_shape.evacuation ? m_shape.evacuation->end : base::Duration())});
         }
     }
     for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
@@ -137,8 +137,7 @@
             [this, vm](std::size_t trafficClass,
                        int priority,
                        base::TimePoint deadline,
-                       const std::function<void(bool)> &done) { call(vm, trafficClass, priority, deadline, done);
-            });
+                       const std::function<void(bool)> &done) { call(vm, trafficClass, priority, deadline, done); });
     }
     m_result.classes.resize(m_shape.classes.size());
 }
--- a/src/model/modelserver.cpp
+++ b/src/model/modelserver.cpp
@@ -151,7 +151,7 @@
 base::Duration ModelServer::usualRun(std::size_t trafficClass) const
 {
     return m_admission.queue().runTimes().runs() > 0 ? m_admission.queue().runTimes().mean(routeOf(trafficClass))
-                                         : m_shape.classes[trafficClass].meanRun;
+                                                     : m_shape.classes[trafficClass].meanRun;
 }
 
 void ModelServer::poll()
@@ -202,8 +202,8 @@
     if (isShedding()) {
         m_admission.queue().finished(waiting.attempt.id, false);
         m_admission.hold().ended(key, AttemptOutcome::Shed, 0, now);
-        waiting.done(
-            {{AttemptEvent::RefusedNotRun, ResultCode::HopBackendServerShed, {}}, m_admission.hold().grayProbability(now)});
+        waiting.done({{AttemptEvent::RefusedNotRun, ResultCode::HopBackendServerShed, {}},
+                      m_admission.hold().grayProbability(now)});
         m_events.after({}, [this] { poll(); });
         return;
     }
@@ -222,18 +222,19 @@
     const double factor = std::exp(std::normal_distribution<double>(-sigma * sigma / 2, sigma)(m_random));
     const base::Duration run = scaled(kind.meanRun, isCold() ? coldFactor * factor : factor);
     if (kind.call && draw() < kind.callShare) {
-        m_events.after(run / 2, [this, waiting, run, now, call = *kind.call, calls = kind.calls, priority = kind.priority] {
-            const auto open = std::make_shared<int>(calls);
-            for (int number = 0; number < calls; ++number) {
-                m_caller(call, priority, waiting.attempt.deadline, [this, waiting, run, now, open](bool answered) {
-                    // The first failure or the last answer continues the run.
-                    *open = answered ? *open - 1 : std::min(*open, 0) - 1;
-                    if (*open == 0 || (!answered && *open == -1)) {
-                        callDone(waiting, run - run / 2, now, answered);
-                    }
-                });
-            }
-        });
+        m_events.after(
+            run / 2, [this, waiting, run, now, call = *kind.call, calls = kind.calls, priority = kind.priority] {
+                const auto open = std::make_shared<int>(calls);
+                for (int number = 0; number < calls; ++number) {
+                    m_caller(call, priority, waiting.attempt.deadline, [this, waiting, run, now, open](bool answered) {
+                        // The first failure or the last answer continues the run.
+                        *open = answered ? *open - 1 : std::min(*open, 0) - 1;
+                        if (*open == 0 || (!answered && *open == -1)) {
+                            callDone(waiting, run - run / 2, now, answered);
+                        }
+                    });
+                }
+            });
         return;
     }
     const auto outcome = draw() < m_shape.errorShare ? AttemptOutcome::Error : AttemptOutcome::Success;
@@ -266,7 +267,8 @@
     const health::AttemptKey key{waiting.attempt.id.request, static_cast<std::uint32_t>(waiting.attempt.id.attempt)};
     const std::chrono::duration<double> run = now - startedAt;
     const double relativeTime = run / usualRun(waiting.attempt.trafficClass);
-    m_admission.queue().finished(waiting.attempt.id, outcome == AttemptOutcome::Success || outcome == AttemptOutcome::Timeout);
+    m_admission.queue().finished(waiting.attempt.id,
+                                 outcome == AttemptOutcome::Success || outcome == AttemptOutcome::Timeout);
     m_admission.hold().ended(key, outcome, relativeTime, now);
     m_admission.recordEnd(outcome, answered);
     const AttemptEvent event = outcome == AttemptOutcome::Success ? AttemptEvent::Complete
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -160,8 +160,8 @@
         && m_handler.m_serving.runCalls().mayBeNestedCall(m_arrived + *m_caller.timeout);
 }
 
-/// Whether to count the call as one of a repeated run. Nothing identifies the run that made it, so it is drawn among those
-/// that may have; on average the counts are right.
+/// Whether to count the call as one of a repeated run. Nothing identifies the run that made it, so it is drawn among
+/// those that may have; on average the counts are right.
 bool EntryRequest::drawIsCallOfRepeat()
 {
     const double share = m_handler.m_serving.runCalls().repeatShare(m_arrived + *m_caller.timeout);
@@ -227,7 +227,8 @@
     const config::Workspace *workspace = m_active.configuration->workspace(m_workspace);
     m_priority = workspace != nullptr ? workspace->priority.value_or(m_route->priority) : m_route->priority;
     if (m_isCall) {
-        // The work of the run is lost if the call fails, so the call is as urgent as the run, whatever its route states.
+        // The work of the run is lost if the call fails, so the call is as urgent as the run, whatever its route
+        // states.
         const auto priority = m_handler.m_serving.runCalls().leastUrgentPriority(m_arrived + *m_caller.timeout);
         m_priority = priority.value_or(m_priority);
     }
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -248,7 +248,8 @@
         offer.code = number(refused.value_or(ResultCode::HopBackendServerGone));
         return offer;
     }
-    if (ask.isRepeat && !localServer->admission.retryBudget().canSpend(localServer->admission.server().service, ask.workspace)) {
+    if (ask.isRepeat
+        && !localServer->admission.retryBudget().canSpend(localServer->admission.server().service, ask.workspace)) {
         offer.code = number(ResultCode::RetryBudgetSpent);
         return offer;
     }
@@ -472,12 +473,14 @@
         }
         const bool mayRetry = activeAttempt->hop.idempotent
             && activeAttempt->deadline - now > localServer->admission.queue().runTimes().mean(activeAttempt->hop.route);
-        PAPAYASTEP_LOG(INFO, logPrefix)
-            << "An attempt is overdue." << base::field("request", activeAttempt->hop.logId())
-            << base::field("server", activeAttempt->hop.server)
-            << base::field("runMs", milliseconds(now - activeAttempt->started))
-            << base::field("usualMs", milliseconds(localServer->admission.queue().runTimes().mean(activeAttempt->hop.route)))
-            << base::field("grayPercent", int{localServer->admission.grayPercent()});
+        PAPAYASTEP_LOG(INFO, logPrefix) << "An attempt is overdue."
+                                        << base::field("request", activeAttempt->hop.logId())
+                                        << base::field("server", activeAttempt->hop.server)
+                                        << base::field("runMs", milliseconds(now - activeAttempt->started))
+                                        << base::field("usualMs",
+                                                       milliseconds(localServer->admission.queue().runTimes().mean(
+                                                           activeAttempt->hop.route)))
+                                        << base::field("grayPercent", int{localServer->admission.grayPercent()});
         if (mayRetry && localServer->admission.hold().grayProbability(now) > hangReportProbability) {
             activeAttempt->onHangSuspected();
         }
@@ -509,9 +512,8 @@
 std::optional<base::TimePoint> ServingNode::nextTick()
 {
     std::optional<base::TimePoint> next;
-    const auto include = [&next](std::optional<base::TimePoint> due) {
-        next = due && (!next || *due < *next) ? due : next;
-    };
+    const auto include
+        = [&next](std::optional<base::TimePoint> due) { next = due && (!next || *due < *next) ? due : next; };
     for (const auto &[id, localServer] : m_localServers) {
         include(localServer->admission.queue().nextTick());
         include(localServer->admission.nextProbe());
@@ -534,9 +536,9 @@
     std::map<base::ServiceId, SlotUse> result;
     for (const auto &[id, localServer] : m_localServers) {
         result[localServer->admission.server().service] += {localServer->admission.queue().slots(),
-                                                    localServer->admission.queue().running(),
-                                                    localServer->admission.queue().queued(),
-                                                    localServer->admission.hold().isHeldBack() ? 1U : 0U};
+                                                            localServer->admission.queue().running(),
+                                                            localServer->admission.queue().queued(),
+                                                            localServer->admission.hold().isHeldBack() ? 1U : 0U};
     }
     return result;
 }
@@ -713,10 +715,8 @@
     activeAttempt->exchange = std::make_shared<net::HttpExchange>(m_context.io, m_context.backendPool, endpoint);
     m_context.metrics.observeQueueWait(server.service, activeAttempt->started - activeAttempt->arrived);
     m_context.health.attemptStarted(activeAttempt->hop.server, activeAttempt->healthKey(), activeAttempt->hop.route);
-    m_runCalls.runStarted(activeAttempt->healthKey(),
-                          activeAttempt->deadline,
-                          runKind(activeAttempt->hop),
-                          activeAttempt->hop.priority);
+    m_runCalls.runStarted(
+        activeAttempt->healthKey(), activeAttempt->deadline, runKind(activeAttempt->hop), activeAttempt->hop.priority);
     LocalServer &localServer = *findLocalServer(activeAttempt->hop.server);
     localServer.admission.hold().started(activeAttempt->healthKey(), activeAttempt->started);
     if (!activeAttempt->hop.isRepeat) {
@@ -727,7 +727,8 @@
         << base::field("attempt", activeAttempt->hop.attempt) << base::field("entry", activeAttempt->hop.entry)
         << base::field("server", activeAttempt->hop.server)
         << base::field("waitedMs", milliseconds(activeAttempt->started - activeAttempt->arrived))
-        << base::field("running", localServer.admission.queue().running()) << base::field("queued", localServer.admission.queue().queued())
+        << base::field("running", localServer.admission.queue().running())
+        << base::field("queued", localServer.admission.queue().queued())
         << base::field("grayPercent", int{localServer.admission.grayPercent()})
         << base::field("usualMs", milliseconds(localServer.admission.queue().runTimes().mean(activeAttempt->hop.route)))
         << base::field("offers", localServer.offersSinceStart)
@@ -773,9 +774,11 @@
         const bool ranToItsEnd
             = outcome == health::AttemptOutcome::Success || outcome == health::AttemptOutcome::Timeout;
         m_pauses.check();
-        localServer->admission.queue().finished(activeAttempt.id(), ranToItsEnd && !m_pauses.pausedSince(activeAttempt.started));
-        m_context.metrics.countServed(
-            {localServer->admission.server().service, health::name(outcome), m_context.clock.now() - activeAttempt.started});
+        localServer->admission.queue().finished(activeAttempt.id(),
+                                                ranToItsEnd && !m_pauses.pausedSince(activeAttempt.started));
+        m_context.metrics.countServed({localServer->admission.server().service,
+                                       health::name(outcome),
+                                       m_context.clock.now() - activeAttempt.started});
         const bool answered
             = activeAttempt.exchange && activeAttempt.exchange->progress() >= net::ExchangeProgress::HeadReceived;
         localServer->admission.recordEnd(outcome, answered);
@@ -955,17 +958,14 @@
 {
     const auto found = m_localServers.find(activeAttempt.hop.server);
     const LocalServer *localServer = found != m_localServers.end() ? found->second.get() : nullptr;
-    PAPAYASTEP_LOG(INFO, logPrefix) << "Refused an attempt." << base::field("request", activeAttempt.hop.logId())
-                                    << base::field("attempt", activeAttempt.hop.attempt)
-                                    << base::field("entry", activeAttempt.hop.entry)
-                                    << base::field("server", activeAttempt.hop.server)
-                                    << base::field("code", reply.code)
-                                    << base::field("running", localServer != nullptr ? localServer->admission.queue().running() : 0)
-                                    << base::field("queued", localServer != nullptr ? localServer->admission.queue().queued() : 0)
-                                    << base::field("grayPercent", int{reply.grayPercent})
-                                    << base::field("revision", reply.revision)
-                                    << base::field("retryAfterMs", reply.retryAfterMs)
-                                    << base::field("advice", reply.advice);
+    PAPAYASTEP_LOG(INFO, logPrefix)
+        << "Refused an attempt." << base::field("request", activeAttempt.hop.logId())
+        << base::field("attempt", activeAttempt.hop.attempt) << base::field("entry", activeAttempt.hop.entry)
+        << base::field("server", activeAttempt.hop.server) << base::field("code", reply.code)
+        << base::field("running", localServer != nullptr ? localServer->admission.queue().running() : 0)
+        << base::field("queued", localServer != nullptr ? localServer->admission.queue().queued() : 0)
+        << base::field("grayPercent", int{reply.grayPercent}) << base::field("revision", reply.revision)
+        << base::field("retryAfterMs", reply.retryAfterMs) << base::field("advice", reply.advice);
 }
 
 wire::HopReply ServingNode::replyOf(const ActiveAttempt &activeAttempt) const
--- a/src/routing/serveradmission.cpp
+++ b/src/routing/serveradmission.cpp
@@ -23,7 +23,9 @@
     }
 }
 
-void ServerAdmission::configure(const config::BackendServer *server, const config::ColdStart &coldStart, bool canBeProbed)
+void ServerAdmission::configure(const config::BackendServer *server,
+                                const config::ColdStart &coldStart,
+                                bool canBeProbed)
 {
     m_canBeProbed = canBeProbed;
     const config::BackendServer before = m_server;
