--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -170,7 +170,7 @@
         base::WorkspaceId workspace;
         std::deque<Queued> attempts;
     };
-    /// The queued attempts of one priority, with the workspaces in the order of their turns.
+    /// The queued attempts of one tier, with the workspaces in the order of their turns.
     struct Tier
     {
         std::list<WorkspaceQueue> queues;
@@ -181,17 +181,17 @@
     using Tiers = std::map<int, Tier>;
     struct QueuedPosition
     {
-        int priority = 0;
+        int tier = 0;
         base::WorkspaceId workspace;
     };
 
     static std::list<WorkspaceQueue>::iterator queueOf(Tier &tier, const base::WorkspaceId &workspace);
-    std::size_t queueLength(const base::WorkspaceId &workspace, int priority) const;
+    std::size_t queueLength(const base::WorkspaceId &workspace, int tier) const;
     double weight(int tier) const;
-    OfferResult refusal(base::ResultCode code, const base::WorkspaceId &workspace, int priority) const;
+    OfferResult refusal(base::ResultCode code, const base::WorkspaceId &workspace, int tier) const;
     base::TimePoint latestStart(const QueueOffer &offer) const;
     bool canAnswerInTime(const QueueOffer &offer) const;
-    bool makeRoom(const base::WorkspaceId &workspace, int priority);
+    bool makeRoom(const base::WorkspaceId &workspace, int tier);
     void enqueue(const QueueOffer &offer);
     void dropOverdue(std::vector<QueueDecision> &decisions);
     void startNext(std::vector<QueueDecision> &decisions);
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -23,6 +23,8 @@
     std::size_t running = 0;
     std::size_t queued = 0;
     std::size_t heldBackServers = 0; ///< Number of servers that are held back as gray.
+    std::size_t coldServers = 0; ///< Number of servers that are, or may be, cold.
+    std::size_t downServers = 0; ///< Number of servers that refused a connection and have not answered since.
 
     SlotUse &operator+=(const SlotUse &other)
     {
@@ -30,6 +32,8 @@
         running += other.running;
         queued += other.queued;
         heldBackServers += other.heldBackServers;
+        coldServers += other.coldServers;
+        downServers += other.downServers;
         return *this;
     }
 
--- a/src/include/papayastep/routing/serveradmission.h
+++ b/src/include/papayastep/routing/serveradmission.h
@@ -28,6 +28,8 @@
 
     const config::BackendServer &server() const;
     bool isRemoved() const;
+    /// Whether the server refused a connection and has not answered since.
+    bool isDown() const;
 
     /// Returns the code with which all attempts are refused, regardless of the request; empty if the server may get new
     /// requests.
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -174,21 +174,21 @@
     return m_running.empty() ? m_lastFinishedAt : std::nullopt;
 }
 
-base::Duration SlotQueue::expectedWait(const base::WorkspaceId &workspace, int priority) const
+base::Duration SlotQueue::expectedWait(const base::WorkspaceId &workspace, int tier) const
 {
-    const std::size_t own = queueLength(workspace, priority);
+    const std::size_t own = queueLength(workspace, tier);
     std::size_t ahead = own;
-    const auto tier = m_tiers.find(priority);
-    if (tier != m_tiers.end()) {
-        for (const WorkspaceQueue &lane : tier->second.queues) {
+    const auto found = m_tiers.find(tier);
+    if (found != m_tiers.end()) {
+        for (const WorkspaceQueue &lane : found->second.queues) {
             // Each other workspace gets one turn for each turn of this one.
             ahead += lane.workspace == workspace ? 0 : std::min(lane.attempts.size(), own + 1);
         }
     }
     const std::size_t turns = ahead + 1;
     for (const auto &[other, waiting] : m_tiers) {
-        if (other != priority) {
-            const double starts = static_cast<double>(turns) * weight(other) / weight(priority);
+        if (other != tier) {
+            const double starts = static_cast<double>(turns) * weight(other) / weight(tier);
             ahead += std::min(waiting.size, static_cast<std::size_t>(std::llround(starts)));
         }
     }
@@ -202,10 +202,10 @@
     });
 }
 
-std::size_t SlotQueue::queueLength(const base::WorkspaceId &workspace, int priority) const
+std::size_t SlotQueue::queueLength(const base::WorkspaceId &workspace, int tier) const
 {
-    const auto tier = m_tiers.find(priority);
-    if (tier == m_tiers.end()) {
+    const auto found = m_tiers.find(tier);
+    if (found == m_tiers.end()) {
         return 0;
     }
     const auto lane = std::find_if(tier->second.queues.begin(),
@@ -219,9 +219,9 @@
     return std::pow(m_settings.nextTierWeight, static_cast<double>(tier) / tiersPerPriority);
 }
 
-OfferResult SlotQueue::refusal(base::ResultCode code, const base::WorkspaceId &workspace, int priority) const
+OfferResult SlotQueue::refusal(base::ResultCode code, const base::WorkspaceId &workspace, int tier) const
 {
-    const base::Duration wait = std::max(shortestRetryAfter, expectedWait(workspace, priority));
+    const base::Duration wait = std::max(shortestRetryAfter, expectedWait(workspace, tier));
     return OfferResult{false, code, wait};
 }
 
@@ -261,9 +261,9 @@
 /// Returns whether one more attempt fits. In a full queue, the newest attempt in the longest workspace queue of the
 /// least urgent tier is evicted if that tier is less urgent, or that queue is longer than the one of `workspace` would
 /// be. So no workspace can block another one.
-bool SlotQueue::makeRoom(const base::WorkspaceId &workspace, int priority)
+bool SlotQueue::makeRoom(const base::WorkspaceId &workspace, int tier)
 {
-    const std::size_t own = queueLength(workspace, priority);
+    const std::size_t own = queueLength(workspace, tier);
     if (own >= m_settings.maxQueuedPerWorkspace) {
         return false;
     }
@@ -276,8 +276,8 @@
         = std::max_element(lanes.begin(), lanes.end(), [](const WorkspaceQueue &a, const WorkspaceQueue &b) {
               return a.attempts.size() < b.attempts.size();
           });
-    const bool isLessUrgent = least->first > priority;
-    if (least->first < priority || (!isLessUrgent && longest->attempts.size() <= own + 1)) {
+    const bool isLessUrgent = least->first > tier;
+    if (least->first < tier || (!isLessUrgent && longest->attempts.size() <= own + 1)) {
         return false;
     }
     const AttemptId newest = longest->attempts.back().attempt;
@@ -311,7 +311,7 @@
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= m_clock.now()) {
         const AttemptId attempt = m_deadlines.begin()->second;
         const QueuedPosition place = m_queued.at(attempt);
-        const base::Duration wait = std::max(shortestRetryAfter, expectedWait(place.workspace, place.priority));
+        const base::Duration wait = std::max(shortestRetryAfter, expectedWait(place.workspace, place.tier));
         removeQueued(attempt);
         decisions.push_back(QueueDecision{attempt, false, base::ResultCode::HopQueueTimeout, wait});
     }
@@ -348,7 +348,7 @@
     if (queued == m_queued.end()) {
         return false;
     }
-    const auto place = m_tiers.find(queued->second.priority);
+    const auto place = m_tiers.find(queued->second.tier);
     Tier &tier = place->second;
     const auto lane = queueOf(tier, queued->second.workspace);
     const auto position = std::find_if(lane->attempts.begin(), lane->attempts.end(), [&attempt](const Queued &entry) {
--- a/src/limits/slotqueue_test.cpp
+++ b/src/limits/slotqueue_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
+#include <algorithm>
 #include <chrono>
 #include <set>
 #include <string>
@@ -288,3 +289,57 @@
         RC_ASSERT(running.size() == 2U || undecided.empty());
     }
 }
+
+namespace {
+
+struct OneSlot
+{
+    base::ManualClock clock;
+    SlotQueue queue{clock, 1, SlotQueueSettings{64, 64, 50ms}};
+
+    void offer(std::uint64_t number, int priority, bool isCall)
+    {
+        QueueOffer offer;
+        offer.attempt = AttemptId{base::RequestId{1, number}, 1};
+        offer.workspace = quietWorkspace;
+        offer.deadline = clock.now() + 60s;
+        offer.priority = priority;
+        offer.isCall = isCall;
+        BOOST_TEST(queue.offer(offer).accepted);
+    }
+    /// Runs all queued attempts one after the other and returns their numbers.
+    std::vector<std::uint64_t> runAll()
+    {
+        std::vector<std::uint64_t> order;
+        for (auto decisions = queue.poll(); !decisions.empty(); decisions = queue.poll()) {
+            order.push_back(decisions.front().attempt.request.low);
+            queue.finished(decisions.front().attempt);
+        }
+        return order;
+    }
+};
+
+}
+
+// Guards against urgent requests that are refused while the calls of less urgent runs take the slots of their service.
+BOOST_FIXTURE_TEST_CASE(queue_withCallsOfLessUrgentRuns_startsUrgentRequestsFirst, OneSlot)
+{
+    for (std::uint64_t number = 1; number <= 9; ++number) {
+        offer(number, 2, true);
+    }
+    offer(10, 0, false);
+    offer(11, 0, false);
+    const auto order = runAll();
+    const auto place
+        = [&order](std::uint64_t number) { return std::find(order.begin(), order.end(), number) - order.begin(); };
+    BOOST_TEST(place(10) <= 1);
+    BOOST_TEST(place(11) <= 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(queue_withACallAndRequestsOfTheSamePriority_startsTheCallFirst, OneSlot)
+{
+    offer(1, 1, false);
+    offer(2, 1, false);
+    offer(3, 1, true);
+    BOOST_TEST(runAll().front() == 3U);
+}
--- a/src/model/fleetmodel_test.cpp
+++ b/src/model/fleetmodel_test.cpp
@@ -187,6 +187,17 @@
     }
 }
 
+// Guards against the most urgent requests of a small service that are refused in a burst, because the calls of less
+// urgent runs take its slots.
+BOOST_AUTO_TEST_CASE(urgentRequests_inABurstOfLookupsThatCallTheirService_areServed)
+{
+    shape.burst = Burst{4s, 9s, 3};
+    for (const std::uint64_t seed : seeds) {
+        const FleetResult result = play(seed);
+        BOOST_TEST(result.classes[pickups].served() >= 0.9);
+    }
+}
+
 // Guards against attempts that reach an availability zone whose evacuation was acknowledged five seconds before, and
 // against a burst at its servers, which are cold when it ends.
 BOOST_AUTO_TEST_CASE(attempts_whileAZoneIsEvacuated_goElsewhereWithinTheBound)
--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -133,7 +133,7 @@
 void Node::collectSlotMetrics()
 {
     NodeMetrics &metrics = m_context.metrics;
-    for (const char *name : {"slots", "slots_in_use", "slots_queued", "servers_held"}) {
+    for (const char *name : {"slots", "slots_in_use", "slots_queued", "servers_held", "servers_cold", "servers_down"}) {
         metrics.clearGauge(name);
     }
     std::map<std::string, SlotUse> byLabel;
@@ -146,6 +146,8 @@
         metrics.setGauge("slots_in_use", real(use.running), labels);
         metrics.setGauge("slots_queued", real(use.queued), labels);
         metrics.setGauge("servers_held", real(use.heldBackServers), labels);
+        metrics.setGauge("servers_cold", real(use.coldServers), labels);
+        metrics.setGauge("servers_down", real(use.downServers), labels);
     }
     metrics.setGauge("requests_open", real(m_entryHandler.openRequests()));
     metrics.setGauge("attempts_serving", real(m_servingNode.inFlight()));
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -535,10 +535,15 @@
 {
     std::map<base::ServiceId, SlotUse> result;
     for (const auto &[id, localServer] : m_localServers) {
-        result[localServer->admission.server().service] += {localServer->admission.queue().slots(),
-                                                            localServer->admission.queue().running(),
-                                                            localServer->admission.queue().queued(),
-                                                            localServer->admission.hold().isHeldBack() ? 1U : 0U};
+        const routing::ServerAdmission &admission = localServer->admission;
+        SlotUse use;
+        use.slots = admission.queue().slots();
+        use.running = admission.queue().running();
+        use.queued = admission.queue().queued();
+        use.heldBackServers = admission.hold().isHeldBack() ? 1 : 0;
+        use.coldServers = admission.queue().coldStart().isCold() ? 1 : 0;
+        use.downServers = admission.isDown() ? 1 : 0;
+        result[admission.server().service] += use;
     }
     return result;
 }
@@ -893,6 +898,11 @@
     }
     if (neverSent && !activeAttempt->stopped) {
         if (LocalServer *localServer = findLocalServer(activeAttempt->hop.server)) {
+            if (!localServer->admission.isDown()) {
+                PAPAYASTEP_LOG(INFO, logPrefix)
+                    << "A backend server is down; it gets no attempts until it answers a probe."
+                    << base::field("server", activeAttempt->hop.server);
+            }
             localServer->admission.recordConnectionFailure();
             // A server that is down loses its open connections too, without a notice if its VM lost power.
             m_context.backendPool.clear();
--- a/src/routing/serveradmission.cpp
+++ b/src/routing/serveradmission.cpp
@@ -59,6 +59,11 @@
     return m_removed;
 }
 
+bool ServerAdmission::isDown() const
+{
+    return m_isDown;
+}
+
 std::optional<base::ResultCode> ServerAdmission::closedCode() const
 {
     if (m_removed || m_server.drain) {
