--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -208,10 +208,10 @@
     if (found == m_tiers.end()) {
         return 0;
     }
-    const auto lane = std::find_if(tier->second.queues.begin(),
-                                   tier->second.queues.end(),
+    const auto lane = std::find_if(found->second.queues.begin(),
+                                   found->second.queues.end(),
                                    [&](const WorkspaceQueue &candidate) { return candidate.workspace == workspace; });
-    return lane != tier->second.queues.end() ? lane->attempts.size() : 0;
+    return lane != found->second.queues.end() ? lane->attempts.size() : 0;
 }
 
 double SlotQueue::weight(int tier) const
