--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -71,8 +71,8 @@
     /// Returns the backend servers of this VM that must be probed now, because they may have become cold. Each probe
     /// counts as sent, and its result is passed to probeFinished().
     std::vector<base::BackendServerId> takeProbesDue();
-    /// `answered` is whether the server reported to be healthy, `coldTime` the remaining time for which it reported to
-    /// be cold.
+    /// `answered` is whether the server answered, healthy or not, and `coldTime` the remaining time for which it
+    /// reported to be cold.
     void probeFinished(const base::BackendServerId &server, bool answered, std::optional<base::Duration> coldTime);
 
     /// Starts queued attempts whose turn it is and drops those whose time has run out.
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -79,8 +79,9 @@
     const bool whole = exchange->progress() == net::ExchangeProgress::Complete;
     const bool good = whole && m_context.backends().isHealthy(exchange->head(), server.id);
     m_context.health.probeFinished(server.id, good);
+    // A server that reports to be unhealthy is up, too.
     m_serving.probeFinished(
-        server.id, good, good ? m_context.backends().coldTime(exchange->head()) : std::optional<base::Duration>());
+        server.id, whole, whole ? m_context.backends().coldTime(exchange->head()) : std::optional<base::Duration>());
     m_context.schedulePump();
     VLOG(1) << "health: Probed a backend server." << base::field("server", server.id) << base::field("good", good);
 }
