Keep a removed server until its dropped attempts are decided

By reading: a removed server with queued attempts lost them to the drop and was destroyed at once; when their entry then disconnected or cancelled, the server was looked up and not found. Before the drop existed, it stayed until its queue was empty.

Failing first: removedServer_withDroppedAttempts_isInUseUntilTheyAreDecided.

--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -140,6 +140,8 @@
     int slots() const;
     std::size_t running() const;
     std::size_t queued() const;
+    /// Whether no attempt is queued or running, and poll() has returned all decisions.
+    bool isIdle() const;
 
     /// Expected wait for a slot of an attempt offered now, from recent run times.
     base::Duration expectedWait(const base::WorkspaceId &workspace, int tier = 0) const;
--- a/src/include/papayastep/routing/serveradmission.h
+++ b/src/include/papayastep/routing/serveradmission.h
@@ -28,6 +28,8 @@
 
     const config::BackendServer &server() const;
     bool isRemoved() const;
+    /// Whether the server was removed and no attempt of it remains, so that this object may be destroyed.
+    bool isUnused() const;
     /// Whether the server refused a connection and has not answered since.
     bool isDown() const;
 
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -154,6 +154,11 @@
     return m_queued.size();
 }
 
+bool SlotQueue::isIdle() const
+{
+    return m_running.empty() && m_queued.empty() && m_evicted.empty();
+}
+
 ColdStartLimiter &SlotQueue::coldStart()
 {
     return m_coldStart;
--- a/src/node/candidates.cpp
+++ b/src/node/candidates.cpp
@@ -47,8 +47,8 @@
     return candidate;
 }
 
-std::vector<routing::Candidate> candidatesOf(const NodeContext &context,
-                                             const std::vector<const config::BackendServer *> &servers)
+std::vector<routing::Candidate> estimatesOf(const NodeContext &context,
+                                            const std::vector<const config::BackendServer *> &servers)
 {
     std::vector<routing::Candidate> candidates;
     candidates.reserve(servers.size());
@@ -62,8 +62,7 @@
 
 std::vector<routing::Candidate> candidatesOf(const NodeContext &context, const base::ServiceId &service)
 {
-    const auto &servers = context.active.configuration->serversOf(service);
-    return candidatesOf(context, servers);
+    return estimatesOf(context, context.active.configuration->serversOf(service));
 }
 
 std::vector<routing::Candidate> sampledCandidates(NodeContext &context, const base::ServiceId &service)
@@ -75,12 +74,12 @@
         return server->acceptsRequests();
     });
     if (open.size() <= maxSampledCandidates) {
-        return candidatesOf(context, open);
+        return estimatesOf(context, open);
     }
     std::vector<const config::BackendServer *> sample;
     sample.reserve(maxSampledCandidates);
     std::sample(open.begin(), open.end(), std::back_inserter(sample), maxSampledCandidates, context.random);
-    return candidatesOf(context, sample);
+    return estimatesOf(context, sample);
 }
 
 base::Duration medianLatency(const std::vector<routing::Candidate> &candidates)
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -290,8 +290,9 @@
         return answer;
     }
     if (answer == routing::CancelAnswer::NeverStarted) {
-        LocalServer *localServer = findLocalServer(found->second->hop.server);
-        localServer->admission.queue().cancel(found->second->id());
+        if (LocalServer *localServer = findLocalServer(found->second->hop.server)) {
+            localServer->admission.queue().cancel(found->second->id());
+        }
         found->second->stopped = true;
         found->second->changed.notify();
     } else if (cancel.stop) {
@@ -310,7 +311,9 @@
     if (!activeAttempt.running && !activeAttempt.decision) {
         // The attempt is still queued. It can be dropped even if it is not idempotent.
         m_registry.drop({request, attempt});
-        findLocalServer(activeAttempt.hop.server)->admission.queue().cancel(activeAttempt.id());
+        if (LocalServer *localServer = findLocalServer(activeAttempt.hop.server)) {
+            localServer->admission.queue().cancel(activeAttempt.id());
+        }
         activeAttempt.stopped = true;
         activeAttempt.changed.notify();
         return;
@@ -347,13 +350,11 @@
         configure(*localServer, id);
     }
     std::erase_if(m_localServers, [this](const auto &entry) {
-        const LocalServer &localServer = *entry.second;
-        const limits::SlotQueue &queue = localServer.admission.queue();
-        const bool isUnused = localServer.admission.isRemoved() && queue.running() == 0 && queue.queued() == 0;
-        if (isUnused) {
-            m_formerRetries += localServer.admission.retryBudget().counters();
+        const routing::ServerAdmission &admission = entry.second->admission;
+        if (admission.isUnused()) {
+            m_formerRetries += admission.retryBudget().counters();
         }
-        return isUnused;
+        return admission.isUnused();
     });
 }
 
--- a/src/routing/serveradmission.cpp
+++ b/src/routing/serveradmission.cpp
@@ -59,6 +59,11 @@
     return m_removed;
 }
 
+bool ServerAdmission::isUnused() const
+{
+    return m_removed && m_queue.isIdle();
+}
+
 bool ServerAdmission::isDown() const
 {
     return m_isDown;
--- a/src/routing/serveradmission_test.cpp
+++ b/src/routing/serveradmission_test.cpp
@@ -76,6 +76,17 @@
     BOOST_CHECK(admission.closedCode() == base::ResultCode::HopZoneEvacuated);
 }
 
+// Guards against the end of the process when the entry of a queued attempt disconnects after the server was removed.
+BOOST_AUTO_TEST_CASE(removedServer_withDroppedAttempts_isInUseUntilTheyAreDecided)
+{
+    BOOST_TEST(offer(1).accepted);
+    admission.configure(nullptr, {}, true);
+    BOOST_TEST(admission.queue().queued() == 0U);
+    BOOST_TEST(!admission.isUnused());
+    BOOST_TEST(admission.queue().poll().size() == 1U);
+    BOOST_TEST(admission.isUnused());
+}
+
 BOOST_AUTO_TEST_CASE(server_thatDrainsOrIsRemoved_isClosedAsGone)
 {
     server.drain = true;
