--- a/src/health/healthmonitor.cpp
+++ b/src/health/healthmonitor.cpp
@@ -131,7 +131,7 @@
     struct CachedAssessment
     {
         base::TimePoint madeAt;
-        bool isOutdated = false; ///< News have arrived since.
+        bool isOutdated = false; ///< A sibling has reported since.
         Assessment assessment;
     };
 
--- a/src/include/papayastep/health/nestedcalltracker.h
+++ b/src/include/papayastep/health/nestedcalltracker.h
@@ -9,7 +9,7 @@
 
 namespace papayastep::health {
 
-/// What is known of a run with regard to repeats.
+/// Whether a run may be repeated, or is a repeat itself.
 enum class RunKind {
     Once, ///< Its request must not run twice.
     Repeatable, ///< The first run of an idempotent request.
@@ -27,8 +27,8 @@
 public:
     explicit NestedCallTracker(const base::Clock &clock);
 
-    /// `deadline` is the one that was sent to the backend server.
-    /// `priority` is the one of its request; 0 is the most urgent.
+    /// `deadline` is the one that was sent to the backend server, and `priority` that of the request; 0 is the most
+    /// urgent.
     void runStarted(const AttemptKey &run,
                     base::TimePoint deadline,
                     RunKind kind = RunKind::Repeatable,
@@ -38,8 +38,9 @@
     /// Whether a request with this deadline may be a nested call of a current run.
     bool mayBeNestedCall(base::TimePoint deadline) const;
 
-    /// Returns the probability that a nested call with this deadline was made by a repeated run. Runs of requests that
-    /// must not run twice are left out: they are no repeats, and it is not known whether they make calls.
+    /// Returns the probability that a nested call with this deadline was made by a repeated run: the share of repeats
+    /// among the current runs that may have made it. Runs of requests that must not run twice are left out. They are
+    /// never repeats, and counting those that make no calls would underestimate the probability.
     double repeatShare(base::TimePoint deadline) const;
 
     /// Returns the priority of the least urgent current run that may have made a nested call with this deadline; empty
--- a/src/include/papayastep/limits/coldstartlimiter.h
+++ b/src/include/papayastep/limits/coldstartlimiter.h
@@ -11,10 +11,10 @@
 /// Limits the starts of attempts at one backend server while it is cold.
 ///
 /// A server is slow for some time after its start and fails if it receives much more than the published rate
-/// meanwhile; its next start is cold again. Only the node beside the server starts attempts there, so the limit holds
-/// regardless of how many entries send attempts. The server may also become cold without a notice. What may be a
-/// restart counts as one until the server or the directory has shown the contrary. Servers without a published rate are
-/// not limited.
+/// meanwhile, and after the restart it is cold again. Only the node beside the server starts attempts there, so the
+/// limit holds regardless of how many entries send attempts. The server may also become cold without a notice. What may
+/// be a restart counts as one until the server or the directory has shown the contrary. Servers without a published
+/// rate are not limited.
 class ColdStartLimiter
 {
 public:
@@ -48,8 +48,8 @@
 
     const base::Clock &m_clock;
     config::ColdStart m_coldStart;
-    base::TimePoint m_coldUntil{};
-    bool m_unverified = false;
+    base::TimePoint m_coldUntil{}; ///< As last reported or assumed.
+    bool m_unverified = false; ///< A restart is suspected, and no report or answer has come since.
     int m_lostInRow = 0; ///< Attempts without an answer since the last answer.
     std::deque<base::TimePoint> m_starts; ///< The last starts, at most startsPerWindow() of them, oldest first.
 };
--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -98,8 +98,9 @@
 /// The queue in front of one backend server.
 ///
 /// Attempts wait in tiers by priority. Calls of running requests come before other attempts of the priority of their
-/// run, as a slot and its work depend on them, but behind more urgent ones: a less urgent kind of request whose runs
-/// make many calls would otherwise displace a more urgent kind from the service that it calls. While attempts of
+/// run, because the run occupies a slot until they are answered and fails without them. They come behind more urgent
+/// attempts: otherwise a less urgent kind of request whose runs make many calls would displace a more urgent kind from
+/// the service that it calls. While attempts of
 /// several tiers wait, each tier gets a fixed fraction of the slots of the next more urgent one. Within a tier, slots
 /// go to workspaces in turn (deficit round robin with a quantum of one request), so a workspace that overloads the
 /// queue delays only itself. While the server is cold, fewer attempts start than there are slots. When the queue is
--- a/src/include/papayastep/node/prober.h
+++ b/src/include/papayastep/node/prober.h
@@ -5,7 +5,7 @@
 namespace papayastep::node {
 
 /// Probes the health endpoints of this VM's backend servers when there is not enough traffic to assess them, or when
-/// they may have become cold. As to their health, the result is only a hint: health endpoints lag behind and can be
+/// they are down or may be cold. As to their health, the result is only a hint: health endpoints lag behind and can be
 /// wrong, and a probe occupies a slot for about 25 ms.
 class Prober
 {
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -68,8 +68,8 @@
 
     void applyConfiguration();
 
-    /// Returns the backend servers of this VM that must be probed now, because they may have become cold. Each probe
-    /// counts as sent, and its result is passed to probeFinished().
+    /// Returns the backend servers of this VM that must be probed now, because they are down or may be cold. Each probe
+    /// counts as sent, and its result must be passed to probeFinished().
     std::vector<base::BackendServerId> takeProbesDue();
     /// `answered` is whether the server answered, healthy or not, and `coldTime` the remaining time for which it
     /// reported to be cold.
@@ -129,7 +129,7 @@
 
     NodeContext &m_context;
     health::PauseDetector m_pauses;
-    base::TimePoint m_lastTick;
+    base::TimePoint m_lastTick; ///< A pause that ended since then has not been passed on to m_localServers.
     health::NestedCallTracker m_runCalls;
     routing::AttemptRegistry m_registry;
     std::map<base::BackendServerId, std::unique_ptr<LocalServer>> m_localServers;
--- a/src/include/papayastep/routing/serveradmission.h
+++ b/src/include/papayastep/routing/serveradmission.h
@@ -14,28 +14,28 @@
 /// while it is cold, the hold while it has a gray failure, its part of the retry budget, and the refusals while it is
 /// drained or evacuated. It does no I/O.
 ///
-/// It answers the load of an overloaded service and of servers that return cold together: what can't start in time is
-/// refused at once, with the time after which it could.
+/// It is for a service that is overloaded, and for servers that return cold together: an attempt that can't start in
+/// time is refused at once, with the time after which it could.
 class ServerAdmission
 {
 public:
     ServerAdmission(const base::Clock &clock, const config::BackendServer &server);
 
-    /// Applies the present entry of the server, or marks it as removed if `server` is null. If the server gets no new
-    /// requests from now on, its queued attempts are dropped, so that the entries can send them elsewhere at once.
-    /// `canBeProbed` is whether the service has a health endpoint.
+    /// Applies the configured entry of the server; `server` is null if there is none. `canBeProbed` is whether its
+    /// service has a health endpoint. If the server must get no new requests, its queued attempts are dropped, so that
+    /// the entries can send them elsewhere at once.
     void configure(const config::BackendServer *server, const config::ColdStart &coldStart, bool canBeProbed);
 
     const config::BackendServer &server() const;
-    bool isRemoved() const;
-    /// Whether the server was removed and no attempt of it remains, so that this object may be destroyed.
+    /// Whether the configuration does not contain the server and no attempt remains, so that this object may be
+    /// destroyed.
     bool isUnused() const;
     /// Whether the server refused a connection and has not answered since.
     bool isDown() const;
 
-    /// Returns the code with which all attempts are refused, regardless of the request; empty if the server may get new
-    /// requests.
-    std::optional<base::ResultCode> closedCode() const;
+    /// Returns the code with which every attempt is refused, regardless of its request: the server is gone, evacuated
+    /// or down. Empty if the server may get new requests.
+    std::optional<base::ResultCode> refusalCode() const;
     /// Whether attempts are refused because the server is held back as gray. Such a refusal proves that the request did
     /// not run, so that the entry can send it to another server at once. The trial request that shows the state of the
     /// server should be idempotent, so that it may fail.
@@ -70,11 +70,11 @@
     config::BackendServer m_server;
     bool m_canBeProbed = false;
     bool m_isDown = false; ///< The server refused a connection and has not answered since.
-    bool m_removed = false; ///< The server is no longer configured; it is kept until its attempts have ended.
+    bool m_removed = false; ///< The configuration does not contain the server.
     limits::SlotQueue m_queue;
     health::ServerHold m_hold;
     RetryBudget m_retryBudget;
-    std::optional<base::TimePoint> m_probedAt; ///< Time of the last probe that takeProbeDue() ordered.
+    std::optional<base::TimePoint> m_probedAt; ///< Time of the last probe that takeProbeDue() counted as sent.
 };
 
 }
--- a/src/limits/coldstartlimiter.cpp
+++ b/src/limits/coldstartlimiter.cpp
@@ -10,6 +10,7 @@
 
 /// The published rate holds for any span of this length.
 constexpr base::Duration window = std::chrono::seconds(1);
+/// Number of attempts in a row without an answer that count as a suspected restart.
 constexpr int lostForSuspicion = 2;
 
 }
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -10,7 +10,7 @@
 
 constexpr base::Duration shortestRetryAfter = std::chrono::milliseconds(1);
 constexpr int leastUrgent = 8; ///< Less urgent priorities have the same weight, which is close to 0 already.
-constexpr int tiersPerPriority = 2;
+constexpr int tiersPerPriority = 2; ///< Calls of runs of the priority, and its other attempts.
 
 int tierOf(const QueueOffer &offer)
 {
--- a/src/membership/serverdirectory.cpp
+++ b/src/membership/serverdirectory.cpp
@@ -18,7 +18,7 @@
 }
 
 /// Returns whether the entries differ by no more than the delays of two reports of the same cold start. A cold server
-/// reports its remaining time with each heartbeat, and no node needs to act on that.
+/// reports its remaining time whenever it renews its entry, which must not rebuild the configuration of every node.
 bool isSameReport(const config::BackendServer &a, const config::BackendServer &b, base::TimePoint now)
 {
     constexpr base::Duration tolerance = std::chrono::milliseconds(500);
--- a/src/membership/serverdirectory_test.cpp
+++ b/src/membership/serverdirectory_test.cpp
@@ -207,7 +207,7 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-// Guards against work for all nodes with each heartbeat of a cold server.
+// Guards against a rebuild of the configuration on every node each time a cold server renews its entry.
 BOOST_FIXTURE_TEST_CASE(coldServer_thatReportsItsRemainingTime_changesNothing, DirectoryFixture)
 {
     config::BackendServer cold = server("a");
--- a/src/model/modelserver.cpp
+++ b/src/model/modelserver.cpp
@@ -94,7 +94,7 @@
         quote.code = ResultCode::RetryBudgetSpent;
         return quote;
     }
-    if (const auto closed = m_admission.closedCode()) {
+    if (const auto closed = m_admission.refusalCode()) {
         quote.code = *closed;
         return quote;
     }
@@ -109,7 +109,7 @@
 {
     const Waiting waiting{attempt, std::move(done)};
     const bool idempotent = m_shape.classes[attempt.trafficClass].idempotent;
-    if (const auto closed = m_admission.closedCode()) {
+    if (const auto closed = m_admission.refusalCode()) {
         refuse(waiting, *closed, {});
         return;
     }
@@ -222,19 +222,7 @@
     const double factor = std::exp(std::normal_distribution<double>(-sigma * sigma / 2, sigma)(m_random));
     const base::Duration run = scaled(kind.meanRun, isCold() ? coldFactor * factor : factor);
     if (kind.call && draw() < kind.callShare) {
-        m_events.after(
-            run / 2, [this, waiting, run, now, call = *kind.call, calls = kind.calls, priority = kind.priority] {
-                const auto open = std::make_shared<int>(calls);
-                for (int number = 0; number < calls; ++number) {
-                    m_caller(call, priority, waiting.attempt.deadline, [this, waiting, run, now, open](bool answered) {
-                        // The first failure or the last answer continues the run.
-                        *open = answered ? *open - 1 : std::min(*open, 0) - 1;
-                        if (*open == 0 || (!answered && *open == -1)) {
-                            callDone(waiting, run - run / 2, now, answered);
-                        }
-                    });
-                }
-            });
+        m_events.after(run / 2, [this, waiting, now, left = run - run / 2] { makeCalls(waiting, left, now); });
         return;
     }
     const auto outcome = draw() < m_shape.errorShare ? AttemptOutcome::Error : AttemptOutcome::Success;
@@ -244,6 +232,32 @@
     });
 }
 
+/// Makes the calls of a run, all at once. The run goes on for `remaining` after the last answer, or fails with the
+/// first call that does.
+void ModelServer::makeCalls(const Waiting &waiting, base::Duration remaining, base::TimePoint startedAt)
+{
+    struct OpenCalls
+    {
+        int unanswered;
+        bool haveFailed = false;
+    };
+    const TrafficClass &kind = m_shape.classes[waiting.attempt.trafficClass];
+    const auto open = std::make_shared<OpenCalls>(OpenCalls{kind.calls});
+    const auto ended = [this, waiting, remaining, startedAt, open](bool answered) {
+        if (open->haveFailed) {
+            return;
+        }
+        open->haveFailed = !answered;
+        open->unanswered -= 1;
+        if (!answered || open->unanswered == 0) {
+            callDone(waiting, remaining, startedAt, answered);
+        }
+    };
+    for (int number = 0; number < kind.calls; ++number) {
+        m_caller(*kind.call, kind.priority, waiting.attempt.deadline, ended);
+    }
+}
+
 void ModelServer::callDone(const Waiting &waiting, base::Duration remaining, base::TimePoint startedAt, bool answered)
 {
     if (!answered) {
--- a/src/model/modelserver.h
+++ b/src/model/modelserver.h
@@ -89,6 +89,7 @@
     void poll();
     void start(const Waiting &waiting);
     void runOn(const Waiting &waiting);
+    void makeCalls(const Waiting &waiting, base::Duration remaining, base::TimePoint startedAt);
     void callDone(const Waiting &waiting, base::Duration remaining, base::TimePoint startedAt, bool answered);
     void finish(const Waiting &waiting, base::TimePoint startedAt, health::AttemptOutcome outcome);
     void refuse(const Waiting &waiting, base::ResultCode code, base::Duration retryAfter);
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -615,7 +615,7 @@
     if (localServer == nullptr) {
         return ResultCode::HopBackendServerGone;
     }
-    if (const auto closed = localServer->admission.closedCode()) {
+    if (const auto closed = localServer->admission.refusalCode()) {
         return closed;
     }
     if (m_context.draining) {
--- a/src/routing/serveradmission.cpp
+++ b/src/routing/serveradmission.cpp
@@ -39,12 +39,13 @@
             m_queue.coldStart().suspectRestart();
             m_isDown = false;
         }
+        // An entry without a new report is older than the result of a probe.
         const bool isNewReport = m_server.coldUntil != before.coldUntil;
         if (isNewReport && m_server.coldUntil > m_clock.now()) {
             m_queue.coldStart().setColdUntil(m_server.coldUntil);
         }
     }
-    if (const auto code = closedCode()) {
+    if (const auto code = refusalCode()) {
         m_queue.dropQueued(*code);
     }
 }
@@ -54,11 +55,6 @@
     return m_server;
 }
 
-bool ServerAdmission::isRemoved() const
-{
-    return m_removed;
-}
-
 bool ServerAdmission::isUnused() const
 {
     return m_removed && m_queue.isIdle();
@@ -69,7 +65,7 @@
     return m_isDown;
 }
 
-std::optional<base::ResultCode> ServerAdmission::closedCode() const
+std::optional<base::ResultCode> ServerAdmission::refusalCode() const
 {
     if (m_removed || m_server.drain) {
         return base::ResultCode::HopBackendServerGone;
@@ -107,7 +103,7 @@
 {
     m_queue.coldStart().suspectRestart();
     m_isDown = true;
-    if (const auto code = closedCode()) {
+    if (const auto code = refusalCode()) {
         m_queue.dropQueued(*code);
     }
 }
--- a/src/routing/serveradmission_test.cpp
+++ b/src/routing/serveradmission_test.cpp
@@ -73,7 +73,7 @@
         BOOST_CHECK(decision.code == base::ResultCode::HopZoneEvacuated);
     }
     BOOST_TEST(admission.queue().running() == 2U);
-    BOOST_CHECK(admission.closedCode() == base::ResultCode::HopZoneEvacuated);
+    BOOST_CHECK(admission.refusalCode() == base::ResultCode::HopZoneEvacuated);
 }
 
 // Guards against the end of the process when the entry of a queued attempt disconnects after the server was removed.
@@ -92,13 +92,13 @@
     server.drain = true;
     server.evacuated = true;
     configure();
-    BOOST_CHECK(admission.closedCode() == base::ResultCode::HopBackendServerGone);
+    BOOST_CHECK(admission.refusalCode() == base::ResultCode::HopBackendServerGone);
     server.drain = false;
     server.evacuated = false;
     configure();
-    BOOST_CHECK(!admission.closedCode());
+    BOOST_CHECK(!admission.refusalCode());
     admission.configure(nullptr, {}, true);
-    BOOST_CHECK(admission.closedCode() == base::ResultCode::HopBackendServerGone);
+    BOOST_CHECK(admission.refusalCode() == base::ResultCode::HopBackendServerGone);
 }
 
 // Guards against a burst at servers that are cold when the evacuation of their zone ends.
@@ -136,19 +136,19 @@
     BOOST_TEST(startNow() == 2U);
     BOOST_TEST(offer(3).accepted);
     admission.recordConnectionFailure();
-    BOOST_CHECK(admission.closedCode() == base::ResultCode::HopBackendServerRefused);
+    BOOST_CHECK(admission.refusalCode() == base::ResultCode::HopBackendServerRefused);
     BOOST_TEST(admission.queue().queued() == 0U);
     admission.recordProbe(false, {});
-    BOOST_TEST(admission.closedCode().has_value());
+    BOOST_TEST(admission.refusalCode().has_value());
     admission.recordProbe(true, 3s);
-    BOOST_TEST(!admission.closedCode().has_value());
+    BOOST_TEST(!admission.refusalCode().has_value());
 }
 
 BOOST_AUTO_TEST_CASE(server_withoutHealthEndpoint_isNotClosedAfterARefusedConnection)
 {
     admission.configure(&server, coldStart, false);
     admission.recordConnectionFailure();
-    BOOST_TEST(!admission.closedCode().has_value());
+    BOOST_TEST(!admission.refusalCode().has_value());
     BOOST_TEST(!admission.takeProbeDue());
 }
 
