Read and show what backend servers announce in their answers

The headers are read, logged when they change, counted as servers_limited and servers_leaving, and have no effect yet.

--- a/src/include/papayastep/node/backendprotocol.h
+++ b/src/include/papayastep/node/backendprotocol.h
@@ -3,6 +3,7 @@
 #include "papayastep/base/clock.h"
 #include "papayastep/base/identifiers.h"
 #include "papayastep/net/httpmessage.h"
+#include "papayastep/routing/serverannouncement.h"
 
 #include <optional>
 #include <string>
@@ -58,6 +59,12 @@
 
     /// Time for which the server remains cold, according to its answer to a probe; no value if it does not report it.
     virtual std::optional<base::Duration> coldTime(const net::ResponseHead &answer) const = 0;
+
+    /// Whether the answer to a probe of the health endpoint was created by `server`, healthy or not.
+    virtual bool isFrom(const net::ResponseHead &answer, const base::BackendServerId &server) const = 0;
+
+    /// Returns what the server announces in an answer to a request or a probe.
+    virtual routing::ServerAnnouncement announcement(const net::ResponseHead &answer) const = 0;
 };
 
 /// The protocol that papayastep defines itself (docs/CALLERS.md).
@@ -69,6 +76,8 @@
     std::optional<ServerLoad> reportedLoad(const net::ResponseHead &answer) const override;
     bool isHealthy(const net::ResponseHead &answer, const base::BackendServerId &server) const override;
     std::optional<base::Duration> coldTime(const net::ResponseHead &answer) const override;
+    bool isFrom(const net::ResponseHead &answer, const base::BackendServerId &server) const override;
+    routing::ServerAnnouncement announcement(const net::ResponseHead &answer) const override;
 };
 
 }
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -25,6 +25,8 @@
     std::size_t heldBackServers = 0; ///< Number of servers that are held back as gray.
     std::size_t coldServers = 0; ///< Number of servers that are, or may be, cold.
     std::size_t downServers = 0; ///< Number of servers that refused a connection and have not answered since.
+    std::size_t limitedServers = 0; ///< Number of servers that name a limit of requests.
+    std::size_t leavingServers = 0; ///< Number of servers that announce their end.
 
     SlotUse &operator+=(const SlotUse &other)
     {
@@ -34,6 +36,8 @@
         heldBackServers += other.heldBackServers;
         coldServers += other.coldServers;
         downServers += other.downServers;
+        limitedServers += other.limitedServers;
+        leavingServers += other.leavingServers;
         return *this;
     }
 
@@ -74,6 +78,10 @@
     /// `answered` is whether the server answered, healthy or not, and `coldTime` the remaining time for which it
     /// reported to be cold.
     void probeFinished(const base::BackendServerId &server, bool answered, std::optional<base::Duration> coldTime);
+    /// Records what a backend server of this VM announced in an answer to a request or, if `isProbe`, to a probe.
+    void recordAnnouncement(const base::BackendServerId &server,
+                            const routing::ServerAnnouncement &announcement,
+                            bool isProbe);
 
     /// Starts queued attempts whose turn it is and drops those whose time has run out.
     void poll();
--- a/src/include/papayastep/routing/serveradmission.h
+++ b/src/include/papayastep/routing/serveradmission.h
@@ -3,6 +3,7 @@
 #include "papayastep/health/serverhold.h"
 #include "papayastep/limits/slotqueue.h"
 #include "papayastep/routing/retrybudget.h"
+#include "papayastep/routing/serverannouncement.h"
 
 #include <map>
 #include <optional>
@@ -53,6 +54,10 @@
     void recordPause();
     /// Records the result of a probe: the time for which the server is cold, if it reported one.
     void recordProbe(bool answered, std::optional<base::Duration> coldTime);
+    /// Records what the server announced in an answer to a request or, if `isProbe`, to a probe.
+    void recordAnnouncement(const ServerAnnouncement &announcement, bool isProbe);
+    /// What the server announces, from all answers since its start.
+    const ServerAnnouncement &announcement() const;
     /// Whether a probe is due that shows whether the server is up or cold. The probe counts as sent.
     bool takeProbeDue();
     /// Time of the next such probe; empty if none is needed.
@@ -71,6 +76,7 @@
     bool m_canBeProbed = false;
     bool m_isDown = false; ///< The server refused a connection and has not answered since.
     bool m_removed = false; ///< The configuration does not contain the server.
+    ServerAnnouncement m_announcement;
     limits::SlotQueue m_queue;
     health::ServerHold m_hold;
     RetryBudget m_retryBudget;
--- a/src/node/backendprotocol.cpp
+++ b/src/node/backendprotocol.cpp
@@ -40,4 +40,15 @@
     return std::nullopt;
 }
 
+bool NativeBackendProtocol::isFrom(const net::ResponseHead &, const base::BackendServerId &) const
+{
+    return true;
+}
+
+routing::ServerAnnouncement NativeBackendProtocol::announcement(const net::ResponseHead &answer) const
+{
+    return routing::readAnnouncement(net::view(answer["Papayastep-Server-Limit"]),
+                                     net::view(answer["Papayastep-Server-Leaving"]));
+}
+
 }
--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -133,7 +133,14 @@
 void Node::collectSlotMetrics()
 {
     NodeMetrics &metrics = m_context.metrics;
-    for (const char *name : {"slots", "slots_in_use", "slots_queued", "servers_held", "servers_cold", "servers_down"}) {
+    for (const char *name : {"slots",
+                             "slots_in_use",
+                             "slots_queued",
+                             "servers_held",
+                             "servers_cold",
+                             "servers_down",
+                             "servers_limited",
+                             "servers_leaving"}) {
         metrics.clearGauge(name);
     }
     std::map<std::string, SlotUse> byLabel;
@@ -148,6 +155,8 @@
         metrics.setGauge("servers_held", real(use.heldBackServers), labels);
         metrics.setGauge("servers_cold", real(use.coldServers), labels);
         metrics.setGauge("servers_down", real(use.downServers), labels);
+        metrics.setGauge("servers_limited", real(use.limitedServers), labels);
+        metrics.setGauge("servers_leaving", real(use.leavingServers), labels);
     }
     metrics.setGauge("requests_open", real(m_entryHandler.openRequests()));
     metrics.setGauge("attempts_serving", real(m_servingNode.inFlight()));
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -82,6 +82,9 @@
     // A server that reports to be unhealthy is up, too.
     m_serving.probeFinished(
         server.id, whole, whole ? m_context.backends().coldTime(exchange->head()) : std::optional<base::Duration>());
+    if (whole && m_context.backends().isFrom(exchange->head(), server.id)) {
+        m_serving.recordAnnouncement(server.id, m_context.backends().announcement(exchange->head()), true);
+    }
     m_context.schedulePump();
     VLOG(1) << "health: Probed a backend server." << base::field("server", server.id) << base::field("good", good);
 }
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -405,6 +405,33 @@
     m_context.schedulePump();
 }
 
+void ServingNode::recordAnnouncement(const base::BackendServerId &server,
+                                     const routing::ServerAnnouncement &announcement,
+                                     bool isProbe)
+{
+    LocalServer *localServer = findLocalServer(server);
+    if (localServer == nullptr) {
+        return;
+    }
+    const routing::ServerAnnouncement before = localServer->admission.announcement();
+    localServer->admission.recordAnnouncement(announcement, isProbe);
+    const routing::ServerAnnouncement &after = localServer->admission.announcement();
+    if (after.requestsPerSecond && after.requestsPerSecond != before.requestsPerSecond) {
+        PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server named a limit." << base::field("server", server)
+                                        << base::field("requestsPerSecond", *after.requestsPerSecond);
+    } else if (!after.requestsPerSecond && before.requestsPerSecond) {
+        PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server no longer names a limit." << base::field("server", server);
+    }
+    if (!after.isLimitReadable && before.isLimitReadable) {
+        PAPAYASTEP_LOG(WARNING, logPrefix)
+            << "A backend server named a limit that cannot be read." << base::field("server", server)
+            << base::field("code", number(ResultCode::HopLimitInvalid));
+    }
+    if (after.isLeaving && !before.isLeaving) {
+        PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server announced its end." << base::field("server", server);
+    }
+}
+
 void ServingNode::poll()
 {
     for (auto &[id, localServer] : m_localServers) {
@@ -544,6 +571,8 @@
         use.heldBackServers = admission.hold().isHeldBack() ? 1 : 0;
         use.coldServers = admission.queue().coldStart().isCold() ? 1 : 0;
         use.downServers = admission.isDown() ? 1 : 0;
+        use.limitedServers = admission.announcement().requestsPerSecond ? 1 : 0;
+        use.leavingServers = admission.announcement().isLeaving ? 1 : 0;
         result[admission.server().service] += use;
     }
     return result;
@@ -750,8 +779,12 @@
     call.remaining = activeAttempt->deadline - activeAttempt->started;
     m_context.backends().prepare(request.head, call);
     activeAttempt->exchange->onHead(
-        [this, &answerKind = activeAttempt->answerKind, sent = request.head](const net::ResponseHead &head) {
+        [this, &answerKind = activeAttempt->answerKind, server = call.server, sent = request.head](
+            const net::ResponseHead &head) {
             answerKind = m_context.backends().classify(head, sent);
+            if (answerKind == AnswerKind::Answered || answerKind == AnswerKind::NotRun) {
+                recordAnnouncement(server, m_context.backends().announcement(head), false);
+            }
             return answerKind != AnswerKind::OtherRequest;
         });
 
--- a/src/routing/serveradmission.cpp
+++ b/src/routing/serveradmission.cpp
@@ -126,6 +126,22 @@
     }
 }
 
+void ServerAdmission::recordAnnouncement(const ServerAnnouncement &announcement, bool isProbe)
+{
+    m_announcement.isLeaving |= announcement.isLeaving;
+    m_announcement.isLimitReadable = announcement.isLimitReadable;
+    // Probes may be answered by another part of the server, so only an answer to a request shows that a limit ended.
+    const bool endsLimit = !isProbe && announcement.isLimitReadable;
+    if (announcement.requestsPerSecond || endsLimit) {
+        m_announcement.requestsPerSecond = announcement.requestsPerSecond;
+    }
+}
+
+const ServerAnnouncement &ServerAdmission::announcement() const
+{
+    return m_announcement;
+}
+
 bool ServerAdmission::takeProbeDue()
 {
     const auto due = nextProbe();
