--- a/testsuite/operators-platform/store.py
+++ b/scripts/lab/platformstandins.py
@@ -2,6 +2,7 @@
 import base64
 import json
 import threading
+import time
 import urllib.parse
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
@@ -95,10 +96,20 @@
     def __init__(self, server_id, address, port):
         self.id = server_id
         self.requests = []
+        self.arrivals = []  # Times of these requests.
         self.sheds = False
+        self.limit = None  # Text of the header Server-Limit.
+        self.leaving = False
         backend = self
 
         class Handler(_Handler):
+            def end_headers(self):
+                if backend.limit is not None:
+                    self.send_header("Server-Limit", backend.limit)
+                if backend.leaving:
+                    self.send_header("Server-Leaving", "1")
+                super().end_headers()
+
             def answer(self):
                 length = int(self.headers.get("Content-Length", 0))
                 body = self.rfile.read(length)
@@ -112,6 +123,7 @@
                 if backend.sheds:
                     self.send(503, Not_Executed="1", Request_Id=request_id)
                     return
+                backend.arrivals.append(time.monotonic())
                 backend.requests.append((self.command, self.path, dict(self.headers), body))
                 self.send(200, backend.id.encode(), Request_Id=request_id, Response_Stamp="proof")
 
--- a/src/model/fleetmodel.cpp
+++ b/src/model/fleetmodel.cpp
@@ -1,3 +1,4 @@
+#include "announcementcheck.h"
 #include "fleetmodel.h"
 #include "modelserver.h"
 
@@ -103,6 +104,7 @@
     /// Requests and repeats of each service up to the ends of the counting steps.
     std::vector<std::vector<std::pair<std::uint64_t, std::uint64_t>>> m_counts;
     std::vector<std::uint64_t> m_requestsOf;
+    AnnouncementCheck m_announcements;
     FleetResult m_result;
 };
 
@@ -138,6 +140,9 @@
                        int priority,
                        base::TimePoint deadline,
                        const std::function<void(bool)> &done) { call(vm, trafficClass, priority, deadline, done); });
+        m_vms[vm].server->onArrival([this, vm](const ModelAttempt &attempt) {
+            m_announcements.recordArrival(vm, attempt.entry, attempt.sentAt, m_clock.now());
+        });
     }
     m_result.classes.resize(m_shape.classes.size());
 }
@@ -161,6 +166,8 @@
     countRepeats();
     m_events.runUntil(m_end + std::chrono::seconds(10));
     m_result.busiestToMean = busiestToMean();
+    m_result.namedLimitUsed = m_announcements.limitUsed();
+    m_result.requestsAfterAnnouncedEnd = m_announcements.requestsAfterEnd();
     collectServerCounts();
     return m_result;
 }
@@ -311,6 +318,9 @@
 void FleetModel::Play::attemptEnded(const RequestPtr &request, std::size_t vm, const ModelEnd &end)
 {
     m_vms[request->entry].gray.update(m_vms[vm].serverId, end.grayProbability);
+    if (end.announcement) {
+        m_announcements.recordAnswer(vm, request->entry, *end.announcement, m_clock.now());
+    }
     const routing::RetryDecision decision = m_policy.decide(request->progress, end.result);
     if (decision.action == RetryAction::RetryElsewhere) {
         place(request);
@@ -351,6 +361,8 @@
     attempt.isCall = request.isCall;
     attempt.priority = request.priority;
     attempt.isRepeat = request.progress.serverAttempts > 0;
+    attempt.entry = request.entry;
+    attempt.sentAt = request.arrivedAt;
     return attempt;
 }
 
--- a/src/model/fleetmodel.h
+++ b/src/model/fleetmodel.h
@@ -83,6 +83,25 @@
     base::Duration maxDelay{0}; ///< Longest time until a node has received the change.
 };
 
+/// A part of the backend servers of a service names a limit in each answer.
+struct NamedLimits
+{
+    std::size_t service = 0;
+    double serverShare = 0; ///< Fraction of the servers that name one.
+    double requestsPerSecond = 0;
+    base::Duration begin{0};
+    base::Duration end{0};
+};
+
+/// A part of the backend servers of a service announces its end in each answer, and goes on serving. The directory does
+/// not report it.
+struct AnnouncedEnds
+{
+    std::size_t service = 0;
+    double serverShare = 0; ///< Fraction of the servers that end.
+    base::Duration begin{0};
+};
+
 /// The fleet, its traffic and its faults.
 struct FleetShape
 {
@@ -94,6 +113,10 @@
     std::optional<Burst> burst;
     std::optional<ColdReturn> coldReturn;
     std::optional<Evacuation> evacuation;
+    std::optional<NamedLimits> namedLimits;
+    std::optional<AnnouncedEnds> announcedEnds;
+    /// Time at which the processes of the nodes beside servers that name a limit or announce their end are restarted.
+    std::optional<base::Duration> nodeRestart;
     double errorShare = 0; ///< Fraction of the runs of a healthy server that end with an error.
     routing::FleetRetryLimit retryLimit;
     base::Duration zoneDelay = std::chrono::microseconds(200); ///< One way, within a zone.
@@ -128,6 +151,11 @@
     std::uint64_t mostColdStarts = 0; ///< Most attempts that a cold server received in any second.
     /// Time from the beginning of an evacuation to the last start of an attempt in the zone before its end; 0: none.
     base::Duration lastStartInEvacuation{0};
+    /// Largest number of requests that a server that names a limit received in four seconds from nodes that had passed
+    /// such an answer on, as a fraction of what it allows (AnnouncementCheck).
+    double namedLimitUsed = 0;
+    /// Requests that reached a server from a node that had passed its announced end on two seconds before.
+    std::uint64_t requestsAfterAnnouncedEnd = 0;
     double busiestToMean = 0; ///< Runs of the busiest server over the mean, the larger value of all services.
 };
 
--- a/src/model/modelserver.cpp
+++ b/src/model/modelserver.cpp
@@ -53,15 +53,12 @@
     , m_events(events)
     , m_random(seed)
     , m_server(serverOf(shape, service))
-    , m_admission(clock, m_server)
+    , m_admission(std::in_place, clock, m_server)
     , m_begin(clock.now())
     , m_lastStart(clock.now())
     , m_zone(zone)
 {
-    m_admission.configure(&m_server, shape.services[service].coldStart, true);
-    m_admission.recordProbe(true, base::Duration::zero());
-    m_admission.retryBudget().setSettings(
-        routing::serverRetryBudget(shape.retryLimit, static_cast<std::size_t>(shape.services[service].servers)));
+    configureNode();
     m_hasSpells = draw() < shape.spells.serverShare;
     if (m_hasSpells) {
         // Servers start at any point of a cycle of one spell and one gap.
@@ -69,14 +66,32 @@
         m_spellBegin = m_begin - shape.spells.length + scaled(cycle, draw());
         m_spellEnd = m_spellBegin + shape.spells.length;
     }
+    m_namesLimit
+        = shape.namedLimits && shape.namedLimits->service == service && draw() < shape.namedLimits->serverShare;
+    m_announcesEnd
+        = shape.announcedEnds && shape.announcedEnds->service == service && draw() < shape.announcedEnds->serverShare;
     scheduleFaults();
 }
 
+void ModelServer::configureNode()
+{
+    const ServiceShape &service = m_shape.services[m_service];
+    m_admission->configure(&m_server, service.coldStart, true);
+    m_admission->recordProbe(true, base::Duration::zero());
+    m_admission->retryBudget().setSettings(
+        routing::serverRetryBudget(m_shape.retryLimit, static_cast<std::size_t>(service.servers)));
+}
+
 void ModelServer::setCaller(Caller caller)
 {
     m_caller = std::move(caller);
 }
 
+void ModelServer::onArrival(Arrived arrived)
+{
+    m_arrived = std::move(arrived);
+}
+
 const ModelCounts &ModelServer::counts() const
 {
     return m_counts;
@@ -87,21 +102,21 @@
     const bool idempotent = m_shape.classes[attempt.trafficClass].idempotent;
     const auto now = m_clock.now();
     routing::SlotQuote quote;
-    quote.failureRisk = m_admission.hold().grayProbability(now);
+    quote.failureRisk = m_admission->hold().grayProbability(now);
     quote.run = usualRun(attempt.trafficClass);
     quote.idle = now - m_lastStart;
-    if (attempt.isRepeat && !m_admission.retryBudget().canSpend(serviceId(m_service), workspace)) {
+    if (attempt.isRepeat && !m_admission->retryBudget().canSpend(serviceId(m_service), workspace)) {
         quote.code = ResultCode::RetryBudgetSpent;
         return quote;
     }
-    if (const auto closed = m_admission.refusalCode()) {
+    if (const auto closed = m_admission->refusalCode()) {
         quote.code = *closed;
         return quote;
     }
-    const limits::OfferResult result = m_admission.queue().quote(offerOf(attempt));
+    const limits::OfferResult result = m_admission->queue().quote(offerOf(attempt));
     quote.code = result.code;
     quote.wait = result.retryAfter;
-    quote.held = !m_admission.hold().admits(idempotent, now);
+    quote.held = !m_admission->hold().admits(idempotent, now);
     return quote;
 }
 
@@ -109,19 +124,19 @@
 {
     const Waiting waiting{attempt, std::move(done)};
     const bool idempotent = m_shape.classes[attempt.trafficClass].idempotent;
-    if (const auto closed = m_admission.refusalCode()) {
+    if (const auto closed = m_admission->refusalCode()) {
         refuse(waiting, *closed, {});
         return;
     }
-    if (!attempt.lastResort && !m_admission.hold().admits(idempotent, m_clock.now())) {
+    if (!attempt.lastResort && !m_admission->hold().admits(idempotent, m_clock.now())) {
         refuse(waiting, ResultCode::HopBackendServerEjected, {});
         return;
     }
-    if (attempt.isRepeat && !m_admission.retryBudget().spend(serviceId(m_service), workspace)) {
+    if (attempt.isRepeat && !m_admission->retryBudget().spend(serviceId(m_service), workspace)) {
         refuse(waiting, ResultCode::RetryBudgetSpent, {});
         return;
     }
-    const limits::OfferResult result = m_admission.queue().offer(offerOf(attempt));
+    const limits::OfferResult result = m_admission->queue().offer(offerOf(attempt));
     if (!result.accepted) {
         refuse(waiting, result.code, result.retryAfter);
         return;
@@ -150,13 +165,13 @@
 
 base::Duration ModelServer::usualRun(std::size_t trafficClass) const
 {
-    return m_admission.queue().runTimes().runs() > 0 ? m_admission.queue().runTimes().mean(routeOf(trafficClass))
-                                                     : m_shape.classes[trafficClass].meanRun;
+    return m_admission->queue().runTimes().runs() > 0 ? m_admission->queue().runTimes().mean(routeOf(trafficClass))
+                                                      : m_shape.classes[trafficClass].meanRun;
 }
 
 void ModelServer::poll()
 {
-    for (const limits::QueueDecision &decision : m_admission.queue().poll()) {
+    for (const limits::QueueDecision &decision : m_admission->queue().poll()) {
         const auto found = m_waiting.find(decision.attempt);
         const Waiting waiting = std::move(found->second);
         m_waiting.erase(found);
@@ -166,9 +181,9 @@
             refuse(waiting, decision.code, decision.retryAfter);
         }
     }
-    if (const auto next = m_admission.queue().nextTick()) {
+    if (const auto next = m_admission->queue().nextTick()) {
         m_events.at(*next, [this, due = *next] {
-            if (m_admission.queue().nextTick() && *m_admission.queue().nextTick() <= due) {
+            if (m_admission->queue().nextTick() && *m_admission->queue().nextTick() <= due) {
                 poll();
             }
         });
@@ -179,16 +194,19 @@
 {
     const auto now = m_clock.now();
     const health::AttemptKey key{waiting.attempt.id.request, static_cast<std::uint32_t>(waiting.attempt.id.attempt)};
-    m_admission.hold().started(key, now);
+    m_admission->hold().started(key, now);
     m_lastStart = now;
     ++m_counts.runs;
+    if (m_arrived) {
+        m_arrived(waiting.attempt);
+    }
     recordArrival();
     if (isDown()) {
         m_events.after({}, [this, waiting, key] {
-            m_admission.queue().finished(waiting.attempt.id, false);
-            m_admission.recordConnectionFailure();
+            m_admission->queue().finished(waiting.attempt.id, false);
+            m_admission->recordConnectionFailure();
             waiting.done({{AttemptEvent::ConnectionRefused, ResultCode::HopBackendServerRefused, {}},
-                          m_admission.hold().grayProbability(m_clock.now())});
+                          m_admission->hold().grayProbability(m_clock.now())});
             probe();
             poll();
         });
@@ -197,13 +215,15 @@
     if (waiting.attempt.isRepeat) {
         ++m_counts.repeats;
     } else {
-        m_admission.retryBudget().countRequest(serviceId(m_service), workspace);
+        m_admission->retryBudget().countRequest(serviceId(m_service), workspace);
     }
     if (isShedding()) {
-        m_admission.queue().finished(waiting.attempt.id, false);
-        m_admission.hold().ended(key, AttemptOutcome::Shed, 0, now);
+        m_admission->queue().finished(waiting.attempt.id, false);
+        m_admission->hold().ended(key, AttemptOutcome::Shed, 0, now);
+        m_admission->recordAnnouncement(announcement(), false);
         waiting.done({{AttemptEvent::RefusedNotRun, ResultCode::HopBackendServerShed, {}},
-                      m_admission.hold().grayProbability(now)});
+                      m_admission->hold().grayProbability(now),
+                      announcement()});
         m_events.after({}, [this] { poll(); });
         return;
     }
@@ -281,15 +301,21 @@
     const health::AttemptKey key{waiting.attempt.id.request, static_cast<std::uint32_t>(waiting.attempt.id.attempt)};
     const std::chrono::duration<double> run = now - startedAt;
     const double relativeTime = run / usualRun(waiting.attempt.trafficClass);
-    m_admission.queue().finished(waiting.attempt.id,
-                                 outcome == AttemptOutcome::Success || outcome == AttemptOutcome::Timeout);
-    m_admission.hold().ended(key, outcome, relativeTime, now);
-    m_admission.recordEnd(outcome, answered);
+    m_admission->queue().finished(waiting.attempt.id,
+                                  outcome == AttemptOutcome::Success || outcome == AttemptOutcome::Timeout);
+    m_admission->hold().ended(key, outcome, relativeTime, now);
+    m_admission->recordEnd(outcome, answered);
+    const bool hasHead = answered && outcome != AttemptOutcome::Timeout;
+    if (hasHead) {
+        m_admission->recordAnnouncement(announcement(), false);
+    }
     const AttemptEvent event = outcome == AttemptOutcome::Success ? AttemptEvent::Complete
         : outcome == AttemptOutcome::Partial                      ? AttemptEvent::Partial
         : outcome == AttemptOutcome::Timeout                      ? AttemptEvent::DeadlinePassed
                                                                   : AttemptEvent::ServerError;
-    waiting.done({{event, ResultCode::Ok, {}}, m_admission.hold().grayProbability(now)});
+    waiting.done({{event, ResultCode::Ok, {}},
+                  m_admission->hold().grayProbability(now),
+                  hasHead ? std::optional(announcement()) : std::nullopt});
     poll();
 }
 
@@ -297,9 +323,9 @@
 {
     if (waiting.attempt.isRepeat && code != ResultCode::RetryBudgetSpent
         && code != ResultCode::HopBackendServerEjected) {
-        m_admission.retryBudget().giveBack(serviceId(m_service), workspace);
+        m_admission->retryBudget().giveBack(serviceId(m_service), workspace);
     }
-    waiting.done({{AttemptEvent::RefusedNotRun, code, retryAfter}, m_admission.hold().grayProbability(m_clock.now())});
+    waiting.done({{AttemptEvent::RefusedNotRun, code, retryAfter}, m_admission->hold().grayProbability(m_clock.now())});
 }
 
 void ModelServer::scheduleFaults()
@@ -307,6 +333,9 @@
     if (const auto &fault = m_shape.coldReturn; fault && fault->zone == m_zone) {
         m_events.at(m_begin + fault->begin, [this, length = fault->end - fault->begin] { goDown(length); });
     }
+    if (m_shape.nodeRestart && (m_namesLimit || m_announcesEnd)) {
+        m_events.at(m_begin + *m_shape.nodeRestart, [this] { restartNode(); });
+    }
     if (const auto &evacuation = m_shape.evacuation; evacuation && evacuation->zone == m_zone) {
         const auto delay = [&] { return scaled(evacuation->maxDelay, draw()); };
         m_events.at(m_begin + evacuation->begin + delay(), [this] { setEvacuated(true); });
@@ -316,10 +345,31 @@
     }
 }
 
+/// Replaces the decisions of the node, which remember nothing. Running attempts are not interrupted.
+void ModelServer::restartNode()
+{
+    m_admission.emplace(m_clock, m_server);
+    configureNode();
+    for (const auto &[id, waiting] : std::exchange(m_waiting, {})) {
+        refuse(waiting, ResultCode::HopCancelled, {});
+    }
+}
+
+routing::ServerAnnouncement ModelServer::announcement() const
+{
+    const base::Duration passed = m_clock.now() - m_begin;
+    routing::ServerAnnouncement result;
+    if (const auto &limits = m_shape.namedLimits; m_namesLimit && passed >= limits->begin && passed < limits->end) {
+        result.requestsPerSecond = limits->requestsPerSecond;
+    }
+    result.isLeaving = m_announcesEnd && passed >= m_shape.announcedEnds->begin;
+    return result;
+}
+
 void ModelServer::setEvacuated(bool evacuated)
 {
     m_server.evacuated = evacuated;
-    m_admission.configure(&m_server, m_shape.services[m_service].coldStart, true);
+    m_admission->configure(&m_server, m_shape.services[m_service].coldStart, true);
     probe();
     poll();
 }
@@ -378,15 +428,15 @@
 
 void ModelServer::probe()
 {
-    if (!m_admission.takeProbeDue()) {
-        if (const auto next = m_admission.nextProbe()) {
+    if (!m_admission->takeProbeDue()) {
+        if (const auto next = m_admission->nextProbe()) {
             m_events.at(*next, [this] { probe(); });
         }
         return;
     }
     m_events.after(probeTime, [this] {
         const base::Duration cold = std::max(base::Duration::zero(), m_coldUntil - m_clock.now());
-        m_admission.recordProbe(!isDown(), isDown() ? std::nullopt : std::optional(cold));
+        m_admission->recordProbe(!isDown(), isDown() ? std::nullopt : std::optional(cold));
         probe();
         poll();
     });
--- a/src/model/modelserver.h
+++ b/src/model/modelserver.h
@@ -23,6 +23,8 @@
     std::optional<int> priority; ///< Of a call: the priority of its run.
     bool isRepeat = false;
     bool lastResort = false;
+    std::size_t entry = 0; ///< Number of the node at which the request entered.
+    base::TimePoint sentAt; ///< Time at which the caller sent the request.
 };
 
 /// The end of an attempt.
@@ -30,6 +32,7 @@
 {
     routing::AttemptResult result;
     double grayProbability = 0;
+    std::optional<routing::ServerAnnouncement> announcement{}; ///< Empty if the server did not answer.
 };
 
 /// What a ModelServer counts.
@@ -49,6 +52,7 @@
 {
 public:
     using Done = std::function<void(const ModelEnd &)>;
+    using Arrived = std::function<void(const ModelAttempt &)>;
     /// Makes the nested call of a run and reports whether it was answered.
     using Caller = std::function<void(
         std::size_t trafficClass, int priority, base::TimePoint deadline, std::function<void(bool)>)>;
@@ -64,6 +68,8 @@
     routing::SlotQuote quote(const ModelAttempt &attempt);
     void serve(const ModelAttempt &attempt, Done done);
     void setCaller(Caller caller);
+    /// Calls `arrived` for each attempt that reaches the server.
+    void onArrival(Arrived arrived);
 
     const ModelCounts &counts() const;
 
@@ -77,8 +83,11 @@
     limits::QueueOffer offerOf(const ModelAttempt &attempt) const;
     base::RouteId routeOf(std::size_t trafficClass) const;
     base::Duration usualRun(std::size_t trafficClass) const;
+    void configureNode();
     void scheduleFaults();
     void setEvacuated(bool evacuated);
+    void restartNode();
+    routing::ServerAnnouncement announcement() const;
     void goDown(base::Duration length);
     void comeBack();
     bool isDown() const;
@@ -103,12 +112,15 @@
     EventQueue &m_events;
     std::mt19937_64 m_random;
     config::BackendServer m_server;
-    routing::ServerAdmission m_admission;
+    std::optional<routing::ServerAdmission> m_admission; ///< Replaced when the node is restarted.
     std::map<limits::AttemptId, Waiting> m_waiting;
     Caller m_caller;
+    Arrived m_arrived;
     const base::TimePoint m_begin;
     base::TimePoint m_lastStart;
     bool m_hasSpells = false;
+    bool m_namesLimit = false;
+    bool m_announcesEnd = false;
     base::TimePoint m_spellBegin = base::TimePoint::max();
     base::TimePoint m_spellEnd;
     const int m_zone;
