--- a/src/ctl/statuscommand.cpp
+++ b/src/ctl/statuscommand.cpp
@@ -58,6 +58,25 @@
     return zones.empty() ? "-" : zones;
 }
 
+/// Returns the backend servers beside the node that name a limit or announce their end.
+std::string announcements(const json &status)
+{
+    std::string text;
+    for (const json &server : status.value("localServers", json::array())) {
+        std::string announced;
+        if (server.contains("limitPerSecond")) {
+            announced += " at most " + oneDecimal(server["limitPerSecond"].get<double>()) + "/s";
+        }
+        if (server.value("leaving", false)) {
+            announced += " leaving";
+        }
+        if (!announced.empty()) {
+            text += (text.empty() ? "" : ", ") + server.value("id", "") + announced;
+        }
+    }
+    return text.empty() ? "-" : text;
+}
+
 std::string usableServers(const json &status)
 {
     const json servers = status.value("servers", json::array());
@@ -171,7 +190,8 @@
                      "SERVING",
                      "QUEUED",
                      "USABLE SERVERS",
-                     "EVACUATED ZONES"});
+                     "EVACUATED ZONES",
+                     "ANNOUNCED"});
         for (const auto &[node, status, problem] : answers) {
             if (!problem.empty()) {
                 table.addRow({node, "no answer: " + problem});
@@ -187,7 +207,8 @@
                           textOf(status, "serving"),
                           textOf(status, "queued"),
                           usableServers(status),
-                          evacuatedZones(status)});
+                          evacuatedZones(status),
+                          announcements(status)});
         }
         table.print(out);
     }
--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -5,6 +5,7 @@
 #include "papayastep/base/resultcode.h"
 #include "papayastep/limits/coldstartlimiter.h"
 #include "papayastep/limits/runtimes.h"
+#include "papayastep/limits/startratelimiter.h"
 
 #include <cstddef>
 #include <deque>
@@ -103,10 +104,10 @@
 /// the service that it calls. While attempts of
 /// several tiers wait, each tier gets a fixed fraction of the slots of the next more urgent one. Within a tier, slots
 /// go to workspaces in turn (deficit round robin with a quantum of one request), so a workspace that overloads the
-/// queue delays only itself. While the server is cold, fewer attempts start than there are slots. When the queue is
-/// full, the newest attempt in the longest workspace queue of the least urgent tier is evicted. An attempt that can't
-/// be answered in time is refused or dropped at once, so that it can be reported as not run while its caller is still
-/// waiting.
+/// queue delays only itself. While the server is cold or names a limit, fewer attempts start than there are slots. When
+/// the queue is full, the newest attempt in the longest workspace queue of the least urgent tier is evicted. An attempt
+/// that can't be answered in time is refused or dropped at once, so that it can be reported as not run while its caller
+/// is still waiting.
 class SlotQueue
 {
 public:
@@ -131,6 +132,10 @@
     /// Drops all queued attempts with `code`, because the server gets no new work; poll() returns the decisions.
     void dropQueued(base::ResultCode code);
 
+    /// Limits the starts per second; empty removes the limit. Queued attempts that can no longer start in time are
+    /// dropped at once with HopBackendServerLimited; poll() returns the decisions.
+    void limitStarts(std::optional<double> startsPerSecond);
+
     /// Sets the number of slots. If it is lower than the number of running attempts, none starts until enough have
     /// finished.
     void setSlots(int slots);
@@ -151,6 +156,12 @@
     ColdStartLimiter &coldStart();
     const ColdStartLimiter &coldStart() const;
 
+    /// The limit of the starts that the server names.
+    StartRateLimiter &startRate();
+    const StartRateLimiter &startRate() const;
+    /// Number of attempts that have started.
+    std::uint64_t starts() const;
+
     /// Recent run times.
     const RunTimes &runTimes() const;
     /// Time at which the last run finished; nullopt while an attempt is running.
@@ -191,6 +202,10 @@
     static std::list<WorkspaceQueue>::iterator queueOf(Tier &tier, const base::WorkspaceId &workspace);
     std::size_t queueLength(const base::WorkspaceId &workspace, int tier) const;
     double weight(int tier) const;
+    std::size_t startsAhead(const base::WorkspaceId &workspace, int tier) const;
+    base::Duration startDelay(std::size_t ahead) const;
+    /// Returns the code with which an attempt that can't start in time is refused.
+    base::ResultCode lateCode(const base::WorkspaceId &workspace, int tier) const;
     OfferResult refusal(base::ResultCode code, const base::WorkspaceId &workspace, int tier) const;
     base::TimePoint latestStart(const QueueOffer &offer) const;
     bool canAnswerInTime(const QueueOffer &offer) const;
@@ -201,6 +216,7 @@
     Tiers::iterator selectTier();
     bool removeQueued(const AttemptId &attempt);
     base::Duration waitBehind(std::size_t ahead) const;
+    std::vector<AttemptId> queuedInOrder() const;
 
     const base::Clock &m_clock;
     SlotQueueSettings m_settings;
@@ -213,6 +229,8 @@
     std::vector<QueueDecision> m_evicted; ///< Attempts evicted by an offer, to be returned by the next poll().
     RunTimes m_runTimes;
     ColdStartLimiter m_coldStart;
+    StartRateLimiter m_startRate;
+    std::uint64_t m_starts = 0;
     std::optional<base::TimePoint> m_lastFinishedAt;
 };
 
--- a/src/include/papayastep/node/backendprotocol.h
+++ b/src/include/papayastep/node/backendprotocol.h
@@ -29,16 +29,6 @@
     Unproven, ///< Reports success but lacks the proof that a server produced it.
 };
 
-/// The load that a server reports about itself.
-struct ServerLoad
-{
-    int running = 0;
-    int waiting = 0;
-    int slots = 0;
-
-    auto operator<=>(const ServerLoad &) const = default;
-};
-
 /// The protocol for requests to backend servers. Each environment has its own subclass, which translates messages and
 /// makes no decisions.
 class BackendProtocol
@@ -51,19 +41,13 @@
 
     virtual AnswerKind classify(const net::ResponseHead &answer, const net::RequestHead &request) const = 0;
 
-    /// Returns no value if the server does not report its load.
-    virtual std::optional<ServerLoad> reportedLoad(const net::ResponseHead &answer) const = 0;
-
     /// Whether the answer to a probe of the health endpoint of `server` reports that the server is healthy.
     virtual bool isHealthy(const net::ResponseHead &answer, const base::BackendServerId &server) const = 0;
 
-    /// Time for which the server remains cold, according to its answer to a probe; no value if it does not report it.
-    virtual std::optional<base::Duration> coldTime(const net::ResponseHead &answer) const = 0;
-
     /// Whether the answer to a probe of the health endpoint was created by `server`, healthy or not.
     virtual bool isFrom(const net::ResponseHead &answer, const base::BackendServerId &server) const = 0;
 
-    /// Returns what the server announces in an answer to a request or a probe.
+    /// Returns all that the server announces about itself in an answer to a request or a probe.
     virtual routing::ServerAnnouncement announcement(const net::ResponseHead &answer) const = 0;
 };
 
@@ -73,9 +57,7 @@
 public:
     void prepare(net::RequestHead &head, const BackendCall &call) const override;
     AnswerKind classify(const net::ResponseHead &answer, const net::RequestHead &request) const override;
-    std::optional<ServerLoad> reportedLoad(const net::ResponseHead &answer) const override;
     bool isHealthy(const net::ResponseHead &answer, const base::BackendServerId &server) const override;
-    std::optional<base::Duration> coldTime(const net::ResponseHead &answer) const override;
     bool isFrom(const net::ResponseHead &answer, const base::BackendServerId &server) const override;
     routing::ServerAnnouncement announcement(const net::ResponseHead &answer) const override;
 };
--- a/src/include/papayastep/node/node.h
+++ b/src/include/papayastep/node/node.h
@@ -84,6 +84,7 @@
     void collectTrafficMetrics();
     void collectDecisionMetrics();
     void collectSlotMetrics();
+    void collectLocalServerMetrics();
 
     base::LogOutput &m_log;
     SettingsReloader m_settingsReloader;
--- a/src/include/papayastep/node/nodecontext.h
+++ b/src/include/papayastep/node/nodecontext.h
@@ -10,6 +10,7 @@
 #include "papayastep/node/metrics.h"
 #include "papayastep/node/refusallog.h"
 #include "papayastep/node/settings.h"
+#include "papayastep/routing/announcementtable.h"
 #include "papayastep/routing/ledgerclient.h"
 #include "papayastep/routing/ledgerhome.h"
 #include "papayastep/routing/placement.h"
@@ -58,6 +59,7 @@
     health::GrayFailureTable gray;
     routing::SilentNodes silence;
     routing::ServerIdleTimes idle;
+    routing::AnnouncementTable announcements;
     routing::RetryPolicy retryPolicy;
     routing::LedgerHome ledgerHome;
     routing::LedgerClient ledgerClient;
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -13,6 +13,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace papayastep::node {
 
@@ -44,6 +48,17 @@
     auto operator<=>(const SlotUse &) const = default;
 };
 
+/// State of one backend server of this VM, for operators.
+struct LocalServerStatus
+{
+    base::BackendServerId id;
+    base::ServiceId service;
+    routing::AnnouncedState announced;
+    std::uint64_t starts = 0; ///< Attempts that started since this process did.
+
+    auto operator<=>(const LocalServerStatus &) const = default;
+};
+
 /// The serving side of a node: accepts attempts for the backend servers of this VM, queues them fairly, runs them, and
 /// can report for each whether it was started. It reports `not-run` only for an attempt that it will never start.
 class ServingNode
@@ -78,10 +93,13 @@
     /// `answered` is whether the server answered, healthy or not, and `coldTime` the remaining time for which it
     /// reported to be cold.
     void probeFinished(const base::BackendServerId &server, bool answered, std::optional<base::Duration> coldTime);
-    /// Records what a backend server of this VM announced in an answer to a request or, if `isProbe`, to a probe.
+    /// Whether the limit that the server names admits a probe that shows whether it can be used again. The probe counts
+    /// as sent.
+    bool takeEjectionProbe(const base::BackendServerId &server);
+    /// Records what a backend server of this VM announced in the head of an answer.
     void recordAnnouncement(const base::BackendServerId &server,
                             const routing::ServerAnnouncement &announcement,
-                            bool isProbe);
+                            const routing::AnnouncementSource &source);
 
     /// Starts queued attempts whose turn it is and drops those whose time has run out.
     void poll();
@@ -95,6 +113,9 @@
     std::size_t inFlight() const;
     std::size_t queued() const;
     std::map<base::ServiceId, SlotUse> slotUse() const;
+    std::vector<LocalServerStatus> localServers() const;
+    /// Number of header fields by which servers announced something that nothing reads.
+    std::uint64_t unknownAnnouncements() const;
 
     /// Counts of the retries that were requested of the backend servers of this VM.
     routing::RetryBudgetCounters retryCounters() const;
@@ -108,7 +129,11 @@
     using ActiveAttemptPtr = std::shared_ptr<ActiveAttempt>;
 
     LocalServer *findLocalServer(const base::BackendServerId &server);
-    void configure(LocalServer &localServer, const base::BackendServerId &id) const;
+    void configure(LocalServer &localServer, const base::BackendServerId &id);
+    void announcementsChanged(const LocalServer &localServer,
+                              const routing::AnnouncedState &before,
+                              std::string_view source);
+    void adoptLimit(const wire::HopRequest &hop);
     std::optional<base::ResultCode> checkKey(const wire::HopRequest &hop) const;
     std::optional<base::ResultCode> checkServer(const base::BackendServerId &server,
                                                 bool idempotent,
@@ -142,6 +167,8 @@
     routing::AttemptRegistry m_registry;
     std::map<base::BackendServerId, std::unique_ptr<LocalServer>> m_localServers;
     std::map<limits::AttemptId, ActiveAttemptPtr> m_attempts;
+    std::set<std::string> m_unknownFields; ///< Names of unknown announcements that were logged.
+    std::uint64_t m_unknownAnnouncements = 0;
     routing::RetryBudgetCounters m_formerRetries; ///< Counts of servers that were removed from this VM.
 };
 
--- a/src/include/papayastep/routing/serveradmission.h
+++ b/src/include/papayastep/routing/serveradmission.h
@@ -12,8 +12,8 @@
 namespace papayastep::routing {
 
 /// Decides which attempts start at one backend server of this VM, and when: the queue in front of its slots, the limit
-/// while it is cold, the hold while it has a gray failure, its part of the retry budget, and the refusals while it is
-/// drained or evacuated. It does no I/O.
+/// while it is cold, the limit that it names itself, the hold while it has a gray failure, its part of the retry
+/// budget, and the refusals while it is drained or evacuated. It does no I/O.
 ///
 /// It is for a service that is overloaded, and for servers that return cold together: an attempt that can't start in
 /// time is refused at once, with the time after which it could.
@@ -54,10 +54,17 @@
     void recordPause();
     /// Records the result of a probe: the time for which the server is cold, if it reported one.
     void recordProbe(bool answered, std::optional<base::Duration> coldTime);
-    /// Records what the server announced in an answer to a request or, if `isProbe`, to a probe.
-    void recordAnnouncement(const ServerAnnouncement &announcement, bool isProbe);
-    /// What the server announces, from all answers since its start.
-    const ServerAnnouncement &announcement() const;
+    /// Records what the server announced in an answer. A limit is in force as long as answers name it: it ends with an
+    /// answer without it to a request that was sent after it was last named. What an earlier start of the server
+    /// announced is ignored.
+    void recordAnnouncement(const ServerAnnouncement &announcement, const AnnouncementSource &source);
+    /// Takes the limit in force that an entry remembers, until the server itself has answered: an earlier process of
+    /// this node may have received it. A limit of another start of the server is ignored.
+    void adoptLimit(double requestsPerSecond, base::Incarnation incarnation);
+    /// What is in force of the server's announcements.
+    const AnnouncedState &announced() const;
+    /// Whether the limit in force admits a probe of a server that is ejected. The probe counts as sent.
+    bool takeEjectionProbe();
     /// Whether a probe is due that shows whether the server is up or cold. The probe counts as sent.
     bool takeProbeDue();
     /// Time of the next such probe; empty if none is needed.
@@ -71,12 +78,17 @@
     const RetryBudget &retryBudget() const;
 
 private:
+    void setLimit(std::optional<double> requestsPerSecond);
+    void forgetAnnouncements();
+
     const base::Clock &m_clock;
     config::BackendServer m_server;
     bool m_canBeProbed = false;
     bool m_isDown = false; ///< The server refused a connection and has not answered since.
     bool m_removed = false; ///< The configuration does not contain the server.
-    ServerAnnouncement m_announcement;
+    AnnouncedState m_announced;
+    base::TimePoint m_limitNamedAt; ///< Time of the last answer that named a limit.
+    bool m_hasAnswered = false; ///< The server has answered a request since its start or the start of this node.
     limits::SlotQueue m_queue;
     health::ServerHold m_hold;
     RetryBudget m_retryBudget;
--- a/src/include/papayastep/wire/hop.h
+++ b/src/include/papayastep/wire/hop.h
@@ -37,6 +37,10 @@
     /// An earlier attempt of the request reached, or may have reached, a backend server, or the request is a nested
     /// call of a run to which this applies.
     bool isRepeat = false;
+    base::Incarnation serverIncarnation = 0; ///< The start of the server that the entry has in its directory.
+    /// The limit in requests per second that this start of the server named last, as the entry received it; negative:
+    /// none. The serving node may have been restarted since.
+    double serverLimit = -1;
 
     base::RequestId requestId() const
     {
@@ -70,7 +74,9 @@
                    remainingTarget,
                    lastResort,
                    isNestedCall,
-                   isRepeat)
+                   isRepeat,
+                   serverIncarnation,
+                   serverLimit)
 };
 
 /// The outcome of an attempt as far as the serving node knows it.
@@ -97,6 +103,8 @@
     std::string report; ///< State of the server and its siblings, encoded by package health.
     std::uint8_t grayPercent = 0; ///< Probability in percent that the server is in an episode of gray failure.
     bool callFailed = false; ///< The server answered with a failure because a call of its own failed.
+    base::Incarnation serverIncarnation = 0; ///< The start of the server to which the announcements below belong.
+    double serverLimit = -1; ///< The limit in requests per second that the server names; negative: none.
 
     base::RequestId requestId() const
     {
@@ -117,7 +125,9 @@
                    serverMicros,
                    report,
                    grayPercent,
-                   callFailed)
+                   callFailed,
+                   serverIncarnation,
+                   serverLimit)
 };
 
 /// Message of kind CancelAttempt from the entry node to the serving node: requests that the attempt is not started, and
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -40,6 +40,7 @@
     , m_slots(std::max(0, slots))
     , m_runTimes(settings.initialRunTime)
     , m_coldStart(clock)
+    , m_startRate(clock)
 {
 }
 
@@ -55,7 +56,7 @@
     }
     // An attempt that would wait past its deadline is refused now, while its caller can still react.
     if (!canAnswerInTime(offer)) {
-        return refusal(base::ResultCode::HopQueueTimeout, offer.workspace, tierOf(offer));
+        return refusal(lateCode(offer.workspace, tierOf(offer)), offer.workspace, tierOf(offer));
     }
     if (!makeRoom(offer.workspace, tierOf(offer))) {
         return refusal(base::ResultCode::HopQueueFull, offer.workspace, tierOf(offer));
@@ -68,7 +69,7 @@
 {
     const base::Duration wait = expectedWait(offer.workspace, tierOf(offer));
     if (!canAnswerInTime(offer)) {
-        return OfferResult{false, base::ResultCode::HopQueueTimeout, std::max(shortestRetryAfter, wait)};
+        return OfferResult{false, lateCode(offer.workspace, tierOf(offer)), std::max(shortestRetryAfter, wait)};
     }
     const bool full = m_queued.size() >= m_settings.maxQueued
         || queueLength(offer.workspace, tierOf(offer)) >= m_settings.maxQueuedPerWorkspace;
@@ -121,6 +122,26 @@
     }
 }
 
+void SlotQueue::limitStarts(std::optional<double> startsPerSecond)
+{
+    m_startRate.setRate(startsPerSecond);
+    std::size_t ahead = 0;
+    for (const AttemptId &attempt : queuedInOrder()) {
+        const QueuedPosition place = m_queued.at(attempt);
+        const auto lane = queueOf(m_tiers.at(place.tier), place.workspace);
+        const auto queued = std::find_if(lane->attempts.begin(), lane->attempts.end(), [&](const Queued &candidate) {
+            return candidate.attempt == attempt;
+        });
+        const base::Duration delay = m_startRate.wait(ahead);
+        if (m_clock.now() + delay < queued->latestStart) {
+            ++ahead;
+            continue;
+        }
+        removeQueued(attempt);
+        m_evicted.push_back(QueueDecision{attempt, false, base::ResultCode::HopBackendServerLimited, delay});
+    }
+}
+
 void SlotQueue::setSlots(int slots)
 {
     m_slots = std::max(0, slots);
@@ -136,7 +157,7 @@
     }
     const base::TimePoint drop = m_deadlines.begin()->first;
     const bool isFree = m_running.size() < static_cast<std::size_t>(m_slots);
-    return isFree ? std::min(drop, m_clock.now() + m_coldStart.wait(0)) : drop;
+    return isFree ? std::min(drop, m_clock.now() + startDelay(0)) : drop;
 }
 
 int SlotQueue::slots() const
@@ -169,6 +190,21 @@
     return m_coldStart;
 }
 
+StartRateLimiter &SlotQueue::startRate()
+{
+    return m_startRate;
+}
+
+const StartRateLimiter &SlotQueue::startRate() const
+{
+    return m_startRate;
+}
+
+std::uint64_t SlotQueue::starts() const
+{
+    return m_starts;
+}
+
 const RunTimes &SlotQueue::runTimes() const
 {
     return m_runTimes;
@@ -180,6 +216,12 @@
 }
 
 base::Duration SlotQueue::expectedWait(const base::WorkspaceId &workspace, int tier) const
+{
+    return waitBehind(startsAhead(workspace, tier));
+}
+
+/// Returns the number of queued attempts that are expected to start before an attempt offered now.
+std::size_t SlotQueue::startsAhead(const base::WorkspaceId &workspace, int tier) const
 {
     const std::size_t own = queueLength(workspace, tier);
     std::size_t ahead = own;
@@ -197,7 +239,20 @@
             ahead += std::min(waiting.size, static_cast<std::size_t>(std::llround(starts)));
         }
     }
-    return waitBehind(ahead);
+    return ahead;
+}
+
+base::Duration SlotQueue::startDelay(std::size_t ahead) const
+{
+    return std::max(m_coldStart.wait(ahead), m_startRate.wait(ahead));
+}
+
+base::ResultCode SlotQueue::lateCode(const base::WorkspaceId &workspace, int tier) const
+{
+    const std::size_t ahead = startsAhead(workspace, tier);
+    const base::Duration limitWait = m_startRate.wait(ahead);
+    const bool isLimited = limitWait > base::Duration::zero() && limitWait >= waitBehind(ahead);
+    return isLimited ? base::ResultCode::HopBackendServerLimited : base::ResultCode::HopQueueTimeout;
 }
 
 std::list<SlotQueue::WorkspaceQueue>::iterator SlotQueue::queueOf(Tier &tier, const base::WorkspaceId &workspace)
@@ -317,15 +372,16 @@
         const AttemptId attempt = m_deadlines.begin()->second;
         const QueuedPosition place = m_queued.at(attempt);
         const base::Duration wait = std::max(shortestRetryAfter, expectedWait(place.workspace, place.tier));
+        const base::ResultCode code = lateCode(place.workspace, place.tier);
         removeQueued(attempt);
-        decisions.push_back(QueueDecision{attempt, false, base::ResultCode::HopQueueTimeout, wait});
+        decisions.push_back(QueueDecision{attempt, false, code, wait});
     }
 }
 
 void SlotQueue::startNext(std::vector<QueueDecision> &decisions)
 {
     while (!m_tiers.empty() && m_running.size() < static_cast<std::size_t>(m_slots)
-           && m_coldStart.wait(0) == base::Duration::zero()) {
+           && startDelay(0) == base::Duration::zero()) {
         const auto place = selectTier();
         Tier &tier = place->second;
         m_pass = tier.pass;
@@ -336,6 +392,8 @@
         removeQueued(next.attempt);
         m_running.emplace(next.attempt, Running{m_clock.now(), next.route});
         m_coldStart.recordStart();
+        m_startRate.recordStart();
+        ++m_starts;
         decisions.push_back(QueueDecision{next.attempt, true, base::ResultCode::Ok, {}});
     }
 }
@@ -374,15 +432,33 @@
 
 base::Duration SlotQueue::waitBehind(std::size_t ahead) const
 {
-    const base::Duration coldWait = m_coldStart.wait(ahead);
+    const base::Duration delay = startDelay(ahead);
     const std::size_t slots = static_cast<std::size_t>(m_slots);
     const std::size_t busy = m_running.size() + ahead;
     if (busy < slots) {
-        return coldWait;
+        return delay;
     }
     // Without any slot the wait is unknown; assuming one slot keeps the result finite.
     const auto turns = static_cast<std::int64_t>(busy - slots + 1);
-    return std::max(coldWait, m_runTimes.mean() * turns / static_cast<std::int64_t>(std::max<std::size_t>(1, slots)));
+    return std::max(delay, m_runTimes.mean() * turns / static_cast<std::int64_t>(std::max<std::size_t>(1, slots)));
+}
+
+/// Returns the queued attempts, the most urgent tier first, and those of a tier by the turns of their workspaces.
+std::vector<AttemptId> SlotQueue::queuedInOrder() const
+{
+    std::vector<AttemptId> result;
+    result.reserve(m_queued.size());
+    for (const auto &[number, tier] : m_tiers) {
+        const std::size_t end = result.size() + tier.size;
+        for (std::size_t turn = 0; result.size() < end; ++turn) {
+            for (const WorkspaceQueue &lane : tier.queues) {
+                if (turn < lane.attempts.size()) {
+                    result.push_back(lane.attempts[turn].attempt);
+                }
+            }
+        }
+    }
+    return result;
 }
 
 }
--- a/src/model/announcementcheck.cpp
+++ b/src/model/announcementcheck.cpp
@@ -24,13 +24,13 @@
     if (announcement.isLeaving) {
         state.toldEnd.try_emplace(entry, now);
     }
-    if (announcement.requestsPerSecond != state.requestsPerSecond) {
-        state.requestsPerSecond = announcement.requestsPerSecond;
+    if (announcement.limit.requestsPerSecond != state.requestsPerSecond) {
+        state.requestsPerSecond = announcement.limit.requestsPerSecond;
         state.namedSince = now;
         state.toldLimit.clear();
         state.counted.clear();
     }
-    if (announcement.requestsPerSecond) {
+    if (announcement.limit.requestsPerSecond) {
         state.toldLimit.try_emplace(entry, now);
     }
 }
--- a/src/model/fleetmodel.cpp
+++ b/src/model/fleetmodel.cpp
@@ -3,6 +3,7 @@
 #include "modelserver.h"
 
 #include "papayastep/health/grayfailuretable.h"
+#include "papayastep/routing/announcementtable.h"
 #include "papayastep/routing/leastcostplacement.h"
 #include "papayastep/routing/retrypolicy.h"
 
@@ -49,6 +50,7 @@
         base::BackendServerId serverId;
         health::GrayFailureTable gray;
         routing::ServerIdleTimes idle;
+        routing::AnnouncementTable announcements;
         routing::LeastCostPlacement placement;
         base::TimePoint evacuationFrom; ///< Time at which this node receives the evacuation of a zone, if there is one.
         base::TimePoint evacuationUntil;
@@ -129,6 +131,7 @@
                 base::BackendServerId("server-" + name),
                 health::GrayFailureTable(m_clock),
                 routing::ServerIdleTimes(m_clock),
+                routing::AnnouncementTable(m_clock),
                 routing::LeastCostPlacement(id),
                 receiptTime(m_shape.evacuation ? m_shape.evacuation->begin : base::Duration()),
                 receiptTime(m_shape.evacuation ? m_shape.evacuation->end : base::Duration())});
@@ -306,6 +309,7 @@
     routing::RetryPolicy::beginAttempt(request->progress);
     attempt.id.attempt = request->progress.nodeAttempts;
     attempt.lastResort = lastResort;
+    attempt.knownLimit = m_vms[request->entry].announcements.requestsPerSecond(m_vms[vm].serverId, 0);
     request->tried.push_back(m_vms[vm].serverId);
     const base::Duration way = delay(request->entry, vm);
     m_events.after(way, [this, request, vm, way, attempt] {
@@ -320,6 +324,7 @@
     m_vms[request->entry].gray.update(m_vms[vm].serverId, end.grayProbability);
     if (end.announcement) {
         m_announcements.recordAnswer(vm, request->entry, *end.announcement, m_clock.now());
+        m_vms[request->entry].announcements.record(m_vms[vm].serverId, {0, end.announcement->limit.requestsPerSecond});
     }
     const routing::RetryDecision decision = m_policy.decide(request->progress, end.result);
     if (decision.action == RetryAction::RetryElsewhere) {
--- a/src/model/modelserver.cpp
+++ b/src/model/modelserver.cpp
@@ -124,6 +124,9 @@
 {
     const Waiting waiting{attempt, std::move(done)};
     const bool idempotent = m_shape.classes[attempt.trafficClass].idempotent;
+    if (attempt.knownLimit) {
+        m_admission->adoptLimit(*attempt.knownLimit, m_server.incarnation);
+    }
     if (const auto closed = m_admission->refusalCode()) {
         refuse(waiting, *closed, {});
         return;
@@ -220,7 +223,7 @@
     if (isShedding()) {
         m_admission->queue().finished(waiting.attempt.id, false);
         m_admission->hold().ended(key, AttemptOutcome::Shed, 0, now);
-        m_admission->recordAnnouncement(announcement(), false);
+        recordAnnouncement(now);
         waiting.done({{AttemptEvent::RefusedNotRun, ResultCode::HopBackendServerShed, {}},
                       m_admission->hold().grayProbability(now),
                       announcement()});
@@ -307,7 +310,7 @@
     m_admission->recordEnd(outcome, answered);
     const bool hasHead = answered && outcome != AttemptOutcome::Timeout;
     if (hasHead) {
-        m_admission->recordAnnouncement(announcement(), false);
+        recordAnnouncement(startedAt);
     }
     const AttemptEvent event = outcome == AttemptOutcome::Success ? AttemptEvent::Complete
         : outcome == AttemptOutcome::Partial                      ? AttemptEvent::Partial
@@ -355,12 +358,19 @@
     }
 }
 
+/// Passes what the server announces in an answer to a request that was sent at `sentAt` to the node.
+void ModelServer::recordAnnouncement(base::TimePoint sentAt)
+{
+    using Kind = routing::AnnouncementSource::Kind;
+    m_admission->recordAnnouncement(announcement(), {Kind::Request, m_server.incarnation, sentAt});
+}
+
 routing::ServerAnnouncement ModelServer::announcement() const
 {
     const base::Duration passed = m_clock.now() - m_begin;
     routing::ServerAnnouncement result;
     if (const auto &limits = m_shape.namedLimits; m_namesLimit && passed >= limits->begin && passed < limits->end) {
-        result.requestsPerSecond = limits->requestsPerSecond;
+        result.limit.requestsPerSecond = limits->requestsPerSecond;
     }
     result.isLeaving = m_announcesEnd && passed >= m_shape.announcedEnds->begin;
     return result;
--- a/src/model/modelserver.h
+++ b/src/model/modelserver.h
@@ -25,6 +25,7 @@
     bool lastResort = false;
     std::size_t entry = 0; ///< Number of the node at which the request entered.
     base::TimePoint sentAt; ///< Time at which the caller sent the request.
+    std::optional<double> knownLimit{}; ///< The limit that the entry remembers of the server.
 };
 
 /// The end of an attempt.
@@ -87,6 +88,7 @@
     void scheduleFaults();
     void setEvacuated(bool evacuated);
     void restartNode();
+    void recordAnnouncement(base::TimePoint sentAt);
     routing::ServerAnnouncement announcement() const;
     void goDown(base::Duration length);
     void comeBack();
--- a/src/node/attemptmonitor.cpp
+++ b/src/node/attemptmonitor.cpp
@@ -13,6 +13,16 @@
 using base::ResultCode;
 using routing::AttemptEvent;
 
+routing::ServerNotice noticeOf(const wire::HopReply &reply)
+{
+    routing::ServerNotice notice;
+    notice.incarnation = reply.serverIncarnation;
+    if (reply.serverLimit >= 0) {
+        notice.requestsPerSecond = reply.serverLimit;
+    }
+    return notice;
+}
+
 }
 
 AttemptMonitor::AttemptMonitor(NodeContext &context, net::Signal &changed)
@@ -106,6 +116,7 @@
     const auto code = static_cast<ResultCode>(answer.reply.code);
     m_advice = answer.reply.advice;
     m_context.gray.update(m_attempt->hop().server, answer.reply.grayPercent / 100.0);
+    m_context.announcements.record(m_attempt->hop().server, noticeOf(answer.reply));
     switch (answer.outcome()) {
     case wire::HopOutcome::NotRun:
         return {AttemptEvent::RefusedNotRun, code, std::chrono::milliseconds(answer.reply.retryAfterMs)};
--- a/src/node/backendprotocol.cpp
+++ b/src/node/backendprotocol.cpp
@@ -1,6 +1,7 @@
 #include "papayastep/node/backendprotocol.h"
 
 #include "papayastep/base/clock.h"
+#include "papayastep/net/fieldvalues.h"
 
 namespace papayastep::node {
 
@@ -25,21 +26,11 @@
     return AnswerKind::Answered;
 }
 
-std::optional<ServerLoad> NativeBackendProtocol::reportedLoad(const net::ResponseHead &) const
-{
-    return std::nullopt;
-}
-
 bool NativeBackendProtocol::isHealthy(const net::ResponseHead &answer, const base::BackendServerId &) const
 {
     return answer.result_int() < firstFailure;
 }
 
-std::optional<base::Duration> NativeBackendProtocol::coldTime(const net::ResponseHead &) const
-{
-    return std::nullopt;
-}
-
 bool NativeBackendProtocol::isFrom(const net::ResponseHead &, const base::BackendServerId &) const
 {
     return true;
@@ -47,8 +38,10 @@
 
 routing::ServerAnnouncement NativeBackendProtocol::announcement(const net::ResponseHead &answer) const
 {
-    return routing::readAnnouncement(net::view(answer["Papayastep-Server-Limit"]),
-                                     net::view(answer["Papayastep-Server-Leaving"]));
+    routing::ServerAnnouncement announcement;
+    announcement.limit = routing::readLimit(net::fieldValues(answer, "Papayastep-Server-Limit"));
+    announcement.isLeaving = net::view(answer["Papayastep-Server-Leaving"]) == "1";
+    return announcement;
 }
 
 }
--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -158,9 +158,26 @@
         metrics.setGauge("servers_limited", real(use.limitedServers), labels);
         metrics.setGauge("servers_leaving", real(use.leavingServers), labels);
     }
+    collectLocalServerMetrics();
     metrics.setGauge("requests_open", real(m_entryHandler.openRequests()));
     metrics.setGauge("attempts_serving", real(m_servingNode.inFlight()));
     metrics.setGauge("attempts_queued", real(m_servingNode.queued()));
 }
 
+/// The label is the service: a VM has one backend server, so the series of one node are those of one server.
+void Node::collectLocalServerMetrics()
+{
+    NodeMetrics &metrics = m_context.metrics;
+    metrics.setTotal("announcements_unknown", real(m_servingNode.unknownAnnouncements()));
+    metrics.clearGauge("server_limit_per_second");
+    metrics.clearGauge("server_starts");
+    for (const LocalServerStatus &server : m_servingNode.localServers()) {
+        const NodeMetrics::Labels labels{{"service", metrics.serviceLabel(server.service)}};
+        metrics.setGauge("server_starts", real(server.starts), labels);
+        if (server.announced.requestsPerSecond) {
+            metrics.setGauge("server_limit_per_second", *server.announced.requestsPerSecond, labels);
+        }
+    }
+}
+
 }
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -453,6 +453,11 @@
     hop.lastResort = chosen.lastResort;
     hop.isNestedCall = m_isCall;
     hop.isRepeat = m_progress.serverAttempts > 1 || m_isCallOfRepeat;
+    if (const config::BackendServer *listed = m_context.active.configuration->backendServer(server.server)) {
+        hop.serverIncarnation = listed->incarnation;
+        hop.serverLimit
+            = m_context.announcements.requestsPerSecond(server.server, listed->incarnation).value_or(hop.serverLimit);
+    }
     const config::VmEntry *vm = m_context.vms.find(server.vm);
     if (server.vm == m_context.settings.vm || vm == nullptr) {
         return std::make_shared<LocalAttempt>(m_context, std::move(hop), m_handler.m_serving);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -483,6 +483,7 @@
     m_servingNode.sweep();
     m_context.gray.expire();
     m_context.idle.expire();
+    m_context.announcements.expire();
     m_context.hopPool.sweep();
     m_context.backendPool.sweep();
     m_peerMessenger.sweep();
--- a/src/node/nodecontext.cpp
+++ b/src/node/nodecontext.cpp
@@ -84,6 +84,7 @@
     , gray(clock)
     , silence(clock)
     , idle(clock)
+    , announcements(clock)
     , retryPolicy(clock, retrySettings())
     , ledgerHome(clock, settings.vm, incarnation, ledgerSettings(settings))
     , ledgerClient(clock, settings.vm, ledgerHome, ledgerSettings(settings))
--- a/src/node/nodepages.cpp
+++ b/src/node/nodepages.cpp
@@ -68,6 +68,18 @@
     return json;
 }
 
+Json localServerJson(const LocalServerStatus &server)
+{
+    Json json{{"id", server.id.value()},
+              {"service", server.service.value()},
+              {"leaving", server.announced.isLeaving},
+              {"starts", server.starts}};
+    if (server.announced.requestsPerSecond) {
+        json["limitPerSecond"] = *server.announced.requestsPerSecond;
+    }
+    return json;
+}
+
 Json workspaceJson(const limits::WorkspaceStatus &status)
 {
     Json shares = Json::array();
@@ -141,6 +153,10 @@
     for (const base::ZoneId &zone : m_serverDirectory.evacuatedZones()) {
         status["evacuatedZones"].push_back(zone.value());
     }
+    status["localServers"] = Json::array();
+    for (const LocalServerStatus &server : m_servingNode.localServers()) {
+        status["localServers"].push_back(localServerJson(server));
+    }
     status["servers"] = Json::array();
     const auto &configuration = m_context.active.configuration;
     const auto workspace = query.find("workspace");
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -33,7 +33,9 @@
         timer.expires_after(probeInterval);
         co_await timer.async_wait(net::into(error));
         if (m_context.active.configuration && !m_context.draining) {
-            startProbes(m_context.health.serversToProbe());
+            std::vector<base::BackendServerId> servers = m_context.health.serversToProbe();
+            std::erase_if(servers, [this](const auto &server) { return !m_serving.takeEjectionProbe(server); });
+            startProbes(servers);
         }
     }
 }
@@ -71,6 +73,7 @@
             late->cancel();
         }
     });
+    const base::TimePoint sentAt = m_context.clock.now();
     net::ClientRequest request;
     request.head.method(net::http::verb::get);
     request.head.target(path);
@@ -79,11 +82,13 @@
     const bool whole = exchange->progress() == net::ExchangeProgress::Complete;
     const bool good = whole && m_context.backends().isHealthy(exchange->head(), server.id);
     m_context.health.probeFinished(server.id, good);
+    const routing::ServerAnnouncement announcement
+        = whole ? m_context.backends().announcement(exchange->head()) : routing::ServerAnnouncement();
     // A server that reports to be unhealthy is up, too.
-    m_serving.probeFinished(
-        server.id, whole, whole ? m_context.backends().coldTime(exchange->head()) : std::optional<base::Duration>());
+    m_serving.probeFinished(server.id, whole, announcement.coldTime);
     if (whole && m_context.backends().isFrom(exchange->head(), server.id)) {
-        m_serving.recordAnnouncement(server.id, m_context.backends().announcement(exchange->head()), true);
+        m_serving.recordAnnouncement(
+            server.id, announcement, {routing::AnnouncementSource::Kind::Probe, server.incarnation, sentAt});
     }
     m_context.schedulePump();
     VLOG(1) << "health: Probed a backend server." << base::field("server", server.id) << base::field("good", good);
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -1,8 +1,9 @@
-#include "papayastep/node/servingnode.h"
+#include "announcementlog.h"
 
 #include "papayastep/base/log.h"
 #include "papayastep/health/runestimate.h"
 #include "papayastep/node/candidates.h"
+#include "papayastep/node/servingnode.h"
 
 #include <algorithm>
 
@@ -29,6 +30,9 @@
 /// Time before the deadline of an attempt within which a server's own report of a timeout counts as one of the request.
 constexpr base::Duration timeoutReportTolerance = std::chrono::milliseconds(50);
 
+/// Number of names of unknown announcements that are logged, so that no server can fill the log.
+constexpr std::size_t maxLoggedUnknownFields = 16;
+
 /// Lower bound of a mean run time, which limits the ratio of two run times if runs are very short.
 constexpr base::Duration minMeanRunTime = std::chrono::microseconds(1);
 
@@ -54,6 +58,12 @@
     return static_cast<unsigned>(status) >= 500 ? health::AttemptOutcome::Error : health::AttemptOutcome::Success;
 }
 
+routing::AnnouncementSource::Kind sourceOf(AnswerKind kind)
+{
+    const bool isCertain = kind == AnswerKind::Answered || kind == AnswerKind::NotRun;
+    return isCertain ? routing::AnnouncementSource::Kind::Request : routing::AnnouncementSource::Kind::Stray;
+}
+
 health::RunKind runKind(const wire::HopRequest &hop)
 {
     if (hop.isRepeat) {
@@ -185,6 +195,7 @@
 {
     auto activeAttempt = std::make_shared<ActiveAttempt>(m_context.io, std::move(hop), m_context.clock.now());
     activeAttempt->onHangSuspected = std::move(onHangSuspected);
+    adoptLimit(activeAttempt->hop);
     auto refused = checkKey(activeAttempt->hop);
     if (!refused) {
         refused = checkServer(activeAttempt->hop.server, activeAttempt->hop.idempotent, activeAttempt->hop.lastResort);
@@ -358,7 +369,7 @@
     });
 }
 
-void ServingNode::configure(LocalServer &localServer, const base::BackendServerId &id) const
+void ServingNode::configure(LocalServer &localServer, const base::BackendServerId &id)
 {
     const auto &configuration = *m_context.active.configuration;
     const config::BackendServer *server = configuration.backendServer(id);
@@ -366,9 +377,11 @@
         server = nullptr;
     }
     const config::Service *service = configuration.service(localServer.admission.server().service);
+    const routing::AnnouncedState before = localServer.admission.announced();
     localServer.admission.configure(server,
                                     service != nullptr ? service->coldStart : config::ColdStart(),
                                     service != nullptr && !service->healthPath.empty());
+    announcementsChanged(localServer, before, "restart");
     if (server != nullptr && m_context.settings.retryLimit) {
         const std::size_t servers = configuration.serversOf(server->service).size();
         localServer.admission.retryBudget().setSettings(
@@ -376,6 +389,12 @@
     }
 }
 
+bool ServingNode::takeEjectionProbe(const base::BackendServerId &server)
+{
+    LocalServer *localServer = findLocalServer(server);
+    return localServer == nullptr || localServer->admission.takeEjectionProbe();
+}
+
 std::vector<base::BackendServerId> ServingNode::takeProbesDue()
 {
     std::vector<base::BackendServerId> due;
@@ -407,29 +426,49 @@
 
 void ServingNode::recordAnnouncement(const base::BackendServerId &server,
                                      const routing::ServerAnnouncement &announcement,
-                                     bool isProbe)
+                                     const routing::AnnouncementSource &source)
 {
     LocalServer *localServer = findLocalServer(server);
     if (localServer == nullptr) {
         return;
     }
-    const routing::ServerAnnouncement before = localServer->admission.announcement();
-    localServer->admission.recordAnnouncement(announcement, isProbe);
-    const routing::ServerAnnouncement &after = localServer->admission.announcement();
-    if (after.requestsPerSecond && after.requestsPerSecond != before.requestsPerSecond) {
-        PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server named a limit." << base::field("server", server)
-                                        << base::field("requestsPerSecond", *after.requestsPerSecond);
-    } else if (!after.requestsPerSecond && before.requestsPerSecond) {
-        PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server no longer names a limit." << base::field("server", server);
+    const routing::AnnouncedState before = localServer->admission.announced();
+    localServer->admission.recordAnnouncement(announcement, source);
+    announcementsChanged(*localServer, before, name(source.kind));
+    for (const std::string &field : announcement.unknownFields) {
+        ++m_unknownAnnouncements;
+        if (m_unknownFields.size() < maxLoggedUnknownFields && m_unknownFields.insert(field).second) {
+            PAPAYASTEP_LOG(WARNING, logPrefix) << "A backend server announced something that is not known."
+                                               << base::field("server", server) << base::field("field", field);
+        }
     }
-    if (!after.isLimitReadable && before.isLimitReadable) {
-        PAPAYASTEP_LOG(WARNING, logPrefix)
-            << "A backend server named a limit that cannot be read." << base::field("server", server)
-            << base::field("code", number(ResultCode::HopLimitInvalid));
+}
+
+/// Logs what has changed since `before`, and lets queued attempts be decided anew.
+void ServingNode::announcementsChanged(const LocalServer &localServer,
+                                       const routing::AnnouncedState &before,
+                                       std::string_view source)
+{
+    const routing::AnnouncedState &after = localServer.admission.announced();
+    if (after != before) {
+        logAnnouncementChange(localServer.admission.server().id, before, after, source);
+        m_context.schedulePump();
     }
-    if (after.isLeaving && !before.isLeaving) {
-        PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server announced its end." << base::field("server", server);
+}
+
+std::uint64_t ServingNode::unknownAnnouncements() const
+{
+    return m_unknownAnnouncements;
+}
+
+std::vector<LocalServerStatus> ServingNode::localServers() const
+{
+    std::vector<LocalServerStatus> result;
+    for (const auto &[id, localServer] : m_localServers) {
+        const routing::ServerAdmission &admission = localServer->admission;
+        result.push_back({id, admission.server().service, admission.announced(), admission.queue().starts()});
     }
+    return result;
 }
 
 void ServingNode::poll()
@@ -571,8 +610,8 @@
         use.heldBackServers = admission.hold().isHeldBack() ? 1 : 0;
         use.coldServers = admission.queue().coldStart().isCold() ? 1 : 0;
         use.downServers = admission.isDown() ? 1 : 0;
-        use.limitedServers = admission.announcement().requestsPerSecond ? 1 : 0;
-        use.leavingServers = admission.announcement().isLeaving ? 1 : 0;
+        use.limitedServers = admission.announced().requestsPerSecond ? 1 : 0;
+        use.leavingServers = admission.announced().isLeaving ? 1 : 0;
         result[admission.server().service] += use;
     }
     return result;
@@ -734,6 +773,18 @@
     }
 }
 
+/// Takes the limit of the server that the entry remembers, in case this process has been restarted since.
+void ServingNode::adoptLimit(const wire::HopRequest &hop)
+{
+    LocalServer *localServer = findLocalServer(hop.server);
+    if (localServer == nullptr || hop.serverLimit < 0) {
+        return;
+    }
+    const routing::AnnouncedState before = localServer->admission.announced();
+    localServer->admission.adoptLimit(hop.serverLimit, hop.serverIncarnation);
+    announcementsChanged(*localServer, before, name(routing::AnnouncementSource::Kind::Adopted));
+}
+
 net::Awaitable<void> ServingNode::waitForSlot(ActiveAttemptPtr activeAttempt)
 {
     while (!activeAttempt->decision && !activeAttempt->stopped) {
@@ -779,13 +830,15 @@
     call.remaining = activeAttempt->deadline - activeAttempt->started;
     m_context.backends().prepare(request.head, call);
     activeAttempt->exchange->onHead(
-        [this, &answerKind = activeAttempt->answerKind, server = call.server, sent = request.head](
+        [this, &attempt = *activeAttempt, incarnation = server.incarnation, sent = request.head](
             const net::ResponseHead &head) {
-            answerKind = m_context.backends().classify(head, sent);
-            if (answerKind == AnswerKind::Answered || answerKind == AnswerKind::NotRun) {
-                recordAnnouncement(server, m_context.backends().announcement(head), false);
+            attempt.answerKind = m_context.backends().classify(head, sent);
+            if (attempt.answerKind != AnswerKind::OtherServer) {
+                recordAnnouncement(attempt.hop.server,
+                                   m_context.backends().announcement(head),
+                                   {sourceOf(attempt.answerKind), incarnation, attempt.started});
             }
-            return answerKind != AnswerKind::OtherRequest;
+            return attempt.answerKind != AnswerKind::OtherRequest;
         });
 
     net::asio::steady_timer deadline(m_context.io);
@@ -1029,7 +1082,10 @@
     }
     const auto localServer = m_localServers.find(activeAttempt.hop.server);
     if (localServer != m_localServers.end()) {
-        reply.grayPercent = localServer->second->admission.grayPercent();
+        const routing::ServerAdmission &admission = localServer->second->admission;
+        reply.grayPercent = admission.grayPercent();
+        reply.serverIncarnation = admission.server().incarnation;
+        reply.serverLimit = admission.announced().requestsPerSecond.value_or(-1);
     }
     reply.report = wire::encode(m_context.health.report(activeAttempt.hop.server));
     return reply;
--- a/src/routing/serveradmission.cpp
+++ b/src/routing/serveradmission.cpp
@@ -34,6 +34,9 @@
         m_server = *server;
         m_queue.setSlots(server->slots);
         m_queue.coldStart().setColdStart(coldStart);
+        if (m_server.incarnation != before.incarnation) {
+            forgetAnnouncements();
+        }
         // The servers of an availability zone may have been restarted while it was evacuated.
         if (m_server.incarnation != before.incarnation || (before.evacuated && !m_server.evacuated)) {
             m_queue.coldStart().suspectRestart();
@@ -126,20 +129,61 @@
     }
 }
 
-void ServerAdmission::recordAnnouncement(const ServerAnnouncement &announcement, bool isProbe)
+void ServerAdmission::recordAnnouncement(const ServerAnnouncement &announcement, const AnnouncementSource &source)
 {
-    m_announcement.isLeaving |= announcement.isLeaving;
-    m_announcement.isLimitReadable = announcement.isLimitReadable;
-    // Probes may be answered by another part of the server, so only an answer to a request shows that a limit ended.
-    const bool endsLimit = !isProbe && announcement.isLimitReadable;
-    if (announcement.requestsPerSecond || endsLimit) {
-        m_announcement.requestsPerSecond = announcement.requestsPerSecond;
+    if (source.incarnation != m_server.incarnation) {
+        return;
+    }
+    m_hasAnswered = m_hasAnswered || source.kind == AnnouncementSource::Kind::Request;
+    const NamedLimit &limit = announcement.limit;
+    m_announced.isLimitReadable = limit.isReadable;
+    if (limit.requestsPerSecond) {
+        setLimit(limit.requestsPerSecond);
+    } else if (limit.isReadable && source.kind == AnnouncementSource::Kind::Request
+               && source.sentAt >= m_limitNamedAt) {
+        // An answer that was sent earlier may have overtaken one that names the limit.
+        setLimit(std::nullopt);
     }
 }
 
-const ServerAnnouncement &ServerAdmission::announcement() const
+void ServerAdmission::adoptLimit(double requestsPerSecond, base::Incarnation incarnation)
 {
-    return m_announcement;
+    if (!m_hasAnswered && incarnation == m_server.incarnation) {
+        setLimit(requestsPerSecond);
+    }
+}
+
+void ServerAdmission::setLimit(std::optional<double> requestsPerSecond)
+{
+    if (requestsPerSecond) {
+        m_limitNamedAt = m_clock.now();
+    }
+    if (m_announced.requestsPerSecond != requestsPerSecond) {
+        m_announced.requestsPerSecond = requestsPerSecond;
+        m_queue.limitStarts(requestsPerSecond);
+    }
+}
+
+/// A new start of the server has announced nothing yet.
+void ServerAdmission::forgetAnnouncements()
+{
+    m_announced = {};
+    m_hasAnswered = false;
+    m_queue.limitStarts(std::nullopt);
+}
+
+const AnnouncedState &ServerAdmission::announced() const
+{
+    return m_announced;
+}
+
+bool ServerAdmission::takeEjectionProbe()
+{
+    if (m_queue.startRate().wait(0) > base::Duration::zero()) {
+        return false;
+    }
+    m_queue.startRate().recordStart();
+    return true;
 }
 
 bool ServerAdmission::takeProbeDue()
@@ -150,6 +194,7 @@
     }
     m_probedAt = m_clock.now();
     m_queue.coldStart().recordStart();
+    m_queue.startRate().recordStart();
     return true;
 }
 
--- a/src/routing/serveradmission_test.cpp
+++ b/src/routing/serveradmission_test.cpp
@@ -196,3 +196,157 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+using Kind = AnnouncementSource::Kind;
+
+/// A warm backend server that announces something in its answers.
+struct AnnouncingServer : OneServer
+{
+    void answer(std::optional<double> limit, Kind kind = Kind::Request)
+    {
+        answer(limit, kind, clock.now(), server.incarnation);
+    }
+    void answer(std::optional<double> limit, Kind kind, base::TimePoint sentAt, base::Incarnation incarnation)
+    {
+        ServerAnnouncement announcement;
+        announcement.limit.requestsPerSecond = limit;
+        admission.recordAnnouncement(announcement, {kind, incarnation, sentAt});
+    }
+    /// Starts the attempts whose turn it is, and ends them at once.
+    std::size_t runNow()
+    {
+        std::size_t started = 0;
+        for (const limits::QueueDecision &decision : admission.queue().poll()) {
+            started += decision.start ? 1 : 0;
+            admission.queue().finished(decision.attempt);
+        }
+        return started;
+    }
+    std::optional<double> limit() const
+    {
+        return admission.announced().requestsPerSecond;
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(serverAnnouncements, AnnouncingServer)
+
+// Guards against a server that gets as many requests as it has free slots although it named a limit.
+BOOST_AUTO_TEST_CASE(attempts_atAServerThatNamedALimit_startWithinIt)
+{
+    answer(1);
+    std::size_t started = 0;
+    for (std::uint64_t number = 1; number <= 400; ++number) {
+        const limits::OfferResult result = offer(number);
+        if (!result.accepted) {
+            BOOST_CHECK(result.code == base::ResultCode::HopBackendServerLimited);
+            BOOST_TEST((result.retryAfter > 0ms));
+            BOOST_TEST((result.retryAfter <= 2s));
+        }
+        started += runNow();
+        clock.advance(10ms);
+    }
+    BOOST_TEST(started <= 4U);
+    BOOST_TEST(started >= 3U);
+}
+
+// Guards against attempts that wait for a server that will not take them before their deadline.
+BOOST_AUTO_TEST_CASE(queuedAttempts_whenTheServerNamesALimit_areRefusedAtOnceIfTheyCannotStart)
+{
+    server.slots = 1;
+    configure();
+    for (std::uint64_t number = 1; number <= 6; ++number) {
+        BOOST_TEST(offer(number).accepted);
+    }
+    BOOST_TEST(startNow() == 1U);
+    answer(1);
+    std::size_t refused = 0;
+    for (const limits::QueueDecision &decision : admission.queue().poll()) {
+        BOOST_TEST(!decision.start);
+        BOOST_CHECK(decision.code == base::ResultCode::HopBackendServerLimited);
+        ++refused;
+    }
+    BOOST_TEST(refused == 4U);
+    BOOST_TEST(admission.queue().queued() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(limit_thatAnAnswerNoLongerNames_ends)
+{
+    answer(1);
+    clock.advance(1s);
+    answer(std::nullopt);
+    BOOST_TEST(!limit().has_value());
+    BOOST_TEST((admission.queue().startRate().wait(100) == base::Duration::zero()));
+}
+
+// Guards against the end of a limit by an answer that was sent before the server named it.
+BOOST_AUTO_TEST_CASE(limit_afterAnAnswerToAnEarlierRequest_stays)
+{
+    const base::TimePoint before = clock.now();
+    clock.advance(100ms);
+    answer(1);
+    answer(std::nullopt, Kind::Request, before, server.incarnation);
+    BOOST_TEST(limit().value() == 1);
+}
+
+// Guards against the end of a limit by an answer that does not name it because another part of the server gave it.
+BOOST_AUTO_TEST_CASE(limit_afterAProbeOrAStrayAnswerWithoutIt_stays)
+{
+    answer(3.4);
+    answer(std::nullopt, Kind::Probe);
+    answer(std::nullopt, Kind::Stray);
+    BOOST_TEST(limit().value() == 3.4);
+    answer(2, Kind::Probe);
+    BOOST_TEST(limit().value() == 2);
+    answer(1, Kind::Stray);
+    BOOST_TEST(limit().value() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(limit_afterAnUnreadableOne_stays)
+{
+    answer(2);
+    ServerAnnouncement unreadable;
+    unreadable.limit.isReadable = false;
+    admission.recordAnnouncement(unreadable, {Kind::Request, server.incarnation, clock.now()});
+    BOOST_TEST(limit().value() == 2);
+    BOOST_TEST(!admission.announced().isLimitReadable);
+}
+
+// Guards against the limit of a former server at the address of a new one.
+BOOST_AUTO_TEST_CASE(limit_ofAnEarlierStart_doesNotApply)
+{
+    answer(1);
+    server.incarnation = 2;
+    configure();
+    BOOST_TEST(!limit().has_value());
+    answer(1, Kind::Request, clock.now(), 1);
+    admission.adoptLimit(1, 1);
+    BOOST_TEST(!limit().has_value());
+}
+
+// Guards against a limit that the node beside the server forgets when it is restarted, while the entries know it.
+BOOST_AUTO_TEST_CASE(limit_thatAnEntryRemembers_holdsUntilTheServerAnswers)
+{
+    admission.adoptLimit(1, server.incarnation);
+    BOOST_TEST(limit().value() == 1);
+    clock.advance(10ms);
+    answer(std::nullopt);
+    BOOST_TEST(!limit().has_value());
+    admission.adoptLimit(1, server.incarnation);
+    BOOST_TEST(!limit().has_value());
+}
+
+// Guards against liveness checks that take up the requests of a server that names a low limit.
+BOOST_AUTO_TEST_CASE(probes_ofAnEjectedServer_countTowardsItsLimit)
+{
+    answer(0.5);
+    BOOST_TEST(!admission.takeEjectionProbe());
+    clock.advance(2s);
+    BOOST_TEST(admission.takeEjectionProbe());
+    BOOST_TEST(!admission.takeEjectionProbe());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/routing/serverannouncement_test.cpp
+++ b/src/routing/serverannouncement_test.cpp
@@ -2,39 +2,37 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <string>
-
 using namespace papayastep::routing;
 
 BOOST_AUTO_TEST_SUITE(serverAnnouncement)
 
 BOOST_AUTO_TEST_CASE(limit_asADecimalNumber_isRead)
 {
-    BOOST_TEST(readAnnouncement("3.4", "").requestsPerSecond.value() == 3.4);
-    BOOST_TEST(readAnnouncement("12", "").requestsPerSecond.value() == 12);
-    BOOST_TEST(readAnnouncement("0", "").requestsPerSecond.value() == 0);
+    BOOST_CHECK((readLimit({"3.4"}) == NamedLimit{3.4, true}));
+    BOOST_CHECK((readLimit({"12"}) == NamedLimit{12, true}));
+    BOOST_CHECK((readLimit({"0"}) == NamedLimit{0, true}));
+    BOOST_CHECK((readLimit({"90000000000"}) == NamedLimit{9e10, true}));
 }
 
-BOOST_AUTO_TEST_CASE(answer_withoutHeaders_announcesNothing)
+BOOST_AUTO_TEST_CASE(answer_withoutTheField_namesNoLimit)
 {
-    BOOST_CHECK(readAnnouncement("", "") == ServerAnnouncement());
+    BOOST_CHECK((readLimit({}) == NamedLimit{std::nullopt, true}));
 }
 
 // Guards against a limit of infinity, of a negative number or of a part of the text.
 BOOST_AUTO_TEST_CASE(limit_thatIsNoDecimalNumber_isReportedAsUnreadable)
 {
-    for (const std::string text : {"-1", "nan", "inf", "infinity", "1e9", "3,4", "3.4/s", "many", " 3", "0x10"}) {
-        const ServerAnnouncement announcement = readAnnouncement(text, "");
-        BOOST_TEST(!announcement.isLimitReadable, text);
-        BOOST_TEST(!announcement.requestsPerSecond.has_value(), text);
+    for (const std::string_view text :
+         {"", "-1", "nan", "inf", "infinity", "1e9", "3,4", "3.4/s", "many", " 3", "0x10"}) {
+        BOOST_CHECK_MESSAGE((readLimit({text}) == NamedLimit{std::nullopt, false}), text);
     }
 }
 
-BOOST_AUTO_TEST_CASE(leaving_isAnnouncedByOneOnly)
+// Guards against the higher one of two limits in an answer.
+BOOST_AUTO_TEST_CASE(limit_namedTwice_isTheLowerOne)
 {
-    BOOST_TEST(readAnnouncement("", "1").isLeaving);
-    BOOST_TEST(!readAnnouncement("", "0").isLeaving);
-    BOOST_TEST(!readAnnouncement("", "true").isLeaving);
+    BOOST_CHECK((readLimit({"5", "3"}) == NamedLimit{3, true}));
+    BOOST_CHECK((readLimit({"5", "soon"}) == NamedLimit{5, false}));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/routing/slotsurvey.cpp
+++ b/src/routing/slotsurvey.cpp
@@ -18,7 +18,8 @@
 
 bool isFull(const SlotQuote &quote)
 {
-    return quote.code == ResultCode::HopQueueTimeout || quote.code == ResultCode::HopQueueFull;
+    return quote.code == ResultCode::HopQueueTimeout || quote.code == ResultCode::HopQueueFull
+        || quote.code == ResultCode::HopBackendServerLimited;
 }
 
 }
