Send nothing to a backend server that has announced its end

Callers saw: requests went on to a server that leaves until the directory reported it, which some servers never do, and failed when it ended.

Cause: nothing read the announcement, the same cause as that of the limit: a statement of a server about itself that no part of the system took notice of.

It reports the server as draining to its siblings. Entries remember it with the start of the server, whatever the directory says, because the node beside the server may be restarted meanwhile.

--- a/src/health/healthmonitor.cpp
+++ b/src/health/healthmonitor.cpp
@@ -58,6 +58,7 @@
     void applyConfiguration(const config::ConfigurationPtr &configuration);
     void applyVmList(const config::VmList &list);
     void setLeaving(const base::VmId &vm);
+    void setAnnouncedEnd(const base::BackendServerId &id, bool announced);
     void applyReport(const base::VmId &from, const ServerReport &report);
     void receive(const base::VmId &from,
                  base::Incarnation incarnation,
@@ -138,6 +139,7 @@
     void handlePause(base::TimePoint time);
     void updateLocalServers(base::TimePoint time);
     void applyDrainFlag(LocalServer &server, base::TimePoint time);
+    static std::string drainReason(const config::BackendServer &configured);
     std::vector<base::BackendServerId> serversOf(const base::ServiceId &service) const;
     void refreshReferences(base::TimePoint time);
     base::Duration evaluationInterval(std::size_t servers) const;
@@ -241,18 +243,35 @@
     }
 }
 
+std::string HealthMonitor::Impl::drainReason(const config::BackendServer &configured)
+{
+    if (configured.drain) {
+        return "Operators are draining the server.";
+    }
+    return configured.evacuated ? "Operators evacuate the availability zone of the server."
+                                : "The server has announced its end.";
+}
+
 void HealthMonitor::Impl::applyDrainFlag(LocalServer &server, base::TimePoint time)
 {
-    const bool drain = !server.configured().acceptsRequests();
+    const bool drain = !server.acceptsRequests();
     if (!server.handle(drain ? ServerEvent::Drain : ServerEvent::Undrain, time) || !drain) {
         return;
     }
     const config::BackendServer &configured = server.configured();
-    report(HealthEvent{HealthEventKind::Draining,
-                       configured.id,
-                       configured.vm,
-                       configured.drain ? "Operators are draining the server."
-                                        : "Operators evacuate the availability zone of the server."});
+    report(HealthEvent{HealthEventKind::Draining, configured.id, configured.vm, drainReason(configured)});
+}
+
+void HealthMonitor::Impl::setAnnouncedEnd(const base::BackendServerId &id, bool announced)
+{
+    const auto server = m_state.localServers.find(id);
+    if (server == m_state.localServers.end()) {
+        return;
+    }
+    server->second.setAnnouncedEnd(announced);
+    applyDrainFlag(server->second, now());
+    setUpToDate();
+    invalidateAssessments();
 }
 
 void HealthMonitor::Impl::applyVmList(const config::VmList &list)
@@ -718,6 +737,11 @@
     m_impl->applyVmList(list);
 }
 
+void HealthMonitor::setAnnouncedEnd(const base::BackendServerId &server, bool announced)
+{
+    m_impl->setAnnouncedEnd(server, announced);
+}
+
 void HealthMonitor::setLeaving(const base::VmId &vm)
 {
     m_impl->setLeaving(vm);
--- a/src/health/localserver.cpp
+++ b/src/health/localserver.cpp
@@ -39,6 +39,16 @@
     m_configured = configured;
 }
 
+void LocalServer::setAnnouncedEnd(bool announced)
+{
+    m_hasAnnouncedEnd = announced;
+}
+
+bool LocalServer::acceptsRequests() const
+{
+    return m_configured.acceptsRequests() && !m_hasAnnouncedEnd;
+}
+
 ServerEvidence &LocalServer::evidence()
 {
     return m_evidence;
--- a/src/health/localserver.h
+++ b/src/health/localserver.h
@@ -21,6 +21,10 @@
 
     const config::BackendServer &configured() const;
     void setConfigured(const config::BackendServer &configured);
+    /// Sets whether the server itself has announced its end.
+    void setAnnouncedEnd(bool announced);
+    /// Whether neither the configuration nor the server itself excludes new requests.
+    bool acceptsRequests() const;
     ServerEvidence &evidence();
     const ServerEvidence &evidence() const;
     const ServerLifecycle &lifecycle() const;
@@ -60,6 +64,7 @@
     bool isOutOfUse() const;
 
     config::BackendServer m_configured;
+    bool m_hasAnnouncedEnd = false;
     HealthSettings m_settings;
     ServerEvidence m_evidence;
     ServerLifecycle m_lifecycle;
--- a/src/health/siblings_test.cpp
+++ b/src/health/siblings_test.cpp
@@ -182,6 +182,17 @@
     BOOST_TEST((monitor.admission(serverId(0)) == Admission::Draining));
 }
 
+// Guards against siblings that continue to send requests to a server that has announced its end, until the directory
+// reports it.
+BOOST_FIXTURE_TEST_CASE(server_thatAnnouncedItsEnd_countsAsDraining, OneNode)
+{
+    monitor.setAnnouncedEnd(serverId(0), true);
+    BOOST_TEST((availability(0) == Availability::Draining));
+    BOOST_TEST((monitor.admission(serverId(0)) == Admission::Draining));
+    monitor.setAnnouncedEnd(serverId(0), false);
+    BOOST_TEST((availability(0) == Availability::Usable));
+}
+
 // A sibling wrongly reports to be idle and a hundred times as fast as the others. Guards against sending it all
 // traffic.
 BOOST_FIXTURE_TEST_CASE(sibling_reportingWrongLoad_isBoundedByOwnObservations, OneNode)
--- a/src/include/papayastep/health/healthmonitor.h
+++ b/src/include/papayastep/health/healthmonitor.h
@@ -48,6 +48,9 @@
     void applyVmList(const config::VmList &list);
     /// Gives `vm` no new work from now on. If it is the own VM, the siblings are notified at once.
     void setLeaving(const base::VmId &vm);
+    /// Sets whether a backend server of this VM has announced its end. While it has, it counts as draining, here and at
+    /// its siblings.
+    void setAnnouncedEnd(const base::BackendServerId &server, bool announced);
 
     // Evidence of the serving node about its own backend servers. Events about other servers are ignored.
 
--- a/src/include/papayastep/routing/serveradmission.h
+++ b/src/include/papayastep/routing/serveradmission.h
@@ -56,7 +56,9 @@
     void recordProbe(bool answered, std::optional<base::Duration> coldTime);
     /// Records what the server announced in an answer. A limit is in force as long as answers name it: it ends with an
     /// answer without it to a request that was sent after it was last named. What an earlier start of the server
-    /// announced is ignored.
+    /// announced is ignored. A server that announced its end gets no
+    /// new attempts until it is started again, even if later answers do not repeat it; queued ones are dropped, so that
+    /// the entries can send them elsewhere at once.
     void recordAnnouncement(const ServerAnnouncement &announcement, const AnnouncementSource &source);
     /// Takes the limit in force that an entry remembers, until the server itself has answered: an earlier process of
     /// this node may have received it. A limit of another start of the server is ignored.
@@ -78,6 +80,7 @@
     const RetryBudget &retryBudget() const;
 
 private:
+    void setLeaving();
     void setLimit(std::optional<double> requestsPerSecond);
     void forgetAnnouncements();
 
@@ -87,6 +90,7 @@
     bool m_isDown = false; ///< The server refused a connection and has not answered since.
     bool m_removed = false; ///< The configuration does not contain the server.
     AnnouncedState m_announced;
+    base::TimePoint m_leavingSince; ///< Time at which the server announced its end.
     base::TimePoint m_limitNamedAt; ///< Time of the last answer that named a limit.
     bool m_hasAnswered = false; ///< The server has answered a request since its start or the start of this node.
     limits::SlotQueue m_queue;
--- a/src/include/papayastep/wire/hop.h
+++ b/src/include/papayastep/wire/hop.h
@@ -105,6 +105,7 @@
     bool callFailed = false; ///< The server answered with a failure because a call of its own failed.
     base::Incarnation serverIncarnation = 0; ///< The start of the server to which the announcements below belong.
     double serverLimit = -1; ///< The limit in requests per second that the server names; negative: none.
+    bool serverLeaving = false; ///< The server has announced its end.
 
     base::RequestId requestId() const
     {
@@ -127,7 +128,8 @@
                    grayPercent,
                    callFailed,
                    serverIncarnation,
-                   serverLimit)
+                   serverLimit,
+                   serverLeaving)
 };
 
 /// Message of kind CancelAttempt from the entry node to the serving node: requests that the attempt is not started, and
--- a/src/node/attemptmonitor.cpp
+++ b/src/node/attemptmonitor.cpp
@@ -17,6 +17,7 @@
 {
     routing::ServerNotice notice;
     notice.incarnation = reply.serverIncarnation;
+    notice.isLeaving = reply.serverLeaving;
     if (reply.serverLimit >= 0) {
         notice.requestsPerSecond = reply.serverLimit;
     }
--- a/src/node/candidates.cpp
+++ b/src/node/candidates.cpp
@@ -28,6 +28,7 @@
     candidate.idle = context.idle.idle(server.id);
     candidate.loadAge = view.age.value_or(base::Duration::zero());
     candidate.drained = !server.acceptsRequests() || context.isLeaving(server.vm)
+        || context.announcements.isLeaving(server.id, server.incarnation)
         || view.availability == health::Availability::Draining || view.availability == health::Availability::Gone;
     const bool known = server.vm == context.settings.vm || context.vms.find(server.vm) != nullptr;
     const bool reachable = known && !context.silence.isSilent(server.vm);
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -451,7 +451,9 @@
 {
     const routing::AnnouncedState &after = localServer.admission.announced();
     if (after != before) {
-        logAnnouncementChange(localServer.admission.server().id, before, after, source);
+        const base::BackendServerId &server = localServer.admission.server().id;
+        logAnnouncementChange(server, before, after, source);
+        m_context.health.setAnnouncedEnd(server, after.isLeaving);
         m_context.schedulePump();
     }
 }
@@ -1086,6 +1088,7 @@
         reply.grayPercent = admission.grayPercent();
         reply.serverIncarnation = admission.server().incarnation;
         reply.serverLimit = admission.announced().requestsPerSecond.value_or(-1);
+        reply.serverLeaving = admission.announced().isLeaving;
     }
     reply.report = wire::encode(m_context.health.report(activeAttempt.hop.server));
     return reply;
--- a/src/routing/announcementtable.cpp
+++ b/src/routing/announcementtable.cpp
@@ -9,6 +9,11 @@
 
 }
 
+base::Duration leavingMemory(base::Incarnation incarnation)
+{
+    return incarnation == 0 ? std::chrono::minutes(1) : std::chrono::minutes(10);
+}
+
 AnnouncementTable::AnnouncementTable(const base::Clock &clock)
     : m_clock(clock)
 {
@@ -16,11 +21,19 @@
 
 void AnnouncementTable::record(const base::BackendServerId &server, const ServerNotice &notice)
 {
-    if (!notice.requestsPerSecond) {
+    const auto known = m_entries.find(server);
+    const bool isSameStart = known != m_entries.end() && known->second.notice.incarnation == notice.incarnation;
+    const bool wasLeaving = isSameStart && isLeaving(server, notice.incarnation);
+    if (!notice.requestsPerSecond && !notice.isLeaving && !wasLeaving) {
         m_entries.erase(server);
         return;
     }
-    m_entries[server] = Entry{notice, m_clock.now()};
+    Entry entry{notice, m_clock.now(), m_clock.now()};
+    if (wasLeaving) {
+        entry.notice.isLeaving = true;
+        entry.leavingSince = known->second.leavingSince;
+    }
+    m_entries[server] = entry;
 }
 
 std::optional<double> AnnouncementTable::requestsPerSecond(const base::BackendServerId &server,
@@ -32,10 +45,26 @@
     return isKnown ? found->second.notice.requestsPerSecond : std::nullopt;
 }
 
+bool AnnouncementTable::isLeaving(const base::BackendServerId &server, base::Incarnation incarnation) const
+{
+    const auto found = m_entries.find(server);
+    if (found == m_entries.end() || !found->second.notice.isLeaving
+        || found->second.notice.incarnation != incarnation) {
+        return false;
+    }
+    return m_clock.now() - found->second.leavingSince < leavingMemory(incarnation);
+}
+
 void AnnouncementTable::expire()
+{
+    std::erase_if(m_entries, [this](const auto &entry) { return isOutdated(entry.second); });
+}
+
+bool AnnouncementTable::isOutdated(const Entry &entry) const
 {
     const base::TimePoint now = m_clock.now();
-    std::erase_if(m_entries, [now](const auto &entry) { return now - entry.second.receivedAt >= limitMemory; });
+    const bool isLeaving = entry.notice.isLeaving && now - entry.leavingSince < leavingMemory(entry.notice.incarnation);
+    return !isLeaving && now - entry.receivedAt >= limitMemory;
 }
 
 }
--- a/src/routing/serveradmission.cpp
+++ b/src/routing/serveradmission.cpp
@@ -1,5 +1,7 @@
 #include "papayastep/routing/serveradmission.h"
 
+#include "papayastep/routing/announcementtable.h"
+
 namespace papayastep::routing {
 
 namespace {
@@ -28,6 +30,9 @@
                                 bool canBeProbed)
 {
     m_canBeProbed = canBeProbed;
+    if (m_announced.isLeaving && m_clock.now() - m_leavingSince >= leavingMemory(m_server.incarnation)) {
+        m_announced.isLeaving = false;
+    }
     const config::BackendServer before = m_server;
     m_removed = server == nullptr;
     if (server != nullptr) {
@@ -70,7 +75,7 @@
 
 std::optional<base::ResultCode> ServerAdmission::refusalCode() const
 {
-    if (m_removed || m_server.drain) {
+    if (m_removed || m_server.drain || m_announced.isLeaving) {
         return base::ResultCode::HopBackendServerGone;
     }
     if (m_server.evacuated) {
@@ -135,6 +140,9 @@
         return;
     }
     m_hasAnswered = m_hasAnswered || source.kind == AnnouncementSource::Kind::Request;
+    if (announcement.isLeaving) {
+        setLeaving();
+    }
     const NamedLimit &limit = announcement.limit;
     m_announced.isLimitReadable = limit.isReadable;
     if (limit.requestsPerSecond) {
@@ -164,6 +172,15 @@
     }
 }
 
+void ServerAdmission::setLeaving()
+{
+    if (!m_announced.isLeaving) {
+        m_announced.isLeaving = true;
+        m_leavingSince = m_clock.now();
+        m_queue.dropQueued(base::ResultCode::HopBackendServerGone);
+    }
+}
+
 /// A new start of the server has announced nothing yet.
 void ServerAdmission::forgetAnnouncements()
 {
--- a/src/routing/serveradmission_test.cpp
+++ b/src/routing/serveradmission_test.cpp
@@ -349,4 +349,26 @@
     BOOST_TEST(!admission.takeEjectionProbe());
 }
 
+// Guards against a server that gets requests until the directory reports its end, which it announced before.
+BOOST_AUTO_TEST_CASE(server_thatAnnouncedItsEnd_getsNoAttemptsUntilItIsStartedAgain)
+{
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        BOOST_TEST(offer(number).accepted);
+    }
+    BOOST_TEST(startNow() == 2U);
+    ServerAnnouncement end;
+    end.isLeaving = true;
+    admission.recordAnnouncement(end, {Kind::Stray, server.incarnation, clock.now()});
+    BOOST_CHECK(admission.refusalCode() == base::ResultCode::HopBackendServerGone);
+    BOOST_TEST(admission.queue().poll().size() == 2U);
+    answer(std::nullopt);
+    configure();
+    BOOST_TEST(admission.announced().isLeaving);
+    server.incarnation = 2;
+    configure();
+    BOOST_TEST(!admission.refusalCode().has_value());
+    admission.recordAnnouncement(end, {Kind::Request, 1, clock.now()});
+    BOOST_TEST(!admission.announced().isLeaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
