--- a/testsuite/server-announcements/run.py
+++ b/testsuite/server-announcements/run.py
@@ -1,11 +1,14 @@
 #!/usr/bin/env python3
 """Backend servers that name a limit or announce their end in their answers, on the operators' platform."""
 import itertools
+import os
+import subprocess
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from lab.platformcase import ADDRESSES, OperatorsPlatformCase
+from lab.platformcase import ADDRESSES, BUILD, OperatorsPlatformCase
+from lab.ports import ADMIN
 from lab.processes import wait_until
 
 BINDS_AFTER = 3  # Seconds from the first answer with a limit.
@@ -51,6 +54,56 @@
         self.assertEqual({(status, body) for status, _, body in answers}, {(200, b"i-1")})
         self.assertEqual(len(self.servers[0].requests), before)
 
+    # Guards against an announced end that is forgotten when the node beside the server is restarted.
+    def test_announcedEnd_afterARestartOfTheNodeBesideTheServer_staysKnownAtTheOtherEntries(self):
+        self.servers[0].leaving = True
+        wait_until(lambda: self.refund(ADDRESSES[1])[2] == b"i-0", 20, "an answer that announces the end")
+        before = len(self.servers[0].requests)
+        self.nodes[0].kill()
+        self.nodes[0] = self.start_node(ADDRESSES[0])
+        wait_until(lambda: self.is_ready(ADDRESSES[0]), 20, "the restarted node")
+        answers = self.refunds_for(2, [ADDRESSES[1]])
+        self.assertEqual({(status, body) for status, _, body in answers}, {(200, b"i-1")})
+        self.assertEqual(len(self.servers[0].requests), before)
+
+    # Guards against a limit that never ends, because the server gets nothing by which it could report the end.
+    def test_limitThatEnds_isNoLongerKept(self):
+        self.servers[0].limit = "0"
+        self.refunds_for(1)
+        self.assertIn("A backend server named a limit. server=i-0 requestsPerSecond=0", self.nodes[0].log())
+        self.servers[0].limit = None
+        wait_until(lambda: self.refund() and "A backend server no longer names a limit. server=i-0"
+                   in self.nodes[0].log(), 30, "the end of the limit")
+
+    # Guards against callers that wait until their deadline although no server will take their request.
+    def test_refunds_whileAllServersAreLimited_areRefusedAsNotRunWithATimeToReturn(self):
+        for server in self.servers:
+            server.limit = "0.5"
+        answers = self.refunds_for(4)
+        refused = [headers for status, headers, _ in answers if status == 503]
+        self.assertGreater(len(refused), 0)
+        self.assertTrue(all(float(headers["Retry-After"]) > 0 for headers in refused))
+        ran = sum(len(server.requests) for server in self.servers)
+        self.assertEqual(ran, sum(1 for status, _, _ in answers if status == 200))
+        self.assertEqual(len(refused) + ran, len(answers))
+
+    def test_limitThatCannotBeRead_isLoggedWithItsNumber(self):
+        self.servers[0].limit = "soon"
+        wait_until(lambda: self.refund()[2] == b"i-0", 20, "an answer with the limit")
+        self.assertIn("A backend server named a limit that cannot be read. server=i-0 code=4016", self.nodes[0].log())
+        self.assertEqual(self.refund()[0], 200)
+
+    def test_status_showsWhatServersAnnounce(self):
+        self.servers[0].limit = "3.4"
+        self.servers[1].leaving = True
+        wait_until(lambda: self.refund()[2] == b"i-1", 20, "an answer that announces the end")
+        wait_until(lambda: self.refund()[2] == b"i-0", 20, "an answer with the limit")
+        nodes = [f"{address}:{self.ports.port(ADMIN)}" for address in ADDRESSES]
+        shown = subprocess.run([os.path.join(BUILD, "src/ctl/papayastep"), "status", "--node", *nodes],
+                               stdout=subprocess.PIPE, text=True, check=True).stdout
+        self.assertIn("i-0 at most 3.4/s", shown)
+        self.assertIn("i-1 leaving", shown)
+
 
 if __name__ == "__main__":
     unittest.main()
