--- a/scripts/lab/cases/soak.py
+++ b/scripts/lab/cases/soak.py
@@ -82,7 +82,20 @@
         begin, index = generator.uniform(0.2, seconds), generator.randrange(nodes)
         series = CHANGES[generator.choice(PLANNED_CHANGES if planned else sorted(CHANGES))]
         events += [Event(begin + after, what, index) for after, what in series]
-    return sorted(events)
+    return sorted(events + _announcements(seed, seconds, nodes))
+
+
+def _announcements(seed, seconds, nodes):
+    """Returns the begin and end of what servers announce. A generator of their own leaves the other events of a seed as
+    they are."""
+    generator = random.Random(f"announcements {seed}")
+    kinds = ["server-names-limit"] if is_planned(seed) else sorted(faults.ANNOUNCEMENTS)
+    events = []
+    for _ in range(generator.randint(0, 2)):
+        begin, length = generator.uniform(0.2, seconds), generator.uniform(0.5, 3.0)
+        index, fault = generator.randrange(nodes), generator.choice(kinds)
+        events += [Event(begin, "begin", index, fault), Event(begin + length, "end", index, fault)]
+    return events
 
 
 def is_planned(seed):
@@ -164,7 +177,8 @@
         if late > LATE_SECONDS and not planned:
             print(f"  {event.what} of node {event.index + 1} came {late:.1f} s late", file=sys.stderr)
         if event.what == "begin":
-            undo.setdefault((event.fault, event.index), faults.HISTORY[event.fault](fleet, event.index))
+            fault = {**faults.HISTORY, **faults.ANNOUNCEMENTS}[event.fault]
+            undo.setdefault((event.fault, event.index), fault(fleet, event.index))
         elif event.what == "end":
             undo.pop((event.fault, event.index), lambda: None)()
         elif event.what in ("publish", "rates", "out", "in"):
--- a/scripts/lab/faults.py
+++ b/scripts/lab/faults.py
@@ -73,6 +73,12 @@
     return end
 
 
+# What servers announce about themselves.
+ANNOUNCEMENTS = {
+    "server-names-limit": server_fault("limit", rate=2),
+    "server-announces-end": server_fault("leave"),
+}
+
 # The gray failures whose detection is measured.
 GRAY = {
     "slow-tenfold": server_fault("slow", factor=10),
--- a/src/include/papayastep/testing/backend.h
+++ b/src/include/papayastep/testing/backend.h
@@ -23,6 +23,8 @@
     Refuse, ///< Connections are refused.
     Pause, ///< The server processes nothing until the fault is changed, then sends the responses late.
     Shed, ///< A share `ratio` of the requests is refused with 503 and Retry-After, as under overload.
+    Limit, ///< The server works normally and names a limit of `rate` requests per second in each answer.
+    Leave, ///< The server works normally and announces its end in each answer.
 };
 
 struct Fault
@@ -31,6 +33,7 @@
     double factor = 10;
     double ratio = 1;
     double period = 2;
+    double rate = 1;
 };
 
 struct BackendSettings
@@ -69,6 +72,8 @@
     using Answer = boost::asio::awaitable<std::optional<Response>>;
 
     Answer answer(Stream &stream, const Request &request);
+    Answer answerUnannounced(Stream &stream, const Request &request);
+    void announce(Response &response) const;
     Answer work(Stream &stream, const Request &request);
     Answer workWithSlot(Stream &stream, const Request &request);
     boost::asio::awaitable<WorkResult> spend(Stream &stream, std::chrono::duration<double> time);
--- a/src/testing/backend.cpp
+++ b/src/testing/backend.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <sstream>
 #include <stdexcept>
 
 namespace papayastep::testing {
@@ -25,7 +26,9 @@
                               {FaultKind::Flap, "flap"},
                               {FaultKind::Refuse, "refuse"},
                               {FaultKind::Pause, "pause"},
-                              {FaultKind::Shed, "shed"}})
+                              {FaultKind::Shed, "shed"},
+                              {FaultKind::Limit, "limit"},
+                              {FaultKind::Leave, "leave"}})
 
 namespace {
 
@@ -136,6 +139,26 @@
 }
 
 BackendStandIn::Answer BackendStandIn::answer(Stream &stream, const Request &request)
+{
+    std::optional<Response> response = co_await answerUnannounced(stream, request);
+    if (response) {
+        announce(*response);
+    }
+    co_return response;
+}
+
+void BackendStandIn::announce(Response &response) const
+{
+    if (m_fault.kind == FaultKind::Limit) {
+        std::ostringstream rate;
+        rate << m_fault.rate;
+        response.set("Papayastep-Server-Limit", rate.str());
+    } else if (m_fault.kind == FaultKind::Leave) {
+        response.set("Papayastep-Server-Leaving", "1");
+    }
+}
+
+BackendStandIn::Answer BackendStandIn::answerUnannounced(Stream &stream, const Request &request)
 {
     co_await waitWhilePaused();
     const std::string path = targetOf(request).path;
@@ -380,7 +403,8 @@
                 .setFault({body.at("kind").get<FaultKind>(),
                            body.value("factor", standard.factor),
                            body.value("ratio", standard.ratio),
-                           body.value("period", standard.period)});
+                           body.value("period", standard.period),
+                           body.value("rate", standard.rate)});
             return statusResponse(request, http::status::ok, json::object());
         }
     } catch (const std::exception &error) {
