Keep what servers announced across gaps of the directory and replies without news

By reading, with tests of the decision code: a server that the directory did not list for a while came back without its announced end or limit, since the node beside it had dropped its state; the node now recalls what it remembers as an entry. A refusal of a node that does not serve the server, as after a restart, erased what the entry knew of it; replies say whether they carry news. An announced end of a server without a known start was forgotten only with the next configuration. Probes of a server that is down added up to a debt that delayed its requests; it is one start at most.

--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -216,7 +216,7 @@
     Tiers::iterator selectTier();
     bool removeQueued(const AttemptId &attempt);
     base::Duration waitBehind(std::size_t ahead) const;
-    std::vector<AttemptId> queuedInOrder() const;
+    std::vector<Queued> queuedInOrder() const;
 
     const base::Clock &m_clock;
     SlotQueueSettings m_settings;
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -133,7 +133,7 @@
     void announcementsChanged(const LocalServer &localServer,
                               const routing::AnnouncedState &before,
                               std::string_view source);
-    void adoptLimit(const wire::HopRequest &hop);
+    void adoptNotice(const wire::HopRequest &hop);
     std::optional<base::ResultCode> checkKey(const wire::HopRequest &hop) const;
     std::optional<base::ResultCode> checkServer(const base::BackendServerId &server,
                                                 bool idempotent,
--- a/src/include/papayastep/routing/announcementtable.h
+++ b/src/include/papayastep/routing/announcementtable.h
@@ -40,6 +40,9 @@
     /// Whether this start of the server has announced its end. It never takes new requests again.
     bool isLeaving(const base::BackendServerId &server, base::Incarnation incarnation) const;
 
+    /// Returns what is remembered of this start of the server.
+    ServerNotice notice(const base::BackendServerId &server, base::Incarnation incarnation) const;
+
     /// Removes what is outdated.
     void expire();
 
--- a/src/include/papayastep/routing/serveradmission.h
+++ b/src/include/papayastep/routing/serveradmission.h
@@ -2,6 +2,7 @@
 
 #include "papayastep/health/serverhold.h"
 #include "papayastep/limits/slotqueue.h"
+#include "papayastep/routing/announcementtable.h"
 #include "papayastep/routing/retrybudget.h"
 #include "papayastep/routing/serverannouncement.h"
 
@@ -60,9 +61,12 @@
     /// new attempts until it is started again, even if later answers do not repeat it; queued ones are dropped, so that
     /// the entries can send them elsewhere at once.
     void recordAnnouncement(const ServerAnnouncement &announcement, const AnnouncementSource &source);
-    /// Takes the limit in force that an entry remembers, until the server itself has answered: an earlier process of
-    /// this node may have received it. A limit of another start of the server is ignored.
-    void adoptLimit(double requestsPerSecond, base::Incarnation incarnation);
+    /// Takes over what is remembered elsewhere: by an entry, since an earlier process of this node ran, or by this
+    /// node, since the directory did not list the server for a while. A limit is taken only until the server itself has
+    /// answered; what belongs to another start of the server is ignored.
+    void adopt(const ServerNotice &notice);
+    /// Forgets an announced end that is outdated (leavingMemory).
+    void expireAnnouncements();
     /// What is in force of the server's announcements.
     const AnnouncedState &announced() const;
     /// Whether the limit in force admits a probe of a server that is ejected. The probe counts as sent.
--- a/src/include/papayastep/wire/hop.h
+++ b/src/include/papayastep/wire/hop.h
@@ -103,6 +103,7 @@
     std::string report; ///< State of the server and its siblings, encoded by package health.
     std::uint8_t grayPercent = 0; ///< Probability in percent that the server is in an episode of gray failure.
     bool callFailed = false; ///< The server answered with a failure because a call of its own failed.
+    bool hasServerNotice = false; ///< Whether the node serves the server, so that the three fields below are news.
     base::Incarnation serverIncarnation = 0; ///< The start of the server to which the announcements below belong.
     double serverLimit = -1; ///< The limit in requests per second that the server names; negative: none.
     bool serverLeaving = false; ///< The server has announced its end.
@@ -127,6 +128,7 @@
                    report,
                    grayPercent,
                    callFailed,
+                   hasServerNotice,
                    serverIncarnation,
                    serverLimit,
                    serverLeaving)
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -126,19 +126,14 @@
 {
     m_startRate.setRate(startsPerSecond);
     std::size_t ahead = 0;
-    for (const AttemptId &attempt : queuedInOrder()) {
-        const QueuedPosition place = m_queued.at(attempt);
-        const auto lane = queueOf(m_tiers.at(place.tier), place.workspace);
-        const auto queued = std::find_if(lane->attempts.begin(), lane->attempts.end(), [&](const Queued &candidate) {
-            return candidate.attempt == attempt;
-        });
+    for (const Queued &queued : queuedInOrder()) {
         const base::Duration delay = m_startRate.wait(ahead);
-        if (m_clock.now() + delay < queued->latestStart) {
+        if (m_clock.now() + delay < queued.latestStart) {
             ++ahead;
             continue;
         }
-        removeQueued(attempt);
-        m_evicted.push_back(QueueDecision{attempt, false, base::ResultCode::HopBackendServerLimited, delay});
+        removeQueued(queued.attempt);
+        m_evicted.push_back(QueueDecision{queued.attempt, false, base::ResultCode::HopBackendServerLimited, delay});
     }
 }
 
@@ -444,16 +439,16 @@
 }
 
 /// Returns the queued attempts, the most urgent tier first, and those of a tier by the turns of their workspaces.
-std::vector<AttemptId> SlotQueue::queuedInOrder() const
+std::vector<SlotQueue::Queued> SlotQueue::queuedInOrder() const
 {
-    std::vector<AttemptId> result;
+    std::vector<Queued> result;
     result.reserve(m_queued.size());
     for (const auto &[number, tier] : m_tiers) {
         const std::size_t end = result.size() + tier.size;
         for (std::size_t turn = 0; result.size() < end; ++turn) {
             for (const WorkspaceQueue &lane : tier.queues) {
                 if (turn < lane.attempts.size()) {
-                    result.push_back(lane.attempts[turn].attempt);
+                    result.push_back(lane.attempts[turn]);
                 }
             }
         }
--- a/src/limits/startratelimiter.cpp
+++ b/src/limits/startratelimiter.cpp
@@ -8,6 +8,9 @@
 
 constexpr double minRate = 0.2; ///< Starts per second that any server gets.
 constexpr double capacitySeconds = 0.25; ///< Time in which the limit fills the bucket.
+/// Largest debt in starts. Probes start regardless of the limit, and many of them at a server that is down must not
+/// delay its requests once it is back.
+constexpr double maxDebt = 1;
 /// Waits are cut to this time. No request waits so long, and the sum with a time point does not overflow.
 constexpr std::chrono::duration<double> maxWait = std::chrono::hours(1);
 
@@ -37,7 +40,7 @@
     if (!m_rate) {
         return;
     }
-    m_tokens = tokens() - 1;
+    m_tokens = std::max(tokens() - 1, -maxDebt);
     m_updatedAt = m_clock.now();
 }
 
--- a/src/limits/startratelimiter_test.cpp
+++ b/src/limits/startratelimiter_test.cpp
@@ -94,6 +94,16 @@
     BOOST_TEST(limiter.rate().value() == 0);
 }
 
+// Guards against a server that gets nothing for a long time because it was probed often while it was down.
+BOOST_AUTO_TEST_CASE(starts_beyondTheLimit_delayFurtherOnesByOneAtMost)
+{
+    limiter.setRate(1);
+    for (int probe = 0; probe < 100; ++probe) {
+        limiter.recordStart();
+    }
+    BOOST_TEST((limiter.wait(0) == 2s));
+}
+
 BOOST_AUTO_TEST_CASE(waits_ofAnyLength_doNotOverflow)
 {
     limiter.setRate(0);
--- a/src/model/modelserver.cpp
+++ b/src/model/modelserver.cpp
@@ -125,7 +125,7 @@
     const Waiting waiting{attempt, std::move(done)};
     const bool idempotent = m_shape.classes[attempt.trafficClass].idempotent;
     if (attempt.knownLimit) {
-        m_admission->adoptLimit(*attempt.knownLimit, m_server.incarnation);
+        m_admission->adopt({m_server.incarnation, *attempt.knownLimit, false});
     }
     if (const auto closed = m_admission->refusalCode()) {
         refuse(waiting, *closed, {});
--- a/src/node/announcementlog.cpp
+++ b/src/node/announcementlog.cpp
@@ -34,6 +34,9 @@
     if (after.isLeaving && !before.isLeaving) {
         PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server announced its end." << base::field("server", server)
                                         << base::field("source", source);
+    } else if (!after.isLeaving && before.isLeaving) {
+        PAPAYASTEP_LOG(INFO, logPrefix) << "Forgot that a backend server announced its end."
+                                        << base::field("server", server) << base::field("source", source);
     }
 }
 
--- a/src/node/announcementlog.h
+++ b/src/node/announcementlog.h
@@ -8,7 +8,7 @@
 namespace papayastep::node {
 
 /// Logs what has changed in the announcements in force of a backend server, one line for each change. `source` says by
-/// which message: the name of an AnnouncementSource::Kind, or "restart".
+/// what: the name of an AnnouncementSource::Kind, "restart" (of the server), "memory" (of this node) or "age".
 void logAnnouncementChange(const base::BackendServerId &server,
                            const routing::AnnouncedState &before,
                            const routing::AnnouncedState &after,
--- a/src/node/attemptmonitor.cpp
+++ b/src/node/attemptmonitor.cpp
@@ -117,7 +117,9 @@
     const auto code = static_cast<ResultCode>(answer.reply.code);
     m_advice = answer.reply.advice;
     m_context.gray.update(m_attempt->hop().server, answer.reply.grayPercent / 100.0);
-    m_context.announcements.record(m_attempt->hop().server, noticeOf(answer.reply));
+    if (answer.reply.hasServerNotice) {
+        m_context.announcements.record(m_attempt->hop().server, noticeOf(answer.reply));
+    }
     switch (answer.outcome()) {
     case wire::HopOutcome::NotRun:
         return {AttemptEvent::RefusedNotRun, code, std::chrono::milliseconds(answer.reply.retryAfterMs)};
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -195,7 +195,7 @@
 {
     auto activeAttempt = std::make_shared<ActiveAttempt>(m_context.io, std::move(hop), m_context.clock.now());
     activeAttempt->onHangSuspected = std::move(onHangSuspected);
-    adoptLimit(activeAttempt->hop);
+    adoptNotice(activeAttempt->hop);
     auto refused = checkKey(activeAttempt->hop);
     if (!refused) {
         refused = checkServer(activeAttempt->hop.server, activeAttempt->hop.idempotent, activeAttempt->hop.lastResort);
@@ -382,6 +382,11 @@
                                     service != nullptr ? service->coldStart : config::ColdStart(),
                                     service != nullptr && !service->healthPath.empty());
     announcementsChanged(localServer, before, "restart");
+    if (server != nullptr) {
+        const routing::AnnouncedState known = localServer.admission.announced();
+        localServer.admission.adopt(m_context.announcements.notice(id, server->incarnation));
+        announcementsChanged(localServer, known, "memory");
+    }
     if (server != nullptr && m_context.settings.retryLimit) {
         const std::size_t servers = configuration.serversOf(server->service).size();
         localServer.admission.retryBudget().setSettings(
@@ -444,16 +449,17 @@
     }
 }
 
-/// Logs what has changed since `before`, and lets queued attempts be decided anew.
+/// Logs and passes on what has changed since `before`, and lets queued attempts be decided anew.
 void ServingNode::announcementsChanged(const LocalServer &localServer,
                                        const routing::AnnouncedState &before,
                                        std::string_view source)
 {
     const routing::AnnouncedState &after = localServer.admission.announced();
     if (after != before) {
-        const base::BackendServerId &server = localServer.admission.server().id;
-        logAnnouncementChange(server, before, after, source);
-        m_context.health.setAnnouncedEnd(server, after.isLeaving);
+        const config::BackendServer &server = localServer.admission.server();
+        logAnnouncementChange(server.id, before, after, source);
+        m_context.health.setAnnouncedEnd(server.id, after.isLeaving);
+        m_context.announcements.record(server.id, {server.incarnation, after.requestsPerSecond, after.isLeaving});
         m_context.schedulePump();
     }
 }
@@ -575,6 +581,9 @@
 {
     for (auto &[id, localServer] : m_localServers) {
         localServer->admission.retryBudget().tick();
+        const routing::AnnouncedState before = localServer->admission.announced();
+        localServer->admission.expireAnnouncements();
+        announcementsChanged(*localServer, before, "age");
     }
 }
 
@@ -775,15 +784,15 @@
     }
 }
 
-/// Takes the limit of the server that the entry remembers, in case this process has been restarted since.
-void ServingNode::adoptLimit(const wire::HopRequest &hop)
+/// Takes over the limit of the server that the entry remembers, in case this process has been restarted since.
+void ServingNode::adoptNotice(const wire::HopRequest &hop)
 {
     LocalServer *localServer = findLocalServer(hop.server);
     if (localServer == nullptr || hop.serverLimit < 0) {
         return;
     }
     const routing::AnnouncedState before = localServer->admission.announced();
-    localServer->admission.adoptLimit(hop.serverLimit, hop.serverIncarnation);
+    localServer->admission.adopt({hop.serverIncarnation, hop.serverLimit, false});
     announcementsChanged(*localServer, before, name(routing::AnnouncementSource::Kind::Adopted));
 }
 
@@ -1086,6 +1095,7 @@
     if (localServer != m_localServers.end()) {
         const routing::ServerAdmission &admission = localServer->second->admission;
         reply.grayPercent = admission.grayPercent();
+        reply.hasServerNotice = true;
         reply.serverIncarnation = admission.server().incarnation;
         reply.serverLimit = admission.announced().requestsPerSecond.value_or(-1);
         reply.serverLeaving = admission.announced().isLeaving;
--- a/src/routing/announcementtable.cpp
+++ b/src/routing/announcementtable.cpp
@@ -55,6 +55,11 @@
     return m_clock.now() - found->second.leavingSince < leavingMemory(incarnation);
 }
 
+ServerNotice AnnouncementTable::notice(const base::BackendServerId &server, base::Incarnation incarnation) const
+{
+    return {incarnation, requestsPerSecond(server, incarnation), isLeaving(server, incarnation)};
+}
+
 void AnnouncementTable::expire()
 {
     std::erase_if(m_entries, [this](const auto &entry) { return isOutdated(entry.second); });
--- a/src/routing/serveradmission.cpp
+++ b/src/routing/serveradmission.cpp
@@ -1,7 +1,5 @@
 #include "papayastep/routing/serveradmission.h"
 
-#include "papayastep/routing/announcementtable.h"
-
 namespace papayastep::routing {
 
 namespace {
@@ -30,9 +28,6 @@
                                 bool canBeProbed)
 {
     m_canBeProbed = canBeProbed;
-    if (m_announced.isLeaving && m_clock.now() - m_leavingSince >= leavingMemory(m_server.incarnation)) {
-        m_announced.isLeaving = false;
-    }
     const config::BackendServer before = m_server;
     m_removed = server == nullptr;
     if (server != nullptr) {
@@ -154,10 +149,23 @@
     }
 }
 
-void ServerAdmission::adoptLimit(double requestsPerSecond, base::Incarnation incarnation)
+void ServerAdmission::adopt(const ServerNotice &notice)
+{
+    if (notice.incarnation != m_server.incarnation) {
+        return;
+    }
+    if (notice.isLeaving) {
+        setLeaving();
+    }
+    if (notice.requestsPerSecond && !m_hasAnswered) {
+        setLimit(notice.requestsPerSecond);
+    }
+}
+
+void ServerAdmission::expireAnnouncements()
 {
-    if (!m_hasAnswered && incarnation == m_server.incarnation) {
-        setLimit(requestsPerSecond);
+    if (m_announced.isLeaving && m_clock.now() - m_leavingSince >= leavingMemory(m_server.incarnation)) {
+        m_announced.isLeaving = false;
     }
 }
 
--- a/src/routing/serveradmission_test.cpp
+++ b/src/routing/serveradmission_test.cpp
@@ -323,19 +323,20 @@
     configure();
     BOOST_TEST(!limit().has_value());
     answer(1, Kind::Request, clock.now(), 1);
-    admission.adoptLimit(1, 1);
+    admission.adopt({1, 1, true});
+    BOOST_TEST(!admission.announced().isLeaving);
     BOOST_TEST(!limit().has_value());
 }
 
 // Guards against a limit that the node beside the server forgets when it is restarted, while the entries know it.
 BOOST_AUTO_TEST_CASE(limit_thatAnEntryRemembers_holdsUntilTheServerAnswers)
 {
-    admission.adoptLimit(1, server.incarnation);
+    admission.adopt({server.incarnation, 1, false});
     BOOST_TEST(limit().value() == 1);
     clock.advance(10ms);
     answer(std::nullopt);
     BOOST_TEST(!limit().has_value());
-    admission.adoptLimit(1, server.incarnation);
+    admission.adopt({server.incarnation, 1, false});
     BOOST_TEST(!limit().has_value());
 }
 
@@ -371,4 +372,26 @@
     BOOST_TEST(!admission.announced().isLeaving);
 }
 
+// Guards against requests to a leaving server after the directory did not list it for a while.
+BOOST_AUTO_TEST_CASE(announcedEnd_thatTheNodeRemembers_applies)
+{
+    answer(std::nullopt);
+    admission.adopt({server.incarnation, std::nullopt, true});
+    BOOST_CHECK(admission.refusalCode() == base::ResultCode::HopBackendServerGone);
+}
+
+// Guards against a server without a known start that never gets requests again after it announced its end.
+BOOST_AUTO_TEST_CASE(announcedEnd_ofAServerWithoutKnownStart_isForgottenAfterAMinute)
+{
+    server.incarnation = 0;
+    configure();
+    admission.adopt({0, std::nullopt, true});
+    clock.advance(59s);
+    admission.expireAnnouncements();
+    BOOST_TEST(admission.announced().isLeaving);
+    clock.advance(1s);
+    admission.expireAnnouncements();
+    BOOST_TEST(!admission.refusalCode().has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
