--- a/src/include/papayastep/routing/serveradmission.h
+++ b/src/include/papayastep/routing/serveradmission.h
@@ -2,9 +2,8 @@
 
 #include "papayastep/health/serverhold.h"
 #include "papayastep/limits/slotqueue.h"
-#include "papayastep/routing/announcementtable.h"
 #include "papayastep/routing/retrybudget.h"
-#include "papayastep/routing/serverannouncement.h"
+#include "papayastep/routing/serverannouncements.h"
 
 #include <map>
 #include <optional>
@@ -14,7 +13,7 @@
 
 /// Decides which attempts start at one backend server of this VM, and when: the queue in front of its slots, the limit
 /// while it is cold, the limit that it names itself, the hold while it has a gray failure, its part of the retry
-/// budget, and the refusals while it is drained or evacuated. It does no I/O.
+/// budget, and the refusals while it is drained, evacuated or about to end. It does no I/O.
 ///
 /// It is for a service that is overloaded, and for servers that return cold together: an attempt that can't start in
 /// time is refused at once, with the time after which it could.
@@ -35,8 +34,8 @@
     /// Whether the server refused a connection and has not answered since.
     bool isDown() const;
 
-    /// Returns the code with which every attempt is refused, regardless of its request: the server is gone, evacuated
-    /// or down. Empty if the server may get new requests.
+    /// Returns the code with which every attempt is refused, regardless of its request: the server is gone or
+    /// about to end, evacuated or down. Empty if the server may get new requests.
     std::optional<base::ResultCode> refusalCode() const;
     /// Whether attempts are refused because the server is held back as gray. Such a refusal proves that the request did
     /// not run, so that the entry can send it to another server at once. The trial request that shows the state of the
@@ -55,17 +54,12 @@
     void recordPause();
     /// Records the result of a probe: the time for which the server is cold, if it reported one.
     void recordProbe(bool answered, std::optional<base::Duration> coldTime);
-    /// Records what the server announced in an answer. A limit is in force as long as answers name it: it ends with an
-    /// answer without it to a request that was sent after it was last named. What an earlier start of the server
-    /// announced is ignored. A server that announced its end gets no
-    /// new attempts until it is started again, even if later answers do not repeat it; queued ones are dropped, so that
-    /// the entries can send them elsewhere at once.
+    /// Records what the server announced in an answer. If it announced its end, queued attempts are dropped, so that
+    /// the entries can send them elsewhere at once; so are those that can't start in time within a limit.
     void recordAnnouncement(const ServerAnnouncement &announcement, const AnnouncementSource &source);
-    /// Takes over what is remembered elsewhere: by an entry, since an earlier process of this node ran, or by this
-    /// node, since the directory did not list the server for a while. A limit is taken only until the server itself has
-    /// answered; what belongs to another start of the server is ignored.
+    /// Takes over what is remembered elsewhere of the server's announcements.
     void adopt(const ServerNotice &notice);
-    /// Forgets an announced end that is outdated (leavingMemory).
+    /// Forgets announcements that are outdated.
     void expireAnnouncements();
     /// What is in force of the server's announcements.
     const AnnouncedState &announced() const;
@@ -84,19 +78,14 @@
     const RetryBudget &retryBudget() const;
 
 private:
-    void setLeaving();
-    void setLimit(std::optional<double> requestsPerSecond);
-    void forgetAnnouncements();
+    void applyAnnouncements();
 
     const base::Clock &m_clock;
     config::BackendServer m_server;
     bool m_canBeProbed = false;
     bool m_isDown = false; ///< The server refused a connection and has not answered since.
     bool m_removed = false; ///< The configuration does not contain the server.
-    AnnouncedState m_announced;
-    base::TimePoint m_leavingSince; ///< Time at which the server announced its end.
-    base::TimePoint m_limitNamedAt; ///< Time of the last answer that named a limit.
-    bool m_hasAnswered = false; ///< The server has answered a request since its start or the start of this node.
+    ServerAnnouncements m_announcements;
     limits::SlotQueue m_queue;
     health::ServerHold m_hold;
     RetryBudget m_retryBudget;
--- a/src/routing/serveradmission.cpp
+++ b/src/routing/serveradmission.cpp
@@ -12,6 +12,7 @@
 ServerAdmission::ServerAdmission(const base::Clock &clock, const config::BackendServer &server)
     : m_clock(clock)
     , m_server(server)
+    , m_announcements(clock, server.incarnation)
     , m_queue(clock, server.slots, limits::backendServerQueueSettings())
     , m_hold(clock.now())
     , m_retryBudget(clock)
@@ -35,7 +36,8 @@
         m_queue.setSlots(server->slots);
         m_queue.coldStart().setColdStart(coldStart);
         if (m_server.incarnation != before.incarnation) {
-            forgetAnnouncements();
+            m_announcements.restart(m_server.incarnation);
+            applyAnnouncements();
         }
         // The servers of an availability zone may have been restarted while it was evacuated.
         if (m_server.incarnation != before.incarnation || (before.evacuated && !m_server.evacuated)) {
@@ -70,7 +72,7 @@
 
 std::optional<base::ResultCode> ServerAdmission::refusalCode() const
 {
-    if (m_removed || m_server.drain || m_announced.isLeaving) {
+    if (m_removed || m_server.drain || announced().isLeaving) {
         return base::ResultCode::HopBackendServerGone;
     }
     if (m_server.evacuated) {
@@ -131,77 +133,36 @@
 
 void ServerAdmission::recordAnnouncement(const ServerAnnouncement &announcement, const AnnouncementSource &source)
 {
-    if (source.incarnation != m_server.incarnation) {
-        return;
-    }
-    m_hasAnswered = m_hasAnswered || source.kind == AnnouncementSource::Kind::Request;
-    if (announcement.isLeaving) {
-        setLeaving();
-    }
-    const NamedLimit &limit = announcement.limit;
-    m_announced.isLimitReadable = limit.isReadable;
-    if (limit.requestsPerSecond) {
-        setLimit(limit.requestsPerSecond);
-    } else if (limit.isReadable && source.kind == AnnouncementSource::Kind::Request
-               && source.sentAt >= m_limitNamedAt) {
-        // An answer that was sent earlier may have overtaken one that names the limit.
-        setLimit(std::nullopt);
-    }
+    m_announcements.record(announcement, source);
+    applyAnnouncements();
 }
 
 void ServerAdmission::adopt(const ServerNotice &notice)
 {
-    if (notice.incarnation != m_server.incarnation) {
-        return;
-    }
-    if (notice.isLeaving) {
-        setLeaving();
-    }
-    if (notice.requestsPerSecond && !m_hasAnswered) {
-        setLimit(notice.requestsPerSecond);
-    }
+    m_announcements.adopt(notice);
+    applyAnnouncements();
 }
 
 void ServerAdmission::expireAnnouncements()
 {
-    if (m_announced.isLeaving && m_clock.now() - m_leavingSince >= leavingMemory(m_server.incarnation)) {
-        m_announced.isLeaving = false;
-    }
+    m_announcements.expire();
 }
 
-void ServerAdmission::setLimit(std::optional<double> requestsPerSecond)
+const AnnouncedState &ServerAdmission::announced() const
 {
-    if (requestsPerSecond) {
-        m_limitNamedAt = m_clock.now();
-    }
-    if (m_announced.requestsPerSecond != requestsPerSecond) {
-        m_announced.requestsPerSecond = requestsPerSecond;
-        m_queue.limitStarts(requestsPerSecond);
-    }
+    return m_announcements.inForce();
 }
 
-void ServerAdmission::setLeaving()
+void ServerAdmission::applyAnnouncements()
 {
-    if (!m_announced.isLeaving) {
-        m_announced.isLeaving = true;
-        m_leavingSince = m_clock.now();
+    if (announced().requestsPerSecond != m_queue.startRate().rate()) {
+        m_queue.limitStarts(announced().requestsPerSecond);
+    }
+    if (announced().isLeaving) {
         m_queue.dropQueued(base::ResultCode::HopBackendServerGone);
     }
 }
 
-/// A new start of the server has announced nothing yet.
-void ServerAdmission::forgetAnnouncements()
-{
-    m_announced = {};
-    m_hasAnswered = false;
-    m_queue.limitStarts(std::nullopt);
-}
-
-const AnnouncedState &ServerAdmission::announced() const
-{
-    return m_announced;
-}
-
 bool ServerAdmission::takeEjectionProbe()
 {
     if (m_queue.startRate().wait(0) > base::Duration::zero()) {
@@ -226,7 +187,7 @@
 std::optional<base::TimePoint> ServerAdmission::nextProbe() const
 {
     const bool isNeeded = m_isDown || m_queue.coldStart().isUnverified();
-    if (!isNeeded || !m_canBeProbed || m_removed || !m_server.acceptsRequests()) {
+    if (!isNeeded || !m_canBeProbed || m_removed || !m_server.acceptsRequests() || announced().isLeaving) {
         return std::nullopt;
     }
     return m_probedAt ? *m_probedAt + probeInterval : m_clock.now();
