--- a/src/health/healthmonitor.cpp
+++ b/src/health/healthmonitor.cpp
@@ -270,7 +270,6 @@
     }
     server->second.setAnnouncedEnd(announced);
     applyDrainFlag(server->second, now());
-    setUpToDate();
     invalidateAssessments();
 }
 
