Order nested calls by what a slot yields per second

Cause: calls go behind all more urgent requests, also behind ones that take four times as long. CallOrder compares the value of a priority per mean run time: lookups of 130 ms go before bookings of 510 ms, calls of 33 ms of the least urgent runs stay behind requests of 94 ms of the most urgent kind.

--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -9,14 +9,9 @@
 namespace {
 
 constexpr base::Duration shortestRetryAfter = std::chrono::milliseconds(1);
-constexpr int leastUrgent = 8; ///< Less urgent priorities have the same weight, which is close to 0 already.
-constexpr int tiersPerPriority = 2; ///< Calls of runs of the priority, and its other attempts.
-
-int tierOf(const QueueOffer &offer)
-{
-    const int tier = tiersPerPriority * std::clamp(offer.priority, 0, leastUrgent);
-    return offer.isCall ? tier - 1 : tier;
-}
+/// Less urgent priorities have the same weight, which is close to 0 already.
+constexpr int leastUrgent = CallOrder::priorities - 1;
+constexpr int tiersPerPriority = 2; ///< Calls that go before the attempts of the priority, and these attempts.
 
 base::Duration part(base::Duration duration, double share)
 {
@@ -108,7 +103,11 @@
     }
     m_lastFinishedAt = m_clock.now();
     if (recordRunTime) {
-        m_runTimes.record(found->second.route, *m_lastFinishedAt - found->second.startedAt);
+        const base::Duration run = *m_lastFinishedAt - found->second.startedAt;
+        m_runTimes.record(found->second.route, run);
+        if (found->second.priority) {
+            m_callOrder.recordRun(*found->second.priority, run);
+        }
     }
     m_running.erase(found);
 }
@@ -237,6 +236,15 @@
     return ahead;
 }
 
+int SlotQueue::tierOf(const QueueOffer &offer) const
+{
+    const int priority = std::clamp(offer.priority, 0, leastUrgent);
+    if (!offer.isCall) {
+        return tiersPerPriority * priority;
+    }
+    return tiersPerPriority * m_callOrder.goesBefore(priority, m_runTimes.mean(offer.route)) - 1;
+}
+
 base::Duration SlotQueue::startDelay(std::size_t ahead) const
 {
     return std::max(m_coldStart.wait(ahead), m_startRate.wait(ahead));
@@ -344,7 +352,8 @@
 
 void SlotQueue::enqueue(const QueueOffer &offer)
 {
-    const auto [place, isNew] = m_tiers.try_emplace(tierOf(offer));
+    const int number = tierOf(offer);
+    const auto [place, isNew] = m_tiers.try_emplace(number);
     Tier &tier = place->second;
     if (isNew) {
         tier.pass = m_pass;
@@ -355,9 +364,10 @@
         lane = std::prev(tier.queues.end());
     }
     const base::TimePoint latest = latestStart(offer);
-    lane->attempts.push_back(Queued{offer.attempt, latest, offer.route});
+    const auto priority = offer.isCall ? std::nullopt : std::optional(offer.priority);
+    lane->attempts.push_back(Queued{offer.attempt, latest, offer.route, priority});
     ++tier.size;
-    m_queued.emplace(offer.attempt, QueuedPosition{tierOf(offer), offer.workspace});
+    m_queued.emplace(offer.attempt, QueuedPosition{number, offer.workspace});
     m_deadlines.emplace(latest, offer.attempt);
 }
 
@@ -385,7 +395,7 @@
         // The workspace has had its turn and moves to the back, before its queue is removed if it becomes empty.
         tier.queues.splice(tier.queues.end(), tier.queues, tier.queues.begin());
         removeQueued(next.attempt);
-        m_running.emplace(next.attempt, Running{m_clock.now(), next.route});
+        m_running.emplace(next.attempt, Running{m_clock.now(), next.route, next.priority});
         m_coldStart.recordStart();
         m_startRate.recordStart();
         ++m_starts;
--- a/src/limits/slotqueue_test.cpp
+++ b/src/limits/slotqueue_test.cpp
@@ -297,7 +297,7 @@
     base::ManualClock clock;
     SlotQueue queue{clock, 1, SlotQueueSettings{64, 64, 50ms}};
 
-    void offer(std::uint64_t number, int priority, bool isCall)
+    QueueOffer offerOf(std::uint64_t number, int priority, bool isCall) const
     {
         QueueOffer offer;
         offer.attempt = AttemptId{base::RequestId{1, number}, 1};
@@ -305,7 +305,21 @@
         offer.deadline = clock.now() + 60s;
         offer.priority = priority;
         offer.isCall = isCall;
+        return offer;
+    }
+    void offer(std::uint64_t number, int priority, bool isCall)
+    {
+        BOOST_TEST(queue.offer(offerOf(number, priority, isCall)).accepted);
+    }
+    /// Runs one attempt that takes `run`.
+    void runFor(std::uint64_t number, const base::RouteId &route, int priority, bool isCall, base::Duration run)
+    {
+        QueueOffer offer = offerOf(number, priority, isCall);
+        offer.route = route;
         BOOST_TEST(queue.offer(offer).accepted);
+        queue.poll();
+        clock.advance(run);
+        queue.finished(offer.attempt);
     }
     /// Runs all queued attempts one after the other and returns their numbers.
     std::vector<std::uint64_t> runAll()
@@ -343,3 +357,15 @@
     offer(3, 1, true);
     BOOST_TEST(runAll().front() == 3U);
 }
+
+// Guards against runs of lookups that fail because their short calls wait behind long bookings.
+BOOST_FIXTURE_TEST_CASE(queue_withAShortCallAndLongUrgentRequests_startsTheCallFirst, OneSlot)
+{
+    runFor(1, base::RouteId("booking"), 1, false, 500ms);
+    runFor(2, base::RouteId("lookup"), 2, true, 100ms);
+    offer(3, 1, false);
+    QueueOffer call = offerOf(4, 2, true);
+    call.route = base::RouteId("lookup");
+    BOOST_TEST(queue.offer(call).accepted);
+    BOOST_TEST(runAll().front() == 4U);
+}
