Return held servers after answers, not after a time

Cause: a hold decays within 1 to 5 s, gray failures last nine, and the last resort of a survey takes held servers below a probability of 0.625. A server that fails in 3 ms always has free slots.

RecoveryConfirmation: with `confirmsRecovery`, a held server gets such requests again after two trial requests in a row were answered. The survey sends no such request to a held server unless most of the asked ones are held.

Estimator and decay are unchanged.

--- a/src/health/serverhold.cpp
+++ b/src/health/serverhold.cpp
@@ -1,11 +1,15 @@
 #include "papayastep/health/serverhold.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace papayastep::health {
 
 namespace {
 
+/// Lower bound of the reported probability while a recovery has to be confirmed.
+constexpr double unconfirmedProbability = GrayFailureEstimatorSettings().trialThreshold + 0.05;
+
 /// Returns the evidence about the server in the end of an attempt; empty if the cause is load or outside the server.
 std::optional<RunEnd> evidenceOf(AttemptOutcome outcome)
 {
@@ -29,19 +33,23 @@
 
 }
 
-ServerHold::ServerHold(base::TimePoint now)
+ServerHold::ServerHold(base::TimePoint now, const RecoverySettings &recovery)
     : m_estimator(now)
+    , m_recovery(recovery)
 {
 }
 
 bool ServerHold::admits(bool idempotent, base::TimePoint now) const
 {
+    if (m_recovery.isPending()) {
+        return m_recovery.admits(idempotent, m_trialAttempt.has_value(), now);
+    }
     return m_estimator.admits(idempotent, m_trialAttempt.has_value(), now);
 }
 
 void ServerHold::started(const AttemptKey &attempt, base::TimePoint now)
 {
-    if (!m_trialAttempt && m_estimator.needsTrial(now)) {
+    if (!m_trialAttempt && (m_recovery.isPending() || m_estimator.needsTrial(now))) {
         m_trialAttempt = attempt;
     }
 }
@@ -51,7 +59,8 @@
                              double relativeTime,
                              base::TimePoint now)
 {
-    if (m_trialAttempt == attempt) {
+    const bool isTrial = m_trialAttempt == attempt;
+    if (isTrial) {
         m_trialAttempt.reset();
     }
     const auto end = evidenceOf(outcome);
@@ -60,8 +69,16 @@
     }
     const bool wasHeld = m_estimator.isHeld(now);
     m_estimator.recordEnd(*end, relativeTime, now);
-    if (*end != RunEnd::Answered) {
-        return recordFailure(wasHeld, now);
+    return *end == RunEnd::Answered ? recordAnswer(isTrial, now) : recordFailure(wasHeld, now);
+}
+
+HoldChange ServerHold::recordAnswer(bool isTrial, base::TimePoint now)
+{
+    if (isTrial) {
+        m_recovery.recordAnswer(now);
+    }
+    if (m_recovery.isPending()) {
+        return HoldChange::None;
     }
     return std::exchange(m_heldBack, false) ? HoldChange::Returned : HoldChange::None;
 }
@@ -75,7 +92,13 @@
 
 HoldChange ServerHold::recordFailure(bool wasHeld, base::TimePoint now)
 {
-    if (wasHeld || !m_estimator.isHeld(now)) {
+    const bool wasPending = m_recovery.isPending();
+    m_recovery.recordFailure(now);
+    if (!m_estimator.isHeld(now)) {
+        return HoldChange::None;
+    }
+    m_recovery.begin(now);
+    if (wasHeld || wasPending) {
         return HoldChange::None;
     }
     m_heldBack = true;
@@ -84,7 +107,8 @@
 
 double ServerHold::grayProbability(base::TimePoint now) const
 {
-    return m_estimator.grayProbability(now);
+    const double probability = m_estimator.grayProbability(now);
+    return m_recovery.isPending() ? std::max(probability, unconfirmedProbability) : probability;
 }
 
 bool ServerHold::isHeldBack() const
@@ -92,4 +116,9 @@
     return m_heldBack;
 }
 
+const RecoveryConfirmation &ServerHold::recovery() const
+{
+    return m_recovery;
+}
+
 }
--- a/src/health/serverhold_test.cpp
+++ b/src/health/serverhold_test.cpp
@@ -82,3 +82,57 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// A server that has answered a few requests, was then held, and must answer trial requests to return.
+struct ServerToBeConfirmed
+{
+    ServerToBeConfirmed()
+    {
+        for (int i = 0; i < 5; ++i) {
+            run(AttemptOutcome::Success);
+        }
+        hold.started(earlier, clock.now());
+        run(AttemptOutcome::Partial);
+    }
+    HoldChange run(AttemptOutcome outcome)
+    {
+        const AttemptKey attempt{base::RequestId{1, ++number}, 1};
+        hold.started(attempt, clock.now());
+        clock.advance(100ms);
+        return hold.ended(attempt, outcome, 1, clock.now());
+    }
+
+    base::ManualClock clock;
+    ServerHold hold{clock.now(), RecoverySettings{true}};
+    const AttemptKey earlier{base::RequestId{2, 1}, 1}; ///< An attempt that was started before the hold.
+    std::uint64_t number = 0;
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(serverToBeConfirmed, ServerToBeConfirmed)
+
+// Guards against requests that can't be repeated at a server whose hold has merely become old.
+BOOST_AUTO_TEST_CASE(heldServer_afterManySeconds_stillHasToAnswerTrials)
+{
+    clock.advance(1900ms);
+    BOOST_TEST(!hold.admits(false, clock.now()));
+    BOOST_TEST(hold.admits(true, clock.now()));
+    clock.advance(1min);
+    BOOST_TEST(hold.grayProbability(clock.now()) > GrayFailureEstimatorSettings().trialThreshold);
+    BOOST_TEST((run(AttemptOutcome::Success) == HoldChange::None));
+    BOOST_TEST((run(AttemptOutcome::Success) == HoldChange::Returned));
+    BOOST_TEST(hold.admits(false, clock.now()));
+}
+
+// Guards against a hold that ends by answers to requests that the gray failure did not affect.
+BOOST_AUTO_TEST_CASE(heldServer_thatAnswersEarlierRequests_remainsHeld)
+{
+    BOOST_TEST((hold.ended(earlier, AttemptOutcome::Success, 1, clock.now()) == HoldChange::None));
+    BOOST_TEST((run(AttemptOutcome::Success) == HoldChange::None));
+    BOOST_TEST(hold.recovery().isPending());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/include/papayastep/health/serverhold.h
+++ b/src/include/papayastep/health/serverhold.h
@@ -2,6 +2,7 @@
 
 #include "papayastep/health/attempt.h"
 #include "papayastep/health/grayfailureestimator.h"
+#include "papayastep/health/recoveryconfirmation.h"
 
 #include <optional>
 
@@ -11,7 +12,8 @@
 enum class HoldChange {
     None,
     Held, ///< The server is held from now on.
-    Returned, ///< The server answered for the first time since it was held.
+    /// The server answered for the first time since it was held or, if its recovery has to be confirmed, often enough.
+    Returned,
 };
 
 /// Withholds requests from one backend server while it is probably in a gray failure, and admits trial requests to
@@ -19,7 +21,7 @@
 class ServerHold
 {
 public:
-    explicit ServerHold(base::TimePoint now);
+    explicit ServerHold(base::TimePoint now, const RecoverySettings &recovery = {});
 
     /// Whether an attempt may be given to the server now.
     bool admits(bool idempotent, base::TimePoint now) const;
@@ -31,15 +33,19 @@
     /// Records that an attempt has run for several times the usual run time.
     HoldChange recordOverdue(base::TimePoint now);
 
-    /// Probability of a gray failure, 0 to 1.
+    /// Probability of a gray failure, 0 to 1. While a recovery has to be confirmed, it stays above the limit up to
+    /// which entries count the server as healthy.
     double grayProbability(base::TimePoint now) const;
-    /// Whether the server was held and has not answered since.
+    /// Whether the server was held and has not returned since.
     bool isHeldBack() const;
+    const RecoveryConfirmation &recovery() const;
 
 private:
+    HoldChange recordAnswer(bool isTrial, base::TimePoint now);
     HoldChange recordFailure(bool wasHeld, base::TimePoint now);
 
     GrayFailureEstimator m_estimator;
+    RecoveryConfirmation m_recovery;
     std::optional<AttemptKey> m_trialAttempt;
     bool m_heldBack = false;
 };
--- a/src/include/papayastep/node/settings.h
+++ b/src/include/papayastep/node/settings.h
@@ -57,6 +57,9 @@
 
     bool asksForFreeSlots
         = false; ///< Whether an entry asks several servers for a free slot before it queues a request at one.
+    /// Whether a server that was held back as gray gets requests that can't be repeated only after it has answered
+    /// trial requests. Otherwise the hold ends by time.
+    bool confirmsRecovery = false;
     bool ejection = true; ///< False disables ejection, as a baseline for comparison.
     bool noEarlierRuns
         = false; ///< True at the first start of the fleet, when no idempotency key can have been used before.
--- a/src/include/papayastep/routing/serveradmission.h
+++ b/src/include/papayastep/routing/serveradmission.h
@@ -11,6 +11,13 @@
 
 namespace papayastep::routing {
 
+/// Settings of a ServerAdmission.
+struct ServerAdmissionSettings
+{
+    health::RecoverySettings recovery;
+    limits::SlotQueueSettings queue = limits::backendServerQueueSettings();
+};
+
 /// Decides which attempts start at one backend server of this VM, and when: the queue in front of its slots, the limit
 /// while it is cold, the limit that it names itself, the hold while it has a gray failure, its part of the retry
 /// budget, and the refusals while it is drained, evacuated or about to end. It does no I/O.
@@ -20,7 +27,9 @@
 class ServerAdmission
 {
 public:
-    ServerAdmission(const base::Clock &clock, const config::BackendServer &server);
+    ServerAdmission(const base::Clock &clock,
+                    const config::BackendServer &server,
+                    const ServerAdmissionSettings &settings = {});
 
     /// Applies the configured entry of the server; `server` is null if there is none. `canBeProbed` is whether its
     /// service has a health endpoint. If the server must get no new requests, its queued attempts are dropped, so that
--- a/src/include/papayastep/routing/slotsurvey.h
+++ b/src/include/papayastep/routing/slotsurvey.h
@@ -51,6 +51,10 @@
     /// Cost that another server of the wave must be able to save for its answer to be awaited. It is half the cost of a
     /// hop to another zone.
     double minSavingToWait = 0.025;
+    /// Whether a request that can't be repeated may go to a server that is held back, if no other one accepts it and
+    /// GrayServerPolicy expects an answer. If false, it may do so only if most of the servers that answered are held
+    /// back: the holds then say more about the service than about its servers.
+    bool riskyLastResort = true;
 };
 
 /// Counts of the answers to a survey, for logs.
@@ -129,6 +133,7 @@
     std::optional<std::size_t> immediateChoice() const;
     double costOf(std::size_t index) const;
     SurveyStep take(std::size_t index, bool lastResort = false) const;
+    bool mayTryHeldServer() const;
     SurveyStep giveUp() const;
 
     const PlacementPolicy &m_policy;
--- a/src/model/fleetmodel.cpp
+++ b/src/model/fleetmodel.cpp
@@ -252,7 +252,9 @@
     wanted.remaining = request->progress.deadline - now;
     wanted.remainingTarget = request->arrivedAt + kind.target - now;
     wanted.isRepeat = request->progress.serverAttempts > 0;
-    request->survey = std::make_unique<routing::SlotSurvey>(entry.placement, std::move(candidates), wanted);
+    routing::SlotSurveySettings settings;
+    settings.riskyLastResort = !m_shape.confirmsRecovery;
+    request->survey = std::make_unique<routing::SlotSurvey>(entry.placement, std::move(candidates), wanted, settings);
     step(request);
 }
 
@@ -415,6 +417,7 @@
     for (const Vm &vm : m_vms) {
         const ModelCounts &counts = vm.server->counts();
         m_result.crashes += counts.crashes;
+        m_result.lostAtFailingServers += counts.lostAtFailingServer;
         m_result.mostColdStarts = std::max(m_result.mostColdStarts, counts.mostColdStarts);
         if (m_shape.evacuation && counts.lastStart > base::TimePoint()) {
             const base::Duration after = counts.lastStart - (m_begin + m_shape.evacuation->begin);
--- a/src/model/fleetmodel.h
+++ b/src/model/fleetmodel.h
@@ -117,6 +117,7 @@
     std::optional<AnnouncedEnds> announcedEnds;
     /// Time at which the processes of the nodes beside servers that name a limit or announce their end are restarted.
     std::optional<base::Duration> nodeRestart;
+    bool confirmsRecovery = false; ///< Whether a server that was held has to answer trial requests first.
     double errorShare = 0; ///< Fraction of the runs of a healthy server that end with an error.
     routing::FleetRetryLimit retryLimit;
     base::Duration zoneDelay = std::chrono::microseconds(200); ///< One way, within a zone.
@@ -147,6 +148,9 @@
     std::uint64_t repeatsRefused = 0; ///< Repeats for which no server had a retry left.
     /// Largest number of repeats that reached one service in a window of the retry limit, as a fraction of the limit.
     double retryLimitUsed = 0;
+    /// Failures of requests that can't be repeated at servers that had failed six requests or more since they last
+    /// answered one.
+    std::uint64_t lostAtFailingServers = 0;
     std::uint64_t crashes = 0; ///< Times at which a cold server received too much and went down.
     std::uint64_t mostColdStarts = 0; ///< Most attempts that a cold server received in any second.
     /// Time from the beginning of an evacuation to the last start of an attempt in the zone before its end; 0: none.
--- a/src/model/fleetmodel_test.cpp
+++ b/src/model/fleetmodel_test.cpp
@@ -215,3 +215,95 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// 95 VMs in three availability zones whose servers have long gray failures: lookups and purchases whose runs make a
+/// call each, and two kinds of request that can't be repeated at the smallest service.
+struct CompetingCallers
+{
+    CompetingCallers()
+    {
+        shape.zones = 3;
+        shape.services = {{32, 10}, {52, 10}, {11, 10}};
+        TrafficClass status;
+        status.perSecond = 84;
+        status.idempotent = true;
+        status.priority = 1;
+        status.meanRun = 1100ms;
+        status.target = 3s;
+        status.deadline = 10s;
+        status.call = 4;
+        status.callShare = 0.7;
+        TrafficClass purchase;
+        purchase.service = 1;
+        purchase.perSecond = 240;
+        purchase.priority = 1;
+        purchase.meanRun = 840ms;
+        purchase.target = 3s;
+        purchase.deadline = 12s;
+        purchase.call = 5;
+        purchase.callShare = 0.7;
+        TrafficClass upload;
+        upload.service = 2;
+        upload.perSecond = 21;
+        upload.priority = 2;
+        upload.meanRun = 990ms;
+        upload.runSpread = 0.8;
+        upload.target = 8s;
+        upload.deadline = 25s;
+        TrafficClass pickup;
+        pickup.service = 2;
+        pickup.perSecond = 22;
+        pickup.meanRun = 680ms;
+        pickup.runSpread = 0.3;
+        pickup.target = 2500ms;
+        pickup.deadline = 8s;
+        TrafficClass tariff;
+        tariff.service = 1;
+        tariff.idempotent = true;
+        tariff.meanRun = 210ms;
+        tariff.target = 800ms;
+        tariff.deadline = 2500ms;
+        TrafficClass address = tariff;
+        address.service = 2;
+        shape.classes = {status, purchase, upload, pickup, tariff, address};
+        shape.errorShare = 0.012;
+        shape.spells = {0.5, 9s, 6s, 0.85};
+        shape.retryLimit = {0.2, 200, 10s};
+        shape.confirmsRecovery = true;
+    }
+
+    FleetResult play(std::uint64_t seed) const
+    {
+        FleetModel model(shape, seed);
+        FleetResult result = model.run(14s);
+        for (std::size_t kind = 0; kind < result.classes.size(); ++kind) {
+            const ClassResult &ends = result.classes[kind];
+            BOOST_TEST_MESSAGE("seed " << seed << " class " << kind << " asked " << ends.asked << " in target "
+                                       << ends.inTarget << " late " << ends.late << " refused " << ends.refused
+                                       << " failed " << ends.failed);
+        }
+        BOOST_TEST_MESSAGE("lost at failing servers " << result.lostAtFailingServers << " questions "
+                                                      << result.questions << " retry limit used "
+                                                      << result.retryLimitUsed);
+        return result;
+    }
+
+    FleetShape shape;
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(competingCallers, CompetingCallers)
+
+// Guards against purchases that are lost by the hundred at servers that fail fast and so always have free slots, while
+// the healthy ones are full.
+BOOST_AUTO_TEST_CASE(purchases_whileServersFailFast_areNotSentToThoseKnownToFail)
+{
+    for (const std::uint64_t seed : seeds) {
+        BOOST_TEST(play(seed).lostAtFailingServers < 100U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/model/modelserver.cpp
+++ b/src/model/modelserver.cpp
@@ -26,6 +26,13 @@
     return base::ServiceId("service-" + std::to_string(service));
 }
 
+routing::ServerAdmissionSettings admissionSettings(const FleetShape &shape)
+{
+    routing::ServerAdmissionSettings settings;
+    settings.recovery.isRequired = shape.confirmsRecovery;
+    return settings;
+}
+
 config::BackendServer serverOf(const FleetShape &shape, std::size_t service)
 {
     config::BackendServer server;
@@ -53,7 +60,7 @@
     , m_events(events)
     , m_random(seed)
     , m_server(serverOf(shape, service))
-    , m_admission(std::in_place, clock, m_server)
+    , m_admission(std::in_place, clock, m_server, admissionSettings(shape))
     , m_begin(clock.now())
     , m_lastStart(clock.now())
     , m_zone(zone)
@@ -312,6 +319,7 @@
     if (hasHead) {
         recordAnnouncement(startedAt);
     }
+    countFailure(waiting.attempt, outcome);
     const AttemptEvent event = outcome == AttemptOutcome::Success ? AttemptEvent::Complete
         : outcome == AttemptOutcome::Partial                      ? AttemptEvent::Partial
         : outcome == AttemptOutcome::Timeout                      ? AttemptEvent::DeadlinePassed
@@ -322,6 +330,18 @@
     poll();
 }
 
+void ModelServer::countFailure(const ModelAttempt &attempt, AttemptOutcome outcome)
+{
+    constexpr int knownToFail = 6;
+    if (outcome == AttemptOutcome::Success) {
+        m_failuresInARow = 0;
+    } else if (outcome == AttemptOutcome::Error) {
+        const bool isLost = !m_shape.classes[attempt.trafficClass].idempotent && m_failuresInARow >= knownToFail;
+        m_counts.lostAtFailingServer += isLost ? 1 : 0;
+        ++m_failuresInARow;
+    }
+}
+
 void ModelServer::refuse(const Waiting &waiting, ResultCode code, base::Duration retryAfter)
 {
     if (waiting.attempt.isRepeat && code != ResultCode::RetryBudgetSpent
@@ -351,7 +371,7 @@
 /// Replaces the decisions of the node, which remember nothing. Running attempts are not interrupted.
 void ModelServer::restartNode()
 {
-    m_admission.emplace(m_clock, m_server);
+    m_admission.emplace(m_clock, m_server, admissionSettings(m_shape));
     configureNode();
     for (const auto &[id, waiting] : std::exchange(m_waiting, {})) {
         refuse(waiting, ResultCode::HopCancelled, {});
--- a/src/model/modelserver.h
+++ b/src/model/modelserver.h
@@ -41,6 +41,7 @@
 {
     std::uint64_t runs = 0;
     std::uint64_t repeats = 0;
+    std::uint64_t lostAtFailingServer = 0; ///< See FleetResult::lostAtFailingServers.
     std::uint64_t crashes = 0;
     std::uint64_t mostColdStarts = 0; ///< Most attempts that arrived in any second while the server was cold.
     base::TimePoint lastStart{}; ///< Time of the last start of an attempt during an evacuation of its zone.
@@ -103,6 +104,7 @@
     void makeCalls(const Waiting &waiting, base::Duration remaining, base::TimePoint startedAt);
     void callDone(const Waiting &waiting, base::Duration remaining, base::TimePoint startedAt, bool answered);
     void finish(const Waiting &waiting, base::TimePoint startedAt, health::AttemptOutcome outcome);
+    void countFailure(const ModelAttempt &attempt, health::AttemptOutcome outcome);
     void refuse(const Waiting &waiting, base::ResultCode code, base::Duration retryAfter);
     bool isGray();
     bool isShedding();
@@ -125,6 +127,7 @@
     bool m_announcesEnd = false;
     base::TimePoint m_spellBegin = base::TimePoint::max();
     base::TimePoint m_spellEnd;
+    int m_failuresInARow = 0;
     const int m_zone;
     base::TimePoint m_downUntil;
     base::TimePoint m_coldUntil;
--- a/src/node/serverselector.cpp
+++ b/src/node/serverselector.cpp
@@ -118,8 +118,10 @@
 {
     auto candidates = sampledCandidates(m_context, need.service);
     const base::Duration typical = medianLatency(candidates);
-    m_survey
-        = std::make_unique<routing::SlotSurvey>(*m_context.placement, std::move(candidates), placementRequest(need));
+    routing::SlotSurveySettings settings;
+    settings.riskyLastResort = !m_context.settings.confirmsRecovery;
+    m_survey = std::make_unique<routing::SlotSurvey>(
+        *m_context.placement, std::move(candidates), placementRequest(need), settings);
     SurveyStep step = m_survey->next(m_context.clock.now(), m_context.random);
     while (!callerGone && (step.kind == SurveyStep::Kind::Ask || step.kind == SurveyStep::Kind::Wait)) {
         for (const std::size_t index : step.ask) {
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -6,6 +6,7 @@
 #include "papayastep/node/servingnode.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace papayastep::node {
 
@@ -72,6 +73,21 @@
     return hop.idempotent ? health::RunKind::Repeatable : health::RunKind::Once;
 }
 
+routing::ServerAdmissionSettings admissionSettings(const NodeSettings &settings)
+{
+    routing::ServerAdmissionSettings admission;
+    admission.recovery.isRequired = settings.confirmsRecovery;
+    return admission;
+}
+
+std::string recoveryFields(const health::RecoverySummary &recovery)
+{
+    std::ostringstream fields;
+    fields << base::field("trialsAnswered", recovery.answers) << base::field("failures", recovery.failures)
+           << base::field("heldMs", milliseconds(recovery.length));
+    return fields.str();
+}
+
 bool isFailure(health::AttemptOutcome outcome)
 {
     return outcome == health::AttemptOutcome::Error || outcome == health::AttemptOutcome::Partial
@@ -83,8 +99,10 @@
 /// A backend server of this VM, with what the node records for its entries.
 struct ServingNode::LocalServer
 {
-    LocalServer(const base::Clock &clock, const config::BackendServer &server)
-        : admission(clock, server)
+    LocalServer(const base::Clock &clock,
+                const config::BackendServer &server,
+                const routing::ServerAdmissionSettings &settings)
+        : admission(clock, server, settings)
         , lastStart(clock.now())
     {
     }
@@ -352,7 +370,7 @@
         }
         auto &localServer = m_localServers[server.id];
         if (!localServer) {
-            localServer = std::make_unique<LocalServer>(m_context.clock, server);
+            localServer = std::make_unique<LocalServer>(m_context.clock, server, admissionSettings(m_context.settings));
             PAPAYASTEP_LOG(INFO, logPrefix) << "Began to serve a backend server." << base::field("server", server.id)
                                             << base::field("slots", server.slots);
         }
@@ -942,7 +960,8 @@
         m_context.metrics.countReturn(localServer.admission.server().service);
         PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server answers again."
                                         << base::field("request", activeAttempt.hop.logId())
-                                        << base::field("server", activeAttempt.hop.server);
+                                        << base::field("server", activeAttempt.hop.server)
+                                        << recoveryFields(localServer.admission.hold().recovery().summary());
         break;
     case health::HoldChange::None:
         break;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -175,6 +175,7 @@
         settings.interfaces = InterfaceChoice::Platform;
     }
     settings.asksForFreeSlots = document.value("asksForFreeSlots", settings.asksForFreeSlots);
+    settings.confirmsRecovery = document.value("confirmsRecovery", settings.confirmsRecovery);
     if (document.contains("longestHoldS")) {
         settings.longestHold = secondsOf(document["longestHoldS"]);
     }
--- a/src/node/settings_test.cpp
+++ b/src/node/settings_test.cpp
@@ -67,6 +67,7 @@
     BOOST_TEST((settings.vm == base::VmId("vm-1")));
     BOOST_TEST((settings.peer == net::Endpoint{"127.0.0.1", 3}));
     BOOST_TEST(settings.ejection);
+    BOOST_TEST(!settings.confirmsRecovery);
 }
 
 BOOST_FIXTURE_TEST_CASE(settings_withInvalidMember_reportItsLocation, SettingsFixture)
--- a/src/node/settingsreloader.cpp
+++ b/src/node/settingsreloader.cpp
@@ -44,6 +44,7 @@
     add(running.rateLimits != fresh.rateLimits, "rateLimits");
     add(running.placement != fresh.placement, "placement");
     add(running.longestHold != fresh.longestHold, "longestHoldS");
+    add(running.confirmsRecovery != fresh.confirmsRecovery, "confirmsRecovery");
     add(running.secret != fresh.secret, "secret");
     return names;
 }
--- a/src/routing/serveradmission.cpp
+++ b/src/routing/serveradmission.cpp
@@ -9,12 +9,14 @@
 
 }
 
-ServerAdmission::ServerAdmission(const base::Clock &clock, const config::BackendServer &server)
+ServerAdmission::ServerAdmission(const base::Clock &clock,
+                                 const config::BackendServer &server,
+                                 const ServerAdmissionSettings &settings)
     : m_clock(clock)
     , m_server(server)
     , m_announcements(clock, server.incarnation)
-    , m_queue(clock, server.slots, limits::backendServerQueueSettings())
-    , m_hold(clock.now())
+    , m_queue(clock, server.slots, settings.queue)
+    , m_hold(clock.now(), settings.recovery)
     , m_retryBudget(clock)
 {
     // The server may have been started together with this node.
--- a/src/routing/slotsurvey.cpp
+++ b/src/routing/slotsurvey.cpp
@@ -252,11 +252,22 @@
     return step;
 }
 
+bool SlotSurvey::mayTryHeldServer() const
+{
+    if (m_request.idempotent || m_settings.riskyLastResort) {
+        return true;
+    }
+    const auto answers
+        = std::count_if(m_quotes.begin(), m_quotes.end(), [](const auto &quote) { return quote.has_value(); });
+    return 2 * tally().held > static_cast<std::size_t>(answers);
+}
+
 /// Ends a survey in which no server would accept the request. A server that is held back as gray but may still answer
 /// is better than a refusal; a full one would only make the request late.
 SurveyStep SlotSurvey::giveUp() const
 {
-    if (const auto held = best(base::Duration::max(), true)) {
+    const auto held = mayTryHeldServer() ? best(base::Duration::max(), true) : std::nullopt;
+    if (held) {
         return take(*held, true);
     }
     SurveyStep refusal;
--- a/src/routing/slotsurvey_test.cpp
+++ b/src/routing/slotsurvey_test.cpp
@@ -37,6 +37,27 @@
         return SlotSurvey(
             policy, {candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(servers)}, request);
     }
+    /// A survey of three servers that sends no request that can't be repeated to a server that is held back.
+    SlotSurvey carefulSurvey() const
+    {
+        SlotSurveySettings settings;
+        settings.riskyLastResort = false;
+        return SlotSurvey(policy, {candidates.begin(), candidates.begin() + 3}, request, settings);
+    }
+    /// Asks all three servers: `full` of them are full and the others are held back.
+    void askAll(SlotSurvey &survey, std::size_t full)
+    {
+        for (int wave = 0; wave < 2; ++wave) {
+            next(survey);
+            for (std::size_t index = 0; index < 3; ++index) {
+                if (index < full) {
+                    refuse(survey, index, base::ResultCode::HopQueueTimeout, 700ms);
+                } else {
+                    hold(survey, index, 0.4);
+                }
+            }
+        }
+    }
     SurveyStep next(SlotSurvey &survey)
     {
         return survey.next(clock.now(), random);
@@ -294,4 +315,35 @@
     BOOST_TEST(!records.markResponsive(base::VmId("vm-1")));
 }
 
+// Guards against requests that can't be repeated at a failing server, which always has free slots, while all healthy
+// servers are full.
+BOOST_AUTO_TEST_CASE(survey_ofFullServersAndAHeldOne_refusesARequestThatCantBeRepeated)
+{
+    SlotSurvey asked = carefulSurvey();
+    askAll(asked, 2);
+    const SurveyStep step = next(asked);
+    BOOST_TEST((step.kind == Kind::Refuse));
+    BOOST_TEST((step.retryAfter == 700ms));
+}
+
+BOOST_AUTO_TEST_CASE(survey_ofFullServersAndAHeldOne_sendsARequestThatCanBeRepeatedToTheHeldOne)
+{
+    request.idempotent = true;
+    SlotSurvey asked = carefulSurvey();
+    askAll(asked, 2);
+    const SurveyStep step = next(asked);
+    BOOST_TEST((step.kind == Kind::Take));
+    BOOST_TEST(step.lastResort);
+}
+
+// Guards against a service that serves nothing, because nearly all of its servers are held back at once.
+BOOST_AUTO_TEST_CASE(survey_ofMostlyHeldServers_sendsARequestThatCantBeRepeatedToOneOfThem)
+{
+    SlotSurvey asked = carefulSurvey();
+    askAll(asked, 1);
+    const SurveyStep step = next(asked);
+    BOOST_TEST((step.kind == Kind::Take));
+    BOOST_TEST(step.lastResort);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
