Queue requests of patient callers while the demand exceeds the capacity

What callers saw: in bursts of 3 to 7 s requests were refused after a wait of a quarter of the slack to their target, although their callers wait ten seconds.

OverflowQueue: what does not fit the short queue waits behind it, within its priority, first what can still be in time, then late ones, by workspace in turn, and only for callers with five seconds beyond their target and work for at most half of their time before them. What can no longer end in time is dropped at once. `overflowQueue` switches it on.

--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "papayastep/base/clock.h"
-#include "papayastep/base/identifiers.h"
 #include "papayastep/base/resultcode.h"
 #include "papayastep/limits/callorder.h"
 #include "papayastep/limits/coldstartlimiter.h"
+#include "papayastep/limits/overflowqueue.h"
 #include "papayastep/limits/runtimes.h"
 #include "papayastep/limits/startratelimiter.h"
 
@@ -18,15 +18,6 @@
 
 namespace papayastep::limits {
 
-/// One attempt to run a request. A retry has another attempt number.
-struct AttemptId
-{
-    base::RequestId request;
-    int attempt = 0;
-
-    auto operator<=>(const AttemptId &) const = default;
-};
-
 /// Settings of SlotQueue.
 struct SlotQueueSettings
 {
@@ -51,6 +42,9 @@
     /// Weight of a tier relative to the next more urgent one while attempts of both wait. It is above 0 so that no tier
     /// starves, and small so that the less urgent tier is delayed first.
     double nextTierWeight = 0.25;
+
+    /// Which of the attempts that would wait too long are queued until the demand falls; empty: none.
+    std::optional<OverflowSettings> overflow{};
 };
 
 /// The settings of the queue in front of a backend server. If a request has a target time, three tenths of the time
@@ -73,12 +67,24 @@
     bool isCall = false;
 };
 
+/// Numbers of attempts in the overflow of a queue.
+struct OverflowCounters
+{
+    std::uint64_t queued = 0; ///< Attempts that had to wait there.
+    std::uint64_t started = 0;
+    std::uint64_t dropped = 0; ///< Attempts that did not start.
+
+    OverflowCounters &operator+=(const OverflowCounters &other);
+    auto operator<=>(const OverflowCounters &) const = default;
+};
+
 /// The result of an offer. For an accepted attempt poll() returns a decision, possibly at once.
 struct OfferResult
 {
     bool accepted = false;
     base::ResultCode code = base::ResultCode::Ok; ///< Reason of a refusal.
     base::Duration retryAfter{}; ///< Expected time until the attempt could start; 0 if accepted by offer().
+    bool inOverflow = false; ///< The attempt is accepted, but is not expected to start soon.
 };
 
 /// The decision on a queued attempt.
@@ -106,7 +112,8 @@
 /// quantum of one request), so a workspace that overloads the queue delays only itself. While the server is cold or
 /// names a limit, fewer attempts start than there are slots. When the queue is full, the newest attempt in the longest
 /// workspace queue of the least urgent tier is evicted. An attempt that can't be answered in time is refused or dropped
-/// at once, so that it can be reported as not run while its caller is still waiting.
+/// at once, so that it can be reported as not run while its caller is still waiting. With SlotQueueSettings::overflow,
+/// it is queued behind the others of its tier instead, if its caller has the time.
 class SlotQueue
 {
 public:
@@ -158,6 +165,9 @@
     /// The limit of the starts that the server names.
     StartRateLimiter &startRate();
     const StartRateLimiter &startRate() const;
+    /// Number of attempts that wait in the overflow.
+    std::size_t overflowing() const;
+    OverflowCounters overflowCounters() const;
     /// Number of attempts that have started.
     std::uint64_t starts() const;
 
@@ -189,7 +199,8 @@
     struct Tier
     {
         std::list<WorkspaceQueue> queues;
-        std::size_t size = 0;
+        OverflowQueue overflow;
+        std::size_t size = 0; ///< Number of attempts, including those in the overflow.
         /// Pass value of stride scheduling: rises with each start; the tier with the smallest one is next.
         double pass = 0;
     };
@@ -198,6 +209,7 @@
     {
         int tier = 0;
         base::WorkspaceId workspace;
+        std::optional<Queued> overflowing{}; ///< Set for an attempt in the overflow.
     };
 
     static std::list<WorkspaceQueue>::iterator queueOf(Tier &tier, const base::WorkspaceId &workspace);
@@ -209,14 +221,22 @@
     /// Returns the code with which an attempt that can't start in time is refused.
     base::ResultCode lateCode(const base::WorkspaceId &workspace, int tier) const;
     OfferResult refusal(base::ResultCode code, const base::WorkspaceId &workspace, int tier) const;
-    base::TimePoint latestStart(const QueueOffer &offer) const;
+    base::TimePoint latestStart(const QueueOffer &offer, double reserve) const;
     bool canAnswerInTime(const QueueOffer &offer) const;
     bool makeRoom(const base::WorkspaceId &workspace, int tier);
     void enqueue(const QueueOffer &offer);
+    bool mayOverflow(const QueueOffer &offer) const;
+    bool hasOverflowRoom(const QueueOffer &offer) const;
+    std::optional<AttemptId> leastOverflowing() const;
+    OfferResult enqueueOverflow(const QueueOffer &offer);
+    base::Duration overflowWait(int tier) const;
+    Tier &tierForNew(int number);
+    Queued takeNext(Tier &tier);
     void dropOverdue(std::vector<QueueDecision> &decisions);
     void startNext(std::vector<QueueDecision> &decisions);
     Tiers::iterator selectTier();
     bool removeQueued(const AttemptId &attempt);
+    void removeFromWorkspace(Tier &tier, const base::WorkspaceId &workspace, const AttemptId &attempt);
     base::Duration waitBehind(std::size_t ahead) const;
     std::vector<Queued> queuedInOrder() const;
 
@@ -234,6 +254,9 @@
     ColdStartLimiter m_coldStart;
     StartRateLimiter m_startRate;
     std::uint64_t m_starts = 0;
+    std::size_t m_overflowing = 0;
+    std::uint64_t m_overflowQueued = 0;
+    std::uint64_t m_overflowStarted = 0;
     std::optional<base::TimePoint> m_lastFinishedAt;
 };
 
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -26,6 +26,7 @@
     int slots = 0;
     std::size_t running = 0;
     std::size_t queued = 0;
+    std::size_t overflowing = 0; ///< Number of those queued attempts that are not expected to start soon.
     std::size_t heldBackServers = 0; ///< Number of servers that are held back as gray.
     std::size_t coldServers = 0; ///< Number of servers that are, or may be, cold.
     std::size_t downServers = 0; ///< Number of servers that refused a connection and have not answered since.
@@ -37,6 +38,7 @@
         slots += other.slots;
         running += other.running;
         queued += other.queued;
+        overflowing += other.overflowing;
         heldBackServers += other.heldBackServers;
         coldServers += other.coldServers;
         downServers += other.downServers;
@@ -117,6 +119,8 @@
     /// Number of header fields by which servers announced something that nothing reads.
     std::uint64_t unknownAnnouncements() const;
 
+    /// Counts of the attempts that waited in the overflow of the queues of this VM.
+    limits::OverflowCounters overflowCounters() const;
     /// Counts of the retries that were requested of the backend servers of this VM.
     routing::RetryBudgetCounters retryCounters() const;
     /// The retries that the backend servers of this VM would accept now, by service.
@@ -156,6 +160,7 @@
     health::AttemptOutcome outcomeOf(const ActiveAttempt &activeAttempt, net::http::status status);
     ServedAnswer refusedByServer(const ActiveAttemptPtr &activeAttempt);
     ServedAnswer refusalOf(const ActiveAttempt &activeAttempt, base::ResultCode code, base::Duration retryAfter);
+    void logOverflow(const ActiveAttempt &activeAttempt, const limits::SlotQueue &queue) const;
     void logRefusal(const ActiveAttempt &activeAttempt, const wire::HopReply &reply) const;
     wire::HopReply replyOf(const ActiveAttempt &activeAttempt) const;
     base::BackendServerId advise(const ActiveAttempt &activeAttempt);
@@ -169,6 +174,7 @@
     std::map<limits::AttemptId, ActiveAttemptPtr> m_attempts;
     std::set<std::string> m_unknownFields; ///< Names of unknown announcements that were logged.
     std::uint64_t m_unknownAnnouncements = 0;
+    limits::OverflowCounters m_formerOverflow; ///< Counts of servers that were removed from this VM.
     routing::RetryBudgetCounters m_formerRetries; ///< Counts of servers that were removed from this VM.
 };
 
--- a/src/include/papayastep/node/settings.h
+++ b/src/include/papayastep/node/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayastep/base/identifiers.h"
+#include "papayastep/limits/overflowqueue.h"
 #include "papayastep/net/endpoint.h"
 #include "papayastep/net/httpserver.h"
 #include "papayastep/routing/retrybudget.h"
@@ -60,6 +61,8 @@
     /// Whether a server that was held back as gray gets requests that can't be repeated only after it has answered
     /// trial requests. Otherwise the hold ends by time.
     bool confirmsRecovery = false;
+    /// Which requests wait for a slot beyond the short queue while the demand exceeds the capacity; if not set, none.
+    std::optional<limits::OverflowSettings> overflowQueue;
     bool ejection = true; ///< False disables ejection, as a baseline for comparison.
     bool noEarlierRuns
         = false; ///< True at the first start of the fleet, when no idempotency key can have been used before.
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -11,6 +11,12 @@
 constexpr base::Duration shortestRetryAfter = std::chrono::milliseconds(1);
 /// Less urgent priorities have the same weight, which is close to 0 already.
 constexpr int leastUrgent = CallOrder::priorities - 1;
+/// Fraction of the time until its latest start that the attempts before an attempt in the overflow may take. The rest
+/// is for attempts that come later and can still be in time.
+constexpr double maxOverflowWaitFraction = 0.5;
+/// Number of mean run times that must fit between the start of an attempt in the overflow and its deadline, because the
+/// slot is wasted on a run that ends late.
+constexpr double overflowRunTimeReserve = 1.5;
 constexpr int tiersPerPriority = 2; ///< Calls that go before the attempts of the priority, and these attempts.
 
 base::Duration part(base::Duration duration, double share)
@@ -29,6 +35,14 @@
     return settings;
 }
 
+OverflowCounters &OverflowCounters::operator+=(const OverflowCounters &other)
+{
+    queued += other.queued;
+    started += other.started;
+    dropped += other.dropped;
+    return *this;
+}
+
 SlotQueue::SlotQueue(const base::Clock &clock, int slots, SlotQueueSettings settings)
     : m_clock(clock)
     , m_settings(settings)
@@ -51,7 +65,8 @@
     }
     // An attempt that would wait past its deadline is refused now, while its caller can still react.
     if (!canAnswerInTime(offer)) {
-        return refusal(lateCode(offer.workspace, tierOf(offer)), offer.workspace, tierOf(offer));
+        return mayOverflow(offer) ? enqueueOverflow(offer)
+                                  : refusal(lateCode(offer.workspace, tierOf(offer)), offer.workspace, tierOf(offer));
     }
     if (!makeRoom(offer.workspace, tierOf(offer))) {
         return refusal(base::ResultCode::HopQueueFull, offer.workspace, tierOf(offer));
@@ -63,10 +78,13 @@
 OfferResult SlotQueue::quote(const QueueOffer &offer) const
 {
     const base::Duration wait = expectedWait(offer.workspace, tierOf(offer));
+    if (!canAnswerInTime(offer) && mayOverflow(offer)) {
+        return OfferResult{true, base::ResultCode::Ok, overflowWait(tierOf(offer)), true};
+    }
     if (!canAnswerInTime(offer)) {
         return OfferResult{false, lateCode(offer.workspace, tierOf(offer)), std::max(shortestRetryAfter, wait)};
     }
-    const bool full = m_queued.size() >= m_settings.maxQueued
+    const bool full = m_queued.size() - m_overflowing >= m_settings.maxQueued
         || queueLength(offer.workspace, tierOf(offer)) >= m_settings.maxQueuedPerWorkspace;
     if (full) {
         return OfferResult{false, base::ResultCode::HopQueueFull, std::max(shortestRetryAfter, wait)};
@@ -194,6 +212,16 @@
     return m_startRate;
 }
 
+std::size_t SlotQueue::overflowing() const
+{
+    return m_overflowing;
+}
+
+OverflowCounters SlotQueue::overflowCounters() const
+{
+    return {m_overflowQueued, m_overflowStarted, m_overflowQueued - m_overflowStarted - m_overflowing};
+}
+
 std::uint64_t SlotQueue::starts() const
 {
     return m_starts;
@@ -288,10 +316,10 @@
     return OfferResult{false, code, wait};
 }
 
-/// Returns the time after which a run of mean length would not end before the deadline.
-base::TimePoint SlotQueue::latestStart(const QueueOffer &offer) const
+/// Returns the time after which `reserve` mean run times do not fit before the deadline.
+base::TimePoint SlotQueue::latestStart(const QueueOffer &offer, double reserve) const
 {
-    return offer.deadline - part(m_runTimes.mean(offer.route), m_settings.runTimeReserve);
+    return offer.deadline - part(m_runTimes.mean(offer.route), reserve);
 }
 
 /// Whether an answer is expected soon enough for the caller.
@@ -303,7 +331,7 @@
         return now < offer.deadline;
     }
     const base::TimePoint start = now + wait;
-    if (start >= latestStart(offer)) {
+    if (start >= latestStart(offer, m_settings.runTimeReserve)) {
         return false;
     }
     if (offer.isCall) {
@@ -321,6 +349,76 @@
     return start + run <= *offer.wantedBy + part(offer.deadline - *offer.wantedBy, m_settings.maxLateness);
 }
 
+/// Whether an attempt that would wait too long is queued in the overflow.
+bool SlotQueue::mayOverflow(const QueueOffer &offer) const
+{
+    if (!m_settings.overflow || offer.isCall || !offer.wantedBy) {
+        return false;
+    }
+    const base::TimePoint now = m_clock.now();
+    const base::Duration patience = std::max(offer.deadline - *offer.wantedBy, *offer.wantedBy - now);
+    const base::TimePoint latest = latestStart(offer, overflowRunTimeReserve);
+    return patience >= m_settings.overflow->minTimeAfterTarget
+        && overflowWait(tierOf(offer)) <= part(latest - now, maxOverflowWaitFraction) && hasOverflowRoom(offer);
+}
+
+bool SlotQueue::hasOverflowRoom(const QueueOffer &offer) const
+{
+    if (m_overflowing < m_settings.overflow->maxQueued) {
+        return true;
+    }
+    const auto last = leastOverflowing();
+    if (!last) {
+        return false;
+    }
+    const int tier = tierOf(offer);
+    const int least = m_queued.at(*last).tier;
+    return tier < least || (tier == least && m_tiers.at(least).overflow.comesBeforeLast(offer.workspace));
+}
+
+/// Returns the attempt in the overflow that is started last.
+std::optional<AttemptId> SlotQueue::leastOverflowing() const
+{
+    for (auto place = m_tiers.rbegin(); place != m_tiers.rend(); ++place) {
+        if (const auto last = place->second.overflow.last()) {
+            return last->attempt;
+        }
+    }
+    return std::nullopt;
+}
+
+OfferResult SlotQueue::enqueueOverflow(const QueueOffer &offer)
+{
+    if (m_overflowing >= m_settings.overflow->maxQueued) {
+        const AttemptId last = *leastOverflowing();
+        const base::Duration wait = std::max(shortestRetryAfter, overflowWait(m_queued.at(last).tier));
+        removeQueued(last);
+        m_evicted.push_back(QueueDecision{last, false, base::ResultCode::HopQueueFull, wait});
+    }
+    const int number = tierOf(offer);
+    const base::TimePoint latest = latestStart(offer, overflowRunTimeReserve);
+    Tier &tier = tierForNew(number);
+    tier.overflow.add({offer.attempt, offer.workspace, *offer.wantedBy - m_runTimes.mean(offer.route)});
+    ++tier.size;
+    ++m_overflowing;
+    ++m_overflowQueued;
+    const Queued queued{offer.attempt, latest, offer.route, offer.priority};
+    m_queued.emplace(offer.attempt, QueuedPosition{number, offer.workspace, queued});
+    m_deadlines.emplace(latest, offer.attempt);
+    return OfferResult{true, base::ResultCode::Ok, {}, true};
+}
+
+/// Returns the expected wait of an attempt that is added to the overflow of a tier, behind all attempts that are as
+/// urgent.
+base::Duration SlotQueue::overflowWait(int tier) const
+{
+    std::size_t ahead = 0;
+    for (const auto &[number, waiting] : m_tiers) {
+        ahead += number <= tier ? waiting.size : 0;
+    }
+    return waitBehind(ahead);
+}
+
 /// Returns whether one more attempt fits. In a full queue, the newest attempt in the longest workspace queue of the
 /// least urgent tier is evicted if that tier is less urgent, or that queue is longer than the one of `workspace` would
 /// be. So no workspace can block another one.
@@ -330,10 +428,11 @@
     if (own >= m_settings.maxQueuedPerWorkspace) {
         return false;
     }
-    if (m_queued.size() < m_settings.maxQueued) {
+    if (m_queued.size() - m_overflowing < m_settings.maxQueued) {
         return true;
     }
-    const auto least = std::prev(m_tiers.end());
+    const auto least = std::find_if(
+        m_tiers.rbegin(), m_tiers.rend(), [](const auto &entry) { return !entry.second.queues.empty(); });
     auto &lanes = least->second.queues;
     const auto longest
         = std::max_element(lanes.begin(), lanes.end(), [](const WorkspaceQueue &a, const WorkspaceQueue &b) {
@@ -350,24 +449,29 @@
     return true;
 }
 
-void SlotQueue::enqueue(const QueueOffer &offer)
+SlotQueue::Tier &SlotQueue::tierForNew(int number)
 {
-    const int number = tierOf(offer);
     const auto [place, isNew] = m_tiers.try_emplace(number);
-    Tier &tier = place->second;
     if (isNew) {
-        tier.pass = m_pass;
+        place->second.pass = m_pass;
     }
+    return place->second;
+}
+
+void SlotQueue::enqueue(const QueueOffer &offer)
+{
+    const int number = tierOf(offer);
+    Tier &tier = tierForNew(number);
     auto lane = queueOf(tier, offer.workspace);
     if (lane == tier.queues.end()) {
         tier.queues.push_back(WorkspaceQueue{offer.workspace, {}});
         lane = std::prev(tier.queues.end());
     }
-    const base::TimePoint latest = latestStart(offer);
+    const base::TimePoint latest = latestStart(offer, m_settings.runTimeReserve);
     const auto priority = offer.isCall ? std::nullopt : std::optional(offer.priority);
     lane->attempts.push_back(Queued{offer.attempt, latest, offer.route, priority});
     ++tier.size;
-    m_queued.emplace(offer.attempt, QueuedPosition{number, offer.workspace});
+    m_queued.emplace(offer.attempt, QueuedPosition{number, offer.workspace, std::nullopt});
     m_deadlines.emplace(latest, offer.attempt);
 }
 
@@ -391,10 +495,7 @@
         Tier &tier = place->second;
         m_pass = tier.pass;
         tier.pass += 1 / weight(place->first);
-        const Queued next = tier.queues.front().attempts.front();
-        // The workspace has had its turn and moves to the back, before its queue is removed if it becomes empty.
-        tier.queues.splice(tier.queues.end(), tier.queues, tier.queues.begin());
-        removeQueued(next.attempt);
+        const Queued next = takeNext(tier);
         m_running.emplace(next.attempt, Running{m_clock.now(), next.route, next.priority});
         m_coldStart.recordStart();
         m_startRate.recordStart();
@@ -403,6 +504,21 @@
     }
 }
 
+SlotQueue::Queued SlotQueue::takeNext(Tier &tier)
+{
+    if (tier.queues.empty()) {
+        const Queued next = *m_queued.at(tier.overflow.next(m_clock.now())->attempt).overflowing;
+        ++m_overflowStarted;
+        removeQueued(next.attempt);
+        return next;
+    }
+    const Queued next = tier.queues.front().attempts.front();
+    // The workspace has had its turn and moves to the back, before its queue is removed if it becomes empty.
+    tier.queues.splice(tier.queues.end(), tier.queues, tier.queues.begin());
+    removeQueued(next.attempt);
+    return next;
+}
+
 /// Returns the tier with the smallest pass value; of two equal ones the more urgent one.
 SlotQueue::Tiers::iterator SlotQueue::selectTier()
 {
@@ -418,7 +534,24 @@
     }
     const auto place = m_tiers.find(queued->second.tier);
     Tier &tier = place->second;
-    const auto lane = queueOf(tier, queued->second.workspace);
+    if (queued->second.overflowing) {
+        m_deadlines.erase({queued->second.overflowing->latestStart, attempt});
+        tier.overflow.remove(attempt);
+        --m_overflowing;
+    } else {
+        removeFromWorkspace(tier, queued->second.workspace, attempt);
+    }
+    --tier.size;
+    if (tier.size == 0) {
+        m_tiers.erase(place);
+    }
+    m_queued.erase(queued);
+    return true;
+}
+
+void SlotQueue::removeFromWorkspace(Tier &tier, const base::WorkspaceId &workspace, const AttemptId &attempt)
+{
+    const auto lane = queueOf(tier, workspace);
     const auto position = std::find_if(lane->attempts.begin(), lane->attempts.end(), [&attempt](const Queued &entry) {
         return entry.attempt == attempt;
     });
@@ -427,12 +560,6 @@
     if (lane->attempts.empty()) {
         tier.queues.erase(lane);
     }
-    --tier.size;
-    if (tier.size == 0) {
-        m_tiers.erase(place);
-    }
-    m_queued.erase(queued);
-    return true;
 }
 
 base::Duration SlotQueue::waitBehind(std::size_t ahead) const
@@ -454,7 +581,7 @@
     std::vector<Queued> result;
     result.reserve(m_queued.size());
     for (const auto &[number, tier] : m_tiers) {
-        const std::size_t end = result.size() + tier.size;
+        const std::size_t end = result.size() + tier.size - tier.overflow.size();
         for (std::size_t turn = 0; result.size() < end; ++turn) {
             for (const WorkspaceQueue &lane : tier.queues) {
                 if (turn < lane.attempts.size()) {
@@ -462,6 +589,9 @@
                 }
             }
         }
+        for (const OverflowAttempt &attempt : tier.overflow.inOrder()) {
+            result.push_back(*m_queued.at(attempt.attempt).overflowing);
+        }
     }
     return result;
 }
--- a/src/limits/slotqueue_test.cpp
+++ b/src/limits/slotqueue_test.cpp
@@ -369,3 +369,142 @@
     BOOST_TEST(queue.offer(call).accepted);
     BOOST_TEST(runAll().front() == 4U);
 }
+
+namespace {
+
+/// A server with one slot and runs of 100 ms, whose queue refuses what can't start within a fifth of its time. All
+/// attempts have a target of 1 s and a deadline of 10 s.
+struct OneSlotWithOverflow
+{
+    OneSlotWithOverflow()
+    {
+        offer(999, quietWorkspace);
+        finishRuns();
+    }
+    static SlotQueueSettings settings()
+    {
+        SlotQueueSettings settings{64, 64, 100ms};
+        settings.runTimeReserve = 0.7;
+        settings.maxLateness = 0.3;
+        settings.maxWaitFraction = 0.2;
+        settings.overflow = OverflowSettings{5s, 4};
+        return settings;
+    }
+    OfferResult offer(std::uint64_t number,
+                      const base::WorkspaceId &workspace,
+                      int priority = 1,
+                      base::Duration deadline = 10s)
+    {
+        QueueOffer offer;
+        offer.attempt = {base::RequestId{1, number}, 1};
+        offer.workspace = workspace;
+        offer.priority = priority;
+        offer.wantedBy = clock.now() + 1s;
+        offer.deadline = clock.now() + deadline;
+        const OfferResult quoted = queue.quote(offer);
+        const OfferResult result = queue.offer(offer);
+        BOOST_TEST(quoted.accepted == result.accepted);
+        BOOST_TEST(quoted.inOverflow == result.inOverflow);
+        return result;
+    }
+    /// Runs all queued attempts, 100 ms each, and returns the numbers of those that started.
+    std::vector<std::uint64_t> finishRuns()
+    {
+        std::vector<std::uint64_t> started;
+        for (auto decisions = queue.poll(); !decisions.empty(); decisions = queue.poll()) {
+            for (const QueueDecision &decision : decisions) {
+                if (decision.start) {
+                    started.push_back(decision.attempt.request.low);
+                    clock.advance(100ms);
+                    queue.finished(decision.attempt);
+                }
+            }
+        }
+        return started;
+    }
+
+    base::ManualClock clock;
+    SlotQueue queue{clock, 1, settings()};
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(overflow, OneSlotWithOverflow)
+
+// Guards against refusals in an overload of seconds of requests whose callers have the time to wait it out.
+BOOST_AUTO_TEST_CASE(offer_beyondTheShortQueue_waitsBehindThoseInTime)
+{
+    BOOST_TEST(!offer(1, quietWorkspace).inOverflow);
+    BOOST_TEST(!offer(2, quietWorkspace).inOverflow);
+    BOOST_TEST(offer(3, quietWorkspace).inOverflow);
+    BOOST_TEST(queue.overflowing() == 1U);
+    BOOST_TEST(offer(4, quietWorkspace, 0).accepted);
+    BOOST_TEST(finishRuns() == (std::vector<std::uint64_t>{4, 1, 2, 3}), boost::test_tools::per_element());
+    BOOST_TEST((queue.overflowCounters() == OverflowCounters{1, 1, 0}));
+}
+
+// Guards against requests that are held although their callers leave before a slot becomes free.
+BOOST_AUTO_TEST_CASE(offer_ofACallerWithLittleTime_isRefusedAtOnce)
+{
+    offer(1, quietWorkspace);
+    offer(2, quietWorkspace);
+    const OfferResult refused = offer(3, quietWorkspace, 1, 2s);
+    BOOST_TEST(!refused.accepted);
+    BOOST_TEST((refused.retryAfter > 0ms));
+}
+
+// Guards against a workspace that fills the overflow, so that all others are refused.
+BOOST_AUTO_TEST_CASE(overflow_fullOfOneWorkspace_makesRoomForAnother)
+{
+    for (std::uint64_t number = 1; number <= 6; ++number) {
+        BOOST_TEST(offer(number, overloadingWorkspace).accepted);
+    }
+    BOOST_TEST(!offer(7, overloadingWorkspace).accepted);
+    for (std::uint64_t number = 8; number <= 9; ++number) {
+        BOOST_TEST(offer(number, quietWorkspace).accepted);
+    }
+    const auto decisions = queue.poll();
+    BOOST_TEST(std::any_of(decisions.begin(), decisions.end(), [](const QueueDecision &decision) {
+        return !decision.start && decision.attempt.request.low == 6U && decision.code == base::ResultCode::HopQueueFull;
+    }));
+}
+
+// Guards against a run that occupies a slot although it can't end before its deadline.
+BOOST_AUTO_TEST_CASE(overflowingAttempt_thatCanNoLongerEndInTime_isDropped)
+{
+    offer(1, quietWorkspace);
+    offer(2, quietWorkspace);
+    offer(3, quietWorkspace);
+    BOOST_TEST(queue.poll().size() == 1U);
+    clock.advance(9800ms);
+    BOOST_TEST(queue.poll().empty());
+    clock.advance(60ms);
+    const auto decisions = queue.poll();
+    BOOST_REQUIRE(!decisions.empty());
+    BOOST_TEST(!decisions.front().start);
+    BOOST_TEST(decisions.front().attempt.request.low == 3U);
+    BOOST_TEST((queue.overflowCounters() == OverflowCounters{1, 0, 1}));
+}
+
+BOOST_AUTO_TEST_CASE(overflowingAttempt_thatIsCancelled_neverStarts)
+{
+    offer(1, quietWorkspace);
+    offer(2, quietWorkspace);
+    offer(3, quietWorkspace);
+    BOOST_TEST((queue.cancel({base::RequestId{1, 3}, 1}) == CancelOutcome::NeverStarted));
+    BOOST_TEST(finishRuns() == (std::vector<std::uint64_t>{1, 2}), boost::test_tools::per_element());
+}
+
+// Guards against attempts that wait for a server that gets no new work.
+BOOST_AUTO_TEST_CASE(overflow_ofAServerThatIsDrained_isDropped)
+{
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        offer(number, quietWorkspace);
+    }
+    queue.poll();
+    queue.dropQueued(base::ResultCode::HopBackendServerGone);
+    BOOST_TEST(queue.overflowing() == 0U);
+    BOOST_TEST(queue.poll().size() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/model/fleetmodel.cpp
+++ b/src/model/fleetmodel.cpp
@@ -180,7 +180,8 @@
 {
     const auto &burst = m_shape.burst;
     const base::Duration passed = m_clock.now() - m_begin;
-    const bool isBurst = burst && passed >= burst->begin && passed < burst->end;
+    const bool isBurst = burst && burst->trafficClass.value_or(trafficClass) == trafficClass && passed >= burst->begin
+        && passed < burst->end;
     const double perSecond = m_shape.classes[trafficClass].perSecond * (isBurst ? burst->factor : 1);
     const std::chrono::duration<double> gap(std::exponential_distribution<double>(perSecond)(m_random));
     const base::TimePoint next = m_clock.now() + std::chrono::duration_cast<base::Duration>(gap);
--- a/src/model/fleetmodel.h
+++ b/src/model/fleetmodel.h
@@ -3,6 +3,7 @@
 #include "papayastep/base/clock.h"
 #include "papayastep/base/identifiers.h"
 #include "papayastep/config/configuration.h"
+#include "papayastep/limits/overflowqueue.h"
 #include "papayastep/routing/retrybudget.h"
 
 #include <cstdint>
@@ -61,6 +62,7 @@
 /// A time in which callers send more.
 struct Burst
 {
+    std::optional<std::size_t> trafficClass{}; ///< The only class of which they send more; empty: all.
     base::Duration begin{0};
     base::Duration end{0};
     double factor = 1;
@@ -117,6 +119,7 @@
     std::optional<AnnouncedEnds> announcedEnds;
     /// Time at which the processes of the nodes beside servers that name a limit or announce their end are restarted.
     std::optional<base::Duration> nodeRestart;
+    std::optional<limits::OverflowSettings> overflow; ///< Which attempts wait while the demand exceeds the capacity.
     bool confirmsRecovery = false; ///< Whether a server that was held has to answer trial requests first.
     double errorShare = 0; ///< Fraction of the runs of a healthy server that end with an error.
     routing::FleetRetryLimit retryLimit;
--- a/src/model/fleetmodel_test.cpp
+++ b/src/model/fleetmodel_test.cpp
@@ -192,7 +192,7 @@
 BOOST_AUTO_TEST_CASE(urgentRequests_inABurstOfLookupsThatCallTheirService_areServed)
 {
     shape.services[1].servers = 6;
-    shape.burst = Burst{4s, 9s, 1.8};
+    shape.burst = Burst{{}, 4s, 9s, 1.8};
     for (const std::uint64_t seed : seeds) {
         const FleetResult result = play(seed);
         BOOST_TEST(result.classes[pickups].refused * 1000 <= result.classes[pickups].asked);
@@ -272,6 +272,7 @@
         shape.spells = {0.5, 9s, 6s, 0.85};
         shape.retryLimit = {0.2, 200, 10s};
         shape.confirmsRecovery = true;
+        shape.overflow = limits::OverflowSettings();
     }
 
     FleetResult play(std::uint64_t seed) const
@@ -295,14 +296,34 @@
 
 }
 
+constexpr std::size_t purchases = 1;
+constexpr std::size_t uploads = 2;
+constexpr std::size_t bookings = 3;
+
 BOOST_FIXTURE_TEST_SUITE(competingCallers, CompetingCallers)
 
 // Guards against purchases that are lost by the hundred at servers that fail fast and so always have free slots, while
 // the healthy ones are full.
 BOOST_AUTO_TEST_CASE(purchases_whileServersFailFast_areNotSentToThoseKnownToFail)
 {
+    shape.burst = Burst{purchases, 3s, 9s, 1.6};
+    for (const std::uint64_t seed : seeds) {
+        const FleetResult result = play(seed);
+        BOOST_TEST(result.lostAtFailingServers < 100U);
+        BOOST_TEST(result.classes[purchases].served() >= 0.85);
+    }
+}
+
+// Guards against uploads that are refused in a burst of some seconds, although their callers wait much longer, and
+// against more urgent requests at the same service that are delayed by them.
+BOOST_AUTO_TEST_CASE(uploads_inABurstBeyondTheCapacity_waitBehindMoreUrgentRequests)
+{
+    shape.burst = Burst{uploads, 3s, 9s, 2.5};
     for (const std::uint64_t seed : seeds) {
-        BOOST_TEST(play(seed).lostAtFailingServers < 100U);
+        const FleetResult result = play(seed);
+        BOOST_TEST(result.classes[uploads].refused * 50 <= result.classes[uploads].asked);
+        BOOST_TEST(result.classes[bookings].refused * 50 <= result.classes[bookings].asked);
+        BOOST_TEST(result.classes[bookings].late * 20 <= result.classes[bookings].asked);
     }
 }
 
--- a/src/model/modelserver.cpp
+++ b/src/model/modelserver.cpp
@@ -30,6 +30,7 @@
 {
     routing::ServerAdmissionSettings settings;
     settings.recovery.isRequired = shape.confirmsRecovery;
+    settings.queue.overflow = shape.overflow;
     return settings;
 }
 
--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -136,6 +136,7 @@
     for (const char *name : {"slots",
                              "slots_in_use",
                              "slots_queued",
+                             "slots_overflowing",
                              "servers_held",
                              "servers_cold",
                              "servers_down",
@@ -152,12 +153,17 @@
         metrics.setGauge("slots", use.slots, labels);
         metrics.setGauge("slots_in_use", real(use.running), labels);
         metrics.setGauge("slots_queued", real(use.queued), labels);
+        metrics.setGauge("slots_overflowing", real(use.overflowing), labels);
         metrics.setGauge("servers_held", real(use.heldBackServers), labels);
         metrics.setGauge("servers_cold", real(use.coldServers), labels);
         metrics.setGauge("servers_down", real(use.downServers), labels);
         metrics.setGauge("servers_limited", real(use.limitedServers), labels);
         metrics.setGauge("servers_leaving", real(use.leavingServers), labels);
     }
+    const limits::OverflowCounters overflow = m_servingNode.overflowCounters();
+    metrics.setTotal("overflow_attempts", real(overflow.queued), {{"event", "queued"}});
+    metrics.setTotal("overflow_attempts", real(overflow.started), {{"event", "started"}});
+    metrics.setTotal("overflow_attempts", real(overflow.dropped), {{"event", "dropped"}});
     collectLocalServerMetrics();
     metrics.setGauge("requests_open", real(m_entryHandler.openRequests()));
     metrics.setGauge("attempts_serving", real(m_servingNode.inFlight()));
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -77,6 +77,7 @@
 {
     routing::ServerAdmissionSettings admission;
     admission.recovery.isRequired = settings.confirmsRecovery;
+    admission.queue.overflow = settings.overflowQueue;
     return admission;
 }
 
@@ -235,6 +236,9 @@
         m_registry.drop({activeAttempt->hop.requestId(), static_cast<int>(activeAttempt->hop.attempt)});
         co_return refusalOf(*activeAttempt, verdict.code, verdict.retryAfter);
     }
+    if (verdict.inOverflow) {
+        logOverflow(*activeAttempt, localServer.admission.queue());
+    }
     m_attempts[activeAttempt->id()] = activeAttempt;
     poll();
     co_await waitForSlot(activeAttempt);
@@ -382,6 +386,7 @@
         const routing::ServerAdmission &admission = entry.second->admission;
         if (admission.isUnused()) {
             m_formerRetries += admission.retryBudget().counters();
+            m_formerOverflow += admission.queue().overflowCounters();
         }
         return admission.isUnused();
     });
@@ -636,6 +641,7 @@
         use.slots = admission.queue().slots();
         use.running = admission.queue().running();
         use.queued = admission.queue().queued();
+        use.overflowing = admission.queue().overflowing();
         use.heldBackServers = admission.hold().isHeldBack() ? 1 : 0;
         use.coldServers = admission.queue().coldStart().isCold() ? 1 : 0;
         use.downServers = admission.isDown() ? 1 : 0;
@@ -646,6 +652,15 @@
     return result;
 }
 
+limits::OverflowCounters ServingNode::overflowCounters() const
+{
+    limits::OverflowCounters sum = m_formerOverflow;
+    for (const auto &[id, localServer] : m_localServers) {
+        sum += localServer->admission.queue().overflowCounters();
+    }
+    return sum;
+}
+
 routing::RetryBudgetCounters ServingNode::retryCounters() const
 {
     routing::RetryBudgetCounters sum = m_formerRetries;
@@ -1080,6 +1095,19 @@
     return answer;
 }
 
+/// Logs that an attempt waits beyond the short queue, with the state of the queue.
+void ServingNode::logOverflow(const ActiveAttempt &activeAttempt, const limits::SlotQueue &queue) const
+{
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Queued an attempt in the overflow."
+                                    << base::field("request", activeAttempt.hop.logId())
+                                    << base::field("server", activeAttempt.hop.server)
+                                    << base::field("running", queue.running()) << base::field("queued", queue.queued())
+                                    << base::field("overflowing", queue.overflowing())
+                                    << base::field("priority", int{activeAttempt.hop.priority})
+                                    << base::field("leftMs", activeAttempt.hop.remaining / 1'000'000)
+                                    << base::field("targetMs", activeAttempt.hop.remainingTarget / 1'000'000);
+}
+
 /// Logs a refusal with the inputs of the decision: the queue of the server and the probability of a gray failure.
 void ServingNode::logRefusal(const ActiveAttempt &activeAttempt, const wire::HopReply &reply) const
 {
--- a/src/node/settings_test.cpp
+++ b/src/node/settings_test.cpp
@@ -68,6 +68,7 @@
     BOOST_TEST((settings.peer == net::Endpoint{"127.0.0.1", 3}));
     BOOST_TEST(settings.ejection);
     BOOST_TEST(!settings.confirmsRecovery);
+    BOOST_TEST(!settings.overflowQueue.has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(settings_withInvalidMember_reportItsLocation, SettingsFixture)
@@ -85,6 +86,18 @@
     refuses(with("/colour", "red"), "");
 }
 
+BOOST_FIXTURE_TEST_CASE(settings_forDemandBeyondCapacity_areRead, SettingsFixture)
+{
+    json document = good;
+    document["confirmsRecovery"] = true;
+    document["overflowQueue"] = {{"minTimeAfterTargetMs", 5000}, {"maxQueued", 64}};
+    const auto settings = parseSettings(document.dump(), "node.json", overrides);
+    BOOST_TEST(settings.confirmsRecovery);
+    BOOST_TEST((settings.overflowQueue == limits::OverflowSettings{std::chrono::seconds(5), 64}));
+    refuses(with("/overflowQueue", {{"maxQueued", 64}}), "/overflowQueue");
+    refuses(with("/overflowQueue", {{"minTimeAfterTargetMs", 5000}, {"maxQueued", 0}}), "/overflowQueue/maxQueued");
+}
+
 BOOST_FIXTURE_TEST_CASE(settings_notJson_areRefused, SettingsFixture)
 {
     BOOST_CHECK_EXCEPTION(parseSettings("{", "node.json", {}), base::Error, [](const base::Error &error) {
