Share the time of slots, not their starts, between priorities

Cause: a tier got a share of the starts; beside requests of 1.3 s, calls of 130 ms got every third start, a sixth of the time, and their runs failed.

The pass of a tier now rises by the run time that it takes.

--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -39,8 +39,9 @@
     /// one.
     double maxWaitFraction = 1;
 
-    /// Weight of a tier relative to the next more urgent one while attempts of both wait. It is above 0 so that no tier
-    /// starves, and small so that the less urgent tier is delayed first.
+    /// Share of a tier in the time of the slots, relative to the next more urgent one, while attempts of both wait. It
+    /// counts time and not starts: otherwise short calls would get next to nothing beside long runs. It is above 0 so
+    /// that no tier starves, and small so that the less urgent tier is delayed first.
     double nextTierWeight = 0.25;
 
     /// Which of the attempts that would wait too long are queued until the demand falls; empty: none.
@@ -108,12 +109,12 @@
 /// Attempts wait in tiers by priority. Calls of running requests come before other attempts of the priority of their
 /// run, because the run occupies a slot until they are answered and fails without them. Whether they also come before
 /// more urgent attempts is decided by CallOrder. While attempts of several tiers wait, each tier gets a fixed fraction
-/// of the slots of the next more urgent one. Within a tier, slots go to workspaces in turn (deficit round robin with a
-/// quantum of one request), so a workspace that overloads the queue delays only itself. While the server is cold or
-/// names a limit, fewer attempts start than there are slots. When the queue is full, the newest attempt in the longest
-/// workspace queue of the least urgent tier is evicted. An attempt that can't be answered in time is refused or dropped
-/// at once, so that it can be reported as not run while its caller is still waiting. With SlotQueueSettings::overflow,
-/// it is queued behind the others of its tier instead, if its caller has the time.
+/// of the slot time of the next more urgent one. Within a tier, slots go to workspaces in turn (deficit round robin
+/// with a quantum of one request), so a workspace that overloads the queue delays only itself. While the server is cold
+/// or names a limit, fewer attempts start than there are slots. When the queue is full, the newest attempt in the
+/// longest workspace queue of the least urgent tier is evicted. An attempt that can't be answered in time is refused or
+/// dropped at once, so that it can be reported as not run while its caller is still waiting. With
+/// SlotQueueSettings::overflow, it is queued behind the others of its tier instead, if its caller has the time.
 class SlotQueue
 {
 public:
@@ -201,7 +202,8 @@
         std::list<WorkspaceQueue> queues;
         OverflowQueue overflow;
         std::size_t size = 0; ///< Number of attempts, including those in the overflow.
-        /// Pass value of stride scheduling: rises with each start; the tier with the smallest one is next.
+        /// Pass value of stride scheduling: rises with each start by the slot time that it takes; the tier with the
+        /// smallest one is next.
         double pass = 0;
     };
     using Tiers = std::map<int, Tier>;
@@ -230,7 +232,9 @@
     std::optional<AttemptId> leastOverflowing() const;
     OfferResult enqueueOverflow(const QueueOffer &offer);
     base::Duration overflowWait(int tier) const;
-    Tier &tierForNew(int number);
+    Tier &tierForNew(int number, const base::RouteId &route);
+    double runSeconds(int tier) const;
+    void recordTierRun(int tier, base::Duration run);
     Queued takeNext(Tier &tier);
     void dropOverdue(std::vector<QueueDecision> &decisions);
     void startNext(std::vector<QueueDecision> &decisions);
@@ -244,6 +248,7 @@
     SlotQueueSettings m_settings;
     int m_slots;
     Tiers m_tiers; ///< Tiers with queued attempts.
+    std::map<int, base::Duration> m_tierRuns; ///< Mean run times of the attempts of each tier.
     double m_pass = 0; ///< Pass value of the tier that started an attempt last; a new tier starts with it.
     std::map<AttemptId, QueuedPosition> m_queued;
     std::set<std::pair<base::TimePoint, AttemptId>> m_deadlines; ///< Latest start times.
--- a/src/limits/callorder.cpp
+++ b/src/limits/callorder.cpp
@@ -9,7 +9,11 @@
 
 /// Value of an answer relative to one of the next more urgent priority.
 constexpr double nextPriorityValue = 0.5;
-constexpr std::int64_t runsInMean = 8; ///< Number of recent runs that a mean follows.
+/// Number of recent runs that a mean follows. Run times vary by their own length, and the order must not change with
+/// each run.
+constexpr std::int64_t runsInMean = 64;
+/// Factor by which a call has to yield more than a more urgent request to go before it.
+constexpr double margin = 1.2;
 
 double valuePerSecond(int priority, base::Duration run)
 {
@@ -32,7 +36,7 @@
     int result = own;
     for (int priority = own - 1; priority >= 0; --priority) {
         const auto &meanRun = m_meanRuns[static_cast<std::size_t>(priority)];
-        if (meanRun && valuePerSecond(priority, *meanRun) >= value) {
+        if (meanRun && margin * valuePerSecond(priority, *meanRun) > value) {
             break;
         }
         result = meanRun ? priority : result;
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr base::Duration shortestRetryAfter = std::chrono::milliseconds(1);
+constexpr base::Duration shortestRun = std::chrono::microseconds(100); ///< Lower bound of a run time in a ratio.
+constexpr std::int64_t attemptsInTierMean = 8; ///< Number of recent attempts that the mean of a tier follows.
 /// Less urgent priorities have the same weight, which is close to 0 already.
 constexpr int leastUrgent = CallOrder::priorities - 1;
 /// Fraction of the time until its latest start that the attempts before an attempt in the overflow may take. The rest
@@ -257,7 +259,8 @@
     const std::size_t turns = ahead + 1;
     for (const auto &[other, waiting] : m_tiers) {
         if (other != tier) {
-            const double starts = static_cast<double>(turns) * weight(other) / weight(tier);
+            const double starts
+                = static_cast<double>(turns) * weight(other) / weight(tier) * runSeconds(tier) / runSeconds(other);
             ahead += std::min(waiting.size, static_cast<std::size_t>(std::llround(starts)));
         }
     }
@@ -305,6 +308,20 @@
     return lane != found->second.queues.end() ? lane->attempts.size() : 0;
 }
 
+/// Returns the mean run time of the attempts that were last queued in the tier.
+double SlotQueue::runSeconds(int tier) const
+{
+    const auto found = m_tierRuns.find(tier);
+    const base::Duration run = found != m_tierRuns.end() ? found->second : m_runTimes.mean();
+    return std::chrono::duration<double>(std::max(run, shortestRun)).count();
+}
+
+void SlotQueue::recordTierRun(int tier, base::Duration run)
+{
+    base::Duration &mean = m_tierRuns.try_emplace(tier, run).first->second;
+    mean += (run - mean) / attemptsInTierMean;
+}
+
 double SlotQueue::weight(int tier) const
 {
     return std::pow(m_settings.nextTierWeight, static_cast<double>(tier) / tiersPerPriority);
@@ -397,7 +414,7 @@
     }
     const int number = tierOf(offer);
     const base::TimePoint latest = latestStart(offer, overflowRunTimeReserve);
-    Tier &tier = tierForNew(number);
+    Tier &tier = tierForNew(number, offer.route);
     tier.overflow.add({offer.attempt, offer.workspace, *offer.wantedBy - m_runTimes.mean(offer.route)});
     ++tier.size;
     ++m_overflowing;
@@ -449,8 +466,10 @@
     return true;
 }
 
-SlotQueue::Tier &SlotQueue::tierForNew(int number)
+/// Returns the tier of an offer, which is added if it has no attempts.
+SlotQueue::Tier &SlotQueue::tierForNew(int number, const base::RouteId &route)
 {
+    recordTierRun(number, m_runTimes.mean(route));
     const auto [place, isNew] = m_tiers.try_emplace(number);
     if (isNew) {
         place->second.pass = m_pass;
@@ -461,7 +480,7 @@
 void SlotQueue::enqueue(const QueueOffer &offer)
 {
     const int number = tierOf(offer);
-    Tier &tier = tierForNew(number);
+    Tier &tier = tierForNew(number, offer.route);
     auto lane = queueOf(tier, offer.workspace);
     if (lane == tier.queues.end()) {
         tier.queues.push_back(WorkspaceQueue{offer.workspace, {}});
@@ -494,7 +513,7 @@
         const auto place = selectTier();
         Tier &tier = place->second;
         m_pass = tier.pass;
-        tier.pass += 1 / weight(place->first);
+        tier.pass += runSeconds(place->first) / weight(place->first);
         const Queued next = takeNext(tier);
         m_running.emplace(next.attempt, Running{m_clock.now(), next.route, next.priority});
         m_coldStart.recordStart();
--- a/src/limits/slotqueue_test.cpp
+++ b/src/limits/slotqueue_test.cpp
@@ -370,6 +370,25 @@
     BOOST_TEST(runAll().front() == 4U);
 }
 
+// Guards against runs that fail because their short calls get only every other start beside long requests.
+BOOST_FIXTURE_TEST_CASE(queue_withShortCallsAndLongRequestsOfTheSamePriority_sharesTheSlotTime, OneSlot)
+{
+    runFor(1, base::RouteId("history"), 2, false, 1300ms);
+    runFor(2, base::RouteId("yard"), 2, true, 130ms);
+    for (std::uint64_t number = 10; number < 20; ++number) {
+        QueueOffer history = offerOf(number, 2, false);
+        history.route = base::RouteId("history");
+        BOOST_TEST(queue.offer(history).accepted);
+        QueueOffer yard = offerOf(number + 10, 2, true);
+        yard.route = base::RouteId("yard");
+        BOOST_TEST(queue.offer(yard).accepted);
+    }
+    const auto order = runAll();
+    const auto requestsBeforeLastCall = std::count_if(
+        order.begin(), std::find(order.begin(), order.end(), 29U), [](std::uint64_t number) { return number < 20; });
+    BOOST_TEST(requestsBeforeLastCall <= 3);
+}
+
 namespace {
 
 /// A server with one slot and runs of 100 ms, whose queue refuses what can't start within a fifth of its time. All
