--- a/src/health/serverhold.cpp
+++ b/src/health/serverhold.cpp
@@ -69,7 +69,14 @@
     }
     const bool wasHeld = m_estimator.isHeld(now);
     m_estimator.recordEnd(*end, relativeTime, now);
-    return *end == RunEnd::Answered ? recordAnswer(isTrial, now) : recordFailure(wasHeld, now);
+    if (*end == RunEnd::Answered) {
+        return recordAnswer(isTrial, now);
+    }
+    m_recovery.recordFailure(now);
+    if (m_estimator.isHeld(now)) {
+        m_recovery.begin(now);
+    }
+    return holdIfGray(wasHeld, now);
 }
 
 HoldChange ServerHold::recordAnswer(bool isTrial, base::TimePoint now)
@@ -87,22 +94,15 @@
 {
     const bool wasHeld = m_estimator.isHeld(now);
     m_estimator.recordOverdue(now);
-    return recordFailure(wasHeld, now);
+    return holdIfGray(wasHeld, now);
 }
 
-HoldChange ServerHold::recordFailure(bool wasHeld, base::TimePoint now)
+HoldChange ServerHold::holdIfGray(bool wasHeld, base::TimePoint now)
 {
-    const bool wasPending = m_recovery.isPending();
-    m_recovery.recordFailure(now);
-    if (!m_estimator.isHeld(now)) {
-        return HoldChange::None;
-    }
-    m_recovery.begin(now);
-    if (wasHeld || wasPending) {
+    if (wasHeld || !m_estimator.isHeld(now)) {
         return HoldChange::None;
     }
-    m_heldBack = true;
-    return HoldChange::Held;
+    return std::exchange(m_heldBack, true) && m_recovery.isPending() ? HoldChange::None : HoldChange::Held;
 }
 
 double ServerHold::grayProbability(base::TimePoint now) const
--- a/src/health/serverhold_test.cpp
+++ b/src/health/serverhold_test.cpp
@@ -135,4 +135,17 @@
     BOOST_TEST(hold.recovery().isPending());
 }
 
+// Guards against servers that stay without work after a start, because all runs count as overdue until the usual run
+// time is known.
+BOOST_AUTO_TEST_CASE(server_heldForOverdueRuns_needsNoConfirmation)
+{
+    ServerHold other(clock.now(), RecoverySettings{true});
+    other.recordOverdue(clock.now());
+    other.recordOverdue(clock.now());
+    BOOST_TEST(!other.admits(false, clock.now()));
+    BOOST_TEST(!other.recovery().isPending());
+    clock.advance(10s);
+    BOOST_TEST(other.admits(false, clock.now()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/include/papayastep/health/serverhold.h
+++ b/src/include/papayastep/health/serverhold.h
@@ -30,7 +30,8 @@
     void started(const AttemptKey &attempt, base::TimePoint now);
     /// `relativeTime` is the run time as a fraction of the usual one.
     HoldChange ended(const AttemptKey &attempt, AttemptOutcome outcome, double relativeTime, base::TimePoint now);
-    /// Records that an attempt has run for several times the usual run time.
+    /// Records that an attempt has run for several times the usual run time. Its hold ends by time in any case: a long
+    /// run at a server whose usual run time is not yet known is no proof of a failure.
     HoldChange recordOverdue(base::TimePoint now);
 
     /// Probability of a gray failure, 0 to 1. While a recovery has to be confirmed, it stays above the limit up to
@@ -42,7 +43,7 @@
 
 private:
     HoldChange recordAnswer(bool isTrial, base::TimePoint now);
-    HoldChange recordFailure(bool wasHeld, base::TimePoint now);
+    HoldChange holdIfGray(bool wasHeld, base::TimePoint now);
 
     GrayFailureEstimator m_estimator;
     RecoveryConfirmation m_recovery;
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -322,9 +322,11 @@
     mean += (run - mean) / attemptsInTierMean;
 }
 
+/// Returns the share of a tier in the slot time. Calls have that of the next more urgent priority.
 double SlotQueue::weight(int tier) const
 {
-    return std::pow(m_settings.nextTierWeight, static_cast<double>(tier) / tiersPerPriority);
+    const double priority = std::floor(static_cast<double>(tier) / tiersPerPriority);
+    return std::pow(m_settings.nextTierWeight, priority);
 }
 
 OfferResult SlotQueue::refusal(base::ResultCode code, const base::WorkspaceId &workspace, int tier) const
