Weigh the border of a zone by the size of a route's messages

What it is for: uneven zones, where some requests must leave theirs.

TransferCost learns the sizes by route; the cost never falls below the present one and stays below that of a late answer. TransferCounters count the bytes by purpose and zone, for the metrics and a log line. `zoneTransfer` switches the cost on.

--- a/src/include/papayastep/node/node.h
+++ b/src/include/papayastep/node/node.h
@@ -57,6 +57,7 @@
     void countHealthEvents();
     void reloadSettings();
     void logRefusalSummaries();
+    void logTransfers();
     void startBuild();
     void applyConfiguration(const membership::AcceptedConfiguration &accepted);
     void activateConfiguration();
@@ -111,6 +112,8 @@
     net::Signal m_tickSignal;
     base::TimePoint m_scheduledTick;
     base::TimePoint m_nextSweep;
+    /// Bytes exchanged with other zones, by purpose, at the last log line.
+    std::array<std::uint64_t, transferPurposes> m_loggedTransfers{};
     base::TimePoint m_readyDeadline; ///< Time from which the node reports ready even without its shares, which a failed
                                      ///< VM that is still listed can withhold.
     base::StateMachine<NodeState, NodeEvent> m_stateMachine;
--- a/src/include/papayastep/node/nodecontext.h
+++ b/src/include/papayastep/node/nodecontext.h
@@ -10,6 +10,7 @@
 #include "papayastep/node/metrics.h"
 #include "papayastep/node/refusallog.h"
 #include "papayastep/node/settings.h"
+#include "papayastep/node/transfercounters.h"
 #include "papayastep/routing/announcementtable.h"
 #include "papayastep/routing/ledgerclient.h"
 #include "papayastep/routing/ledgerhome.h"
@@ -17,6 +18,7 @@
 #include "papayastep/routing/retrypolicy.h"
 #include "papayastep/routing/routetable.h"
 #include "papayastep/routing/slotsurvey.h"
+#include "papayastep/routing/transfercost.h"
 #include "papayastep/wire/hop.h"
 
 #include <functional>
@@ -64,6 +66,8 @@
     routing::LedgerHome ledgerHome;
     routing::LedgerClient ledgerClient;
     std::unique_ptr<routing::PlacementPolicy> placement;
+    routing::TransferCost transferCost;
+    TransferCounters transfers;
     NodeMetrics metrics;
     RefusalLog refusalLog;
     ActiveConfiguration active; ///< Null pointers until the first configuration.
@@ -80,6 +84,8 @@
     std::function<void(wire::Outgoing)> send;
 
     base::RequestId newRequestId();
+    /// Whether the VM is in another availability zone; false if it is not known.
+    bool isInOtherZone(const base::VmId &vm) const;
 };
 
 }
--- a/src/include/papayastep/node/servedanswer.h
+++ b/src/include/papayastep/node/servedanswer.h
@@ -3,6 +3,8 @@
 #include "papayastep/net/httpmessage.h"
 #include "papayastep/wire/hop.h"
 
+#include <algorithm>
+#include <charconv>
 #include <memory>
 #include <string>
 
@@ -33,6 +35,15 @@
     {
         return static_cast<wire::HopOutcome>(reply.outcome);
     }
+
+    /// Size of the whole body as far as it is known: that of the buffered part if the head does not state it.
+    std::size_t bodyBytes() const
+    {
+        std::size_t length = 0;
+        const auto field = net::view(head[net::http::field::content_length]);
+        std::from_chars(field.data(), field.data() + field.size(), length);
+        return std::max(length, body.size());
+    }
 };
 
 /// Number of bytes of an answer that are buffered before the first byte is sent to the caller, so that a truncated
--- a/src/include/papayastep/node/settings.h
+++ b/src/include/papayastep/node/settings.h
@@ -5,6 +5,7 @@
 #include "papayastep/net/endpoint.h"
 #include "papayastep/net/httpserver.h"
 #include "papayastep/routing/retrybudget.h"
+#include "papayastep/routing/transfercost.h"
 
 #include <optional>
 #include <string>
@@ -63,6 +64,9 @@
     bool confirmsRecovery = false;
     /// Which requests wait for a slot beyond the short queue while the demand exceeds the capacity; if not set, none.
     std::optional<limits::OverflowSettings> overflowQueue;
+    /// Cost of serving a request in another availability zone by the size of its route's messages; if not set, it is
+    /// the same for all routes.
+    std::optional<routing::ZoneTransferSettings> zoneTransfer;
     bool ejection = true; ///< False disables ejection, as a baseline for comparison.
     bool noEarlierRuns
         = false; ///< True at the first start of the fleet, when no idempotency key can have been used before.
--- a/src/include/papayastep/routing/placement.h
+++ b/src/include/papayastep/routing/placement.h
@@ -47,6 +47,8 @@
     base::Duration remainingTarget{0}; ///< Time after which an answer has less value for the caller; 0: not stated.
     base::Duration remaining{0}; ///< Time until the deadline; 0: not stated.
     bool isRepeat = false; ///< An earlier attempt reached, or may have reached, a backend server.
+    /// Cost of leaving the zone; empty: that of the policy (TransferCost).
+    std::optional<double> zoneCost{};
 
     auto operator<=>(const PlacementRequest &) const = default;
 };
--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -202,6 +202,8 @@
     const auto head = m_context.hopCodec.sealRequest(
         m_hop, net::view(request.head.method_string()), net::view(request.head.target()), request.body);
     request.head.set(wire::hopHeader, head);
+    m_context.transfers.record(
+        TransferPurpose::Request, m_context.isInOtherZone(m_vm), request.body.size() + head.size());
     auto run = [self, request = std::move(request)]() mutable -> net::Awaitable<void> {
         co_await self->run(std::move(request));
     };
@@ -264,6 +266,8 @@
     m_acknowledged = true;
     m_answer.head = m_exchange->head();
     m_answer.body = std::move(m_exchange->body());
+    m_context.transfers.record(
+        TransferPurpose::Answer, m_context.isInOtherZone(m_vm), m_answer.bodyBytes() + m_answer.reply.report.size());
     if (m_exchange->progress() != net::ExchangeProgress::Complete) {
         m_answer.remainingBody = std::make_unique<HopBody>(m_exchange);
     }
--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -72,6 +72,14 @@
         metrics.setTotal(
             "peer_bytes_sent_of_kind", real(tally.bytes), {{"kind", std::to_string(static_cast<int>(kind))}});
     }
+    for (std::size_t number = 0; number < transferPurposes; ++number) {
+        const auto purpose = static_cast<TransferPurpose>(number);
+        for (const bool leavesZone : {false, true}) {
+            metrics.setTotal("transferred_bytes",
+                             real(m_context.transfers.bytes(purpose, leavesZone)),
+                             {{"purpose", std::string(name(purpose))}, {"zone", leavesZone ? "other" : "own"}});
+        }
+    }
     metrics.setGauge("peer_sockets", real(m_peerMessenger.openSockets()));
     const base::LogOutput::Counters log = m_log.counters();
     metrics.setTotal("log_lines_written", real(log.written));
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -577,6 +577,7 @@
     if (net::http::to_status_class(head.result_int()) != net::http::status_class::successful) {
         reportFailedCall();
     }
+    m_context.transferCost.record(m_route->id, m_body.size(), answer.bodyBytes());
     logAnswer(answer.head.result_int(), answer.reply.server);
     if (answer.remainingBody) {
         co_await forwardLargeAnswer(answer, std::move(head));
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -487,6 +487,24 @@
     m_context.hopPool.sweep();
     m_context.backendPool.sweep();
     m_peerMessenger.sweep();
+    logTransfers();
+}
+
+/// Logs the bytes that crossed the border of the zone since the last line, by purpose.
+void Node::logTransfers()
+{
+    std::ostringstream fields;
+    std::uint64_t sum = 0;
+    for (std::size_t number = 0; number < transferPurposes; ++number) {
+        const auto purpose = static_cast<TransferPurpose>(number);
+        const std::uint64_t bytes = m_context.transfers.bytes(purpose, true);
+        const std::uint64_t added = bytes - std::exchange(m_loggedTransfers[number], bytes);
+        fields << base::field(name(purpose), added);
+        sum += added;
+    }
+    if (sum > 0) {
+        PAPAYASTEP_LOG(INFO, logPrefix) << "Exchanged bytes with other availability zones." << fields.str();
+    }
 }
 
 base::TimePoint Node::nextTick()
--- a/src/node/nodecontext.cpp
+++ b/src/node/nodecontext.cpp
@@ -89,6 +89,7 @@
     , ledgerHome(clock, settings.vm, incarnation, ledgerSettings(settings))
     , ledgerClient(clock, settings.vm, ledgerHome, ledgerSettings(settings))
     , placement(placementPolicy(settings))
+    , transferCost(settings.zoneTransfer)
     , refusalLog(clock)
 {
 }
@@ -103,6 +104,12 @@
     return *interfaces.backends;
 }
 
+bool NodeContext::isInOtherZone(const base::VmId &vm) const
+{
+    const config::VmEntry *entry = vms.find(vm);
+    return entry != nullptr && entry->zone != settings.zone;
+}
+
 base::RequestId NodeContext::newRequestId()
 {
     return {random(), random()};
--- a/src/node/peermessenger.cpp
+++ b/src/node/peermessenger.cpp
@@ -44,6 +44,7 @@
     SentTotals &tally = m_sentByKind[message.kind];
     ++tally.messages;
     tally.bytes += sealed.size();
+    m_context.transfers.record(purposeOf(message.kind), m_context.isInOtherZone(message.to), sealed.size());
     m_endpoint.send(*endpoint, sealed);
 }
 
--- a/src/node/serverselector.cpp
+++ b/src/node/serverselector.cpp
@@ -77,6 +77,7 @@
     routing::PlacementRequest request{m_context.settings.zone, need.idempotent, m_tried};
     request.remaining = need.deadline - now;
     request.isRepeat = need.isRepeat;
+    request.zoneCost = m_context.transferCost.zoneCost(need.route);
     if (need.targetTime) {
         request.remainingTarget = *need.targetTime - now;
     }
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -176,6 +176,11 @@
     }
     settings.asksForFreeSlots = document.value("asksForFreeSlots", settings.asksForFreeSlots);
     settings.confirmsRecovery = document.value("confirmsRecovery", settings.confirmsRecovery);
+    if (document.contains("zoneTransfer")) {
+        const Json &transfer = document["zoneTransfer"];
+        settings.zoneTransfer = routing::ZoneTransferSettings{transfer["costPerKilobyte"].get<double>(),
+                                                              transfer["maxCost"].get<double>()};
+    }
     if (document.contains("overflowQueue")) {
         const Json &queue = document["overflowQueue"];
         settings.overflowQueue = limits::OverflowSettings{milliseconds(queue, "minTimeAfterTargetMs", {}),
--- a/src/node/settings_test.cpp
+++ b/src/node/settings_test.cpp
@@ -69,6 +69,7 @@
     BOOST_TEST(settings.ejection);
     BOOST_TEST(!settings.confirmsRecovery);
     BOOST_TEST(!settings.overflowQueue.has_value());
+    BOOST_TEST(!settings.zoneTransfer.has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(settings_withInvalidMember_reportItsLocation, SettingsFixture)
@@ -91,7 +92,10 @@
     json document = good;
     document["confirmsRecovery"] = true;
     document["overflowQueue"] = {{"minTimeAfterTargetMs", 5000}, {"maxQueued", 64}};
+    document["zoneTransfer"] = {{"costPerKilobyte", 0.0125}, {"maxCost", 0.5}};
     const auto settings = parseSettings(document.dump(), "node.json", overrides);
+    BOOST_TEST((settings.zoneTransfer == routing::ZoneTransferSettings{0.0125, 0.5}));
+    refuses(with("/zoneTransfer", {{"costPerKilobyte", -1}, {"maxCost", 0.5}}), "/zoneTransfer/costPerKilobyte");
     BOOST_TEST(settings.confirmsRecovery);
     BOOST_TEST((settings.overflowQueue == limits::OverflowSettings{std::chrono::seconds(5), 64}));
     refuses(with("/overflowQueue", {{"maxQueued", 64}}), "/overflowQueue");
--- a/src/node/settingsreloader.cpp
+++ b/src/node/settingsreloader.cpp
@@ -45,6 +45,7 @@
     add(running.placement != fresh.placement, "placement");
     add(running.longestHold != fresh.longestHold, "longestHoldS");
     add(running.confirmsRecovery != fresh.confirmsRecovery, "confirmsRecovery");
+    add(running.zoneTransfer != fresh.zoneTransfer, "zoneTransfer");
     add(running.overflowQueue != fresh.overflowQueue, "overflowQueue");
     add(running.secret != fresh.secret, "secret");
     return names;
--- a/src/routing/leastcostplacement.cpp
+++ b/src/routing/leastcostplacement.cpp
@@ -143,7 +143,7 @@
     }
     total -= explorationGain(candidate, request);
     total += candidate.vm != m_self ? m_settings.hopCost : 0;
-    total += candidate.zone != request.zone ? m_settings.zoneCost : 0;
+    total += candidate.zone != request.zone ? request.zoneCost.value_or(m_settings.zoneCost) : 0;
     return total;
 }
 
