--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -2,7 +2,6 @@
 
 #include "papayastep/base/clock.h"
 #include "papayastep/base/resultcode.h"
-#include "papayastep/limits/callorder.h"
 #include "papayastep/limits/coldstartlimiter.h"
 #include "papayastep/limits/overflowqueue.h"
 #include "papayastep/limits/runtimes.h"
@@ -107,14 +106,16 @@
 /// The queue in front of one backend server.
 ///
 /// Attempts wait in tiers by priority. Calls of running requests come before other attempts of the priority of their
-/// run, because the run occupies a slot until they are answered and fails without them. Whether they also come before
-/// more urgent attempts is decided by CallOrder. While attempts of several tiers wait, each tier gets a fixed fraction
-/// of the slot time of the next more urgent one. Within a tier, slots go to workspaces in turn (deficit round robin
-/// with a quantum of one request), so a workspace that overloads the queue delays only itself. While the server is cold
-/// or names a limit, fewer attempts start than there are slots. When the queue is full, the newest attempt in the
-/// longest workspace queue of the least urgent tier is evicted. An attempt that can't be answered in time is refused or
-/// dropped at once, so that it can be reported as not run while its caller is still waiting. With
-/// SlotQueueSettings::overflow, it is queued behind the others of its tier instead, if its caller has the time.
+/// run, because the run occupies a slot until they are answered and fails without them. They get as much of the slot
+/// time as the next more urgent priority, and not more: otherwise a less urgent kind of request whose runs make many
+/// calls would displace a more urgent kind from the service that it calls. While attempts of several tiers wait, each
+/// priority gets a fixed fraction of the slot time of the next more urgent one. Within a tier, slots go to workspaces
+/// in turn (deficit round robin with a quantum of one request), so a workspace that overloads the queue delays only
+/// itself. While the server is cold or names a limit, fewer attempts start than there are slots. When the queue is
+/// full, the newest attempt in the longest workspace queue of the least urgent tier is evicted. An attempt that can't
+/// be answered in time is refused or dropped at once, so that it can be reported as not run while its caller is still
+/// waiting. With SlotQueueSettings::overflow, it is queued behind the others of its tier instead, if its caller has the
+/// time.
 class SlotQueue
 {
 public:
@@ -183,13 +184,11 @@
         AttemptId attempt;
         base::TimePoint latestStart;
         base::RouteId route;
-        std::optional<int> priority; ///< Empty for a call.
     };
     struct Running
     {
         base::TimePoint startedAt;
         base::RouteId route;
-        std::optional<int> priority; ///< Empty for a call.
     };
     struct WorkspaceQueue
     {
@@ -216,7 +215,6 @@
 
     static std::list<WorkspaceQueue>::iterator queueOf(Tier &tier, const base::WorkspaceId &workspace);
     std::size_t queueLength(const base::WorkspaceId &workspace, int tier) const;
-    int tierOf(const QueueOffer &offer) const;
     double weight(int tier) const;
     std::size_t startsAhead(const base::WorkspaceId &workspace, int tier) const;
     base::Duration startDelay(std::size_t ahead) const;
@@ -255,7 +253,6 @@
     std::map<AttemptId, Running> m_running;
     std::vector<QueueDecision> m_evicted; ///< Attempts evicted by an offer, to be returned by the next poll().
     RunTimes m_runTimes;
-    CallOrder m_callOrder;
     ColdStartLimiter m_coldStart;
     StartRateLimiter m_startRate;
     std::uint64_t m_starts = 0;
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -12,14 +12,20 @@
 constexpr base::Duration shortestRun = std::chrono::microseconds(100); ///< Lower bound of a run time in a ratio.
 constexpr std::int64_t attemptsInTierMean = 8; ///< Number of recent attempts that the mean of a tier follows.
 /// Less urgent priorities have the same weight, which is close to 0 already.
-constexpr int leastUrgent = CallOrder::priorities - 1;
+constexpr int leastUrgent = 8;
 /// Fraction of the time until its latest start that the attempts before an attempt in the overflow may take. The rest
 /// is for attempts that come later and can still be in time.
 constexpr double maxOverflowWaitFraction = 0.5;
 /// Number of mean run times that must fit between the start of an attempt in the overflow and its deadline, because the
 /// slot is wasted on a run that ends late.
 constexpr double overflowRunTimeReserve = 1.5;
-constexpr int tiersPerPriority = 2; ///< Calls that go before the attempts of the priority, and these attempts.
+constexpr int tiersPerPriority = 2; ///< Calls of runs of the priority, and its other attempts.
+
+int tierOf(const QueueOffer &offer)
+{
+    const int tier = tiersPerPriority * std::clamp(offer.priority, 0, leastUrgent);
+    return offer.isCall ? tier - 1 : tier;
+}
 
 base::Duration part(base::Duration duration, double share)
 {
@@ -123,11 +129,7 @@
     }
     m_lastFinishedAt = m_clock.now();
     if (recordRunTime) {
-        const base::Duration run = *m_lastFinishedAt - found->second.startedAt;
-        m_runTimes.record(found->second.route, run);
-        if (found->second.priority) {
-            m_callOrder.recordRun(*found->second.priority, run);
-        }
+        m_runTimes.record(found->second.route, *m_lastFinishedAt - found->second.startedAt);
     }
     m_running.erase(found);
 }
@@ -267,15 +269,6 @@
     return ahead;
 }
 
-int SlotQueue::tierOf(const QueueOffer &offer) const
-{
-    const int priority = std::clamp(offer.priority, 0, leastUrgent);
-    if (!offer.isCall) {
-        return tiersPerPriority * priority;
-    }
-    return tiersPerPriority * m_callOrder.goesBefore(priority, m_runTimes.mean(offer.route)) - 1;
-}
-
 base::Duration SlotQueue::startDelay(std::size_t ahead) const
 {
     return std::max(m_coldStart.wait(ahead), m_startRate.wait(ahead));
@@ -322,7 +315,8 @@
     mean += (run - mean) / attemptsInTierMean;
 }
 
-/// Returns the share of a tier in the slot time. Calls have that of the next more urgent priority.
+/// Returns the share of a tier in the slot time. Calls have that of the next more urgent priority: a refused call loses
+/// the work of its run, which holds a slot until the call is answered.
 double SlotQueue::weight(int tier) const
 {
     const double priority = std::floor(static_cast<double>(tier) / tiersPerPriority);
@@ -421,7 +415,7 @@
     ++tier.size;
     ++m_overflowing;
     ++m_overflowQueued;
-    const Queued queued{offer.attempt, latest, offer.route, offer.priority};
+    const Queued queued{offer.attempt, latest, offer.route};
     m_queued.emplace(offer.attempt, QueuedPosition{number, offer.workspace, queued});
     m_deadlines.emplace(latest, offer.attempt);
     return OfferResult{true, base::ResultCode::Ok, {}, true};
@@ -489,8 +483,7 @@
         lane = std::prev(tier.queues.end());
     }
     const base::TimePoint latest = latestStart(offer, m_settings.runTimeReserve);
-    const auto priority = offer.isCall ? std::nullopt : std::optional(offer.priority);
-    lane->attempts.push_back(Queued{offer.attempt, latest, offer.route, priority});
+    lane->attempts.push_back(Queued{offer.attempt, latest, offer.route});
     ++tier.size;
     m_queued.emplace(offer.attempt, QueuedPosition{number, offer.workspace, std::nullopt});
     m_deadlines.emplace(latest, offer.attempt);
@@ -517,7 +510,7 @@
         m_pass = tier.pass;
         tier.pass += runSeconds(place->first) / weight(place->first);
         const Queued next = takeNext(tier);
-        m_running.emplace(next.attempt, Running{m_clock.now(), next.route, next.priority});
+        m_running.emplace(next.attempt, Running{m_clock.now(), next.route});
         m_coldStart.recordStart();
         m_startRate.recordStart();
         ++m_starts;
