--- a/src/include/papayastep/limits/slotqueue.h
+++ b/src/include/papayastep/limits/slotqueue.h
@@ -43,6 +43,12 @@
     /// that no tier starves, and small so that the less urgent tier is delayed first.
     double nextTierWeight = 0.25;
 
+    /// Weight of the calls of runs relative to other attempts of the priority of the runs. A refused call loses the
+    /// work of its run, which holds a slot until the call is answered, so calls get twice the share of the next more
+    /// urgent priority. With a larger weight the calls of many less urgent runs would displace the most urgent
+    /// requests.
+    double callWeight = 8;
+
     /// Which of the attempts that would wait too long are queued until the demand falls; empty: none.
     std::optional<OverflowSettings> overflow{};
 };
@@ -106,16 +112,14 @@
 /// The queue in front of one backend server.
 ///
 /// Attempts wait in tiers by priority. Calls of running requests come before other attempts of the priority of their
-/// run, because the run occupies a slot until they are answered and fails without them. They get as much of the slot
-/// time as the next more urgent priority, and not more: otherwise a less urgent kind of request whose runs make many
-/// calls would displace a more urgent kind from the service that it calls. While attempts of several tiers wait, each
-/// priority gets a fixed fraction of the slot time of the next more urgent one. Within a tier, slots go to workspaces
-/// in turn (deficit round robin with a quantum of one request), so a workspace that overloads the queue delays only
-/// itself. While the server is cold or names a limit, fewer attempts start than there are slots. When the queue is
-/// full, the newest attempt in the longest workspace queue of the least urgent tier is evicted. An attempt that can't
-/// be answered in time is refused or dropped at once, so that it can be reported as not run while its caller is still
-/// waiting. With SlotQueueSettings::overflow, it is queued behind the others of its tier instead, if its caller has the
-/// time.
+/// run, because the run occupies a slot until they are answered and fails without them. While attempts of several tiers
+/// wait, each priority gets a fixed fraction of the slot time of the next more urgent one. Within a tier, slots go to
+/// workspaces in turn (deficit round robin with a quantum of one request), so a workspace that overloads the queue
+/// delays only itself. While the server is cold or names a limit, fewer attempts start than there are slots. When the
+/// queue is full, the newest attempt in the longest workspace queue of the least urgent tier is evicted. An attempt
+/// that can't be answered in time is refused or dropped at once, so that it can be reported as not run while its caller
+/// is still waiting. With SlotQueueSettings::overflow, it is queued behind the others of its tier instead, if its
+/// caller has the time.
 class SlotQueue
 {
 public:
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -315,12 +315,12 @@
     mean += (run - mean) / attemptsInTierMean;
 }
 
-/// Returns the share of a tier in the slot time. Calls have that of the next more urgent priority: a refused call loses
-/// the work of its run, which holds a slot until the call is answered.
+/// Returns the share of a tier in the slot time.
 double SlotQueue::weight(int tier) const
 {
-    const double priority = std::floor(static_cast<double>(tier) / tiersPerPriority);
-    return std::pow(m_settings.nextTierWeight, priority);
+    const bool isCall = tier % tiersPerPriority != 0;
+    const int priority = (isCall ? tier + 1 : tier) / tiersPerPriority;
+    return std::pow(m_settings.nextTierWeight, priority) * (isCall ? m_settings.callWeight : 1);
 }
 
 OfferResult SlotQueue::refusal(base::ResultCode code, const base::WorkspaceId &workspace, int tier) const
