Check the hold again when an attempt starts in the model

A node refuses an attempt whose server was held while it waited; the model started it, so all that waited at a server that turned gray were counted as lost.

--- a/src/model/modelserver.cpp
+++ b/src/model/modelserver.cpp
@@ -186,7 +186,13 @@
         const auto found = m_waiting.find(decision.attempt);
         const Waiting waiting = std::move(found->second);
         m_waiting.erase(found);
-        if (decision.start) {
+        const bool idempotent = m_shape.classes[waiting.attempt.trafficClass].idempotent;
+        // As at a node, the hold is checked again, because the server may have been held while the attempt waited.
+        const bool isHeld = !waiting.attempt.lastResort && !m_admission->hold().admits(idempotent, m_clock.now());
+        if (decision.start && isHeld) {
+            m_admission->queue().finished(decision.attempt, false);
+            refuse(waiting, ResultCode::HopBackendServerEjected, {});
+        } else if (decision.start) {
             start(waiting);
         } else {
             refuse(waiting, decision.code, decision.retryAfter);
