Count a hanging trial as a failure; bound the cost of a zone from below

A trial that hung was counted when it became overdue and again as cancelled, but never as a failed trial: answer, hang, answer confirmed a recovery; the new test failed before. 2. A price below the default made large messages leave their zone more willingly than small ones. 3. The line of a returned server had the figures of an earlier hold where none is confirmed.

--- a/src/health/serverhold.cpp
+++ b/src/health/serverhold.cpp
@@ -96,6 +96,7 @@
 {
     const bool wasHeld = m_estimator.isHeld(now);
     m_estimator.recordOverdue(now);
+    m_recovery.recordFailure(now);
     return holdIfGray(wasHeld, now);
 }
 
--- a/src/health/serverhold_test.cpp
+++ b/src/health/serverhold_test.cpp
@@ -159,4 +159,14 @@
     BOOST_TEST(hold.grayProbability(clock.now()) > GrayFailureEstimatorSettings().holdThreshold);
 }
 
+// Guards against a recovery that is confirmed by two answers with a hanging trial between them.
+BOOST_AUTO_TEST_CASE(heldServer_whoseTrialHangs_startsOverWithItsAnswers)
+{
+    run(AttemptOutcome::Success);
+    hold.started({base::RequestId{3, 1}, 1}, clock.now());
+    hold.recordOverdue(clock.now());
+    BOOST_TEST((run(AttemptOutcome::Success) == HoldChange::None));
+    BOOST_TEST(hold.recovery().isPending());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/include/papayastep/limits/overflowqueue.h
+++ b/src/include/papayastep/limits/overflowqueue.h
@@ -13,8 +13,8 @@
 /// Which attempts may wait in an OverflowQueue.
 struct OverflowSettings
 {
-    /// Shortest time between the target and the deadline, or until the target, with which an attempt may wait. An
-    /// overload lasts for seconds; a caller with less time would wait in vain.
+    /// Shortest time from the target to the deadline, or from now to the target, with which an attempt may wait. A
+    /// target that has passed counts as now. An overload lasts for seconds; a caller with less time would wait in vain.
     base::Duration minTimeAfterTarget = std::chrono::seconds(5);
     std::size_t maxQueued = 64; ///< Longest queue of a server, which bounds the memory for waiting requests.
 
--- a/src/include/papayastep/routing/transfercost.h
+++ b/src/include/papayastep/routing/transfercost.h
@@ -34,8 +34,8 @@
     /// Records the bodies of a request that was answered, in bytes.
     void record(const base::RouteId &route, std::size_t requestBytes, std::size_t answerBytes);
 
-    /// Returns the cost of leaving the zone; empty if the default one applies, because the route's messages are small
-    /// or their sizes are not known.
+    /// Returns the cost of leaving the zone, at least the default one of LeastCostSettings; empty if the default one
+    /// applies, because the route's messages are small or their sizes are not known.
     std::optional<double> zoneCost(const base::RouteId &route) const;
 
 private:
--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -369,9 +369,9 @@
         return false;
     }
     const base::TimePoint now = m_clock.now();
-    const base::Duration patience = std::max(offer.deadline - *offer.wantedBy, *offer.wantedBy - now);
+    const base::Duration spareTime = std::max(offer.deadline - *offer.wantedBy, *offer.wantedBy - now);
     const base::TimePoint latest = latestStart(offer, overflowRunTimeReserve);
-    return patience >= m_settings.overflow->minTimeAfterTarget
+    return spareTime >= m_settings.overflow->minTimeAfterTarget
         && overflowWait(tierOf(offer)) <= part(latest - now, maxOverflowWaitFraction) && hasOverflowRoom(offer);
 }
 
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -976,7 +976,9 @@
         PAPAYASTEP_LOG(INFO, logPrefix) << "A backend server answers again."
                                         << base::field("request", activeAttempt.hop.logId())
                                         << base::field("server", activeAttempt.hop.server)
-                                        << recoveryFields(localServer.admission.hold().recovery().summary());
+                                        << (m_context.settings.confirmsRecovery
+                                                ? recoveryFields(localServer.admission.hold().recovery().summary())
+                                                : std::string());
         break;
     case health::HoldChange::None:
         break;
--- a/src/routing/transfercost.cpp
+++ b/src/routing/transfercost.cpp
@@ -1,5 +1,7 @@
 #include "papayastep/routing/transfercost.h"
 
+#include "papayastep/routing/leastcostplacement.h"
+
 #include <algorithm>
 
 namespace papayastep::routing {
@@ -38,7 +40,8 @@
     if (!m_settings || found == m_meanBytes.end() || found->second <= defaultBytes) {
         return std::nullopt;
     }
-    return std::min(m_settings->maxCost, m_settings->costPerKilobyte * found->second / kilobyte);
+    const double cost = std::min(m_settings->maxCost, m_settings->costPerKilobyte * found->second / kilobyte);
+    return std::max(cost, LeastCostSettings().zoneCost);
 }
 
 }
--- a/src/routing/transfercost_test.cpp
+++ b/src/routing/transfercost_test.cpp
@@ -66,6 +66,13 @@
     BOOST_TEST(transfer.zoneCost(download).value() == 0.5);
 }
 
+BOOST_AUTO_TEST_CASE(zoneCost_ofLargeMessagesWithALowPrice_isNotBelowTheDefaultOne)
+{
+    TransferCost cheap{ZoneTransferSettings{0.0001, 0.01}};
+    cheap.record(download, 0, 90'000);
+    BOOST_TEST(cheap.zoneCost(download).value() == LeastCostSettings().zoneCost);
+}
+
 BOOST_AUTO_TEST_CASE(zoneCost_withoutSettings_isTheDefaultOne)
 {
     TransferCost unused;
