Play overloads and gray failures with waiting requests in the soak

New checks: no node holds an attempt after the last answer, and each request is answered within 4 s after its deadline. That nothing runs twice and that a refusal as not run is true was checked already.

--- a/scripts/lab/cases/soak.py
+++ b/scripts/lab/cases/soak.py
@@ -2,6 +2,7 @@
 import json
 import os
 import random
+import re
 import signal
 import sys
 import time
@@ -27,6 +28,19 @@
 HIGH_RATE, LOW_RATE = 2000, 1000  # Requests per second of a workspace, both far above the load.
 MIN_SERVERS = 3
 LATE_SECONDS = 3.0  # A later event prolongs faults, which may explain violations.
+# A run of 80 ms lets 6 nodes with 5 slots answer about 370 requests per second, so that a burst of 500 exceeds them.
+OVERLOAD_SERVICE_MS = 80
+OVERLOAD_RATE = 500
+OVERLOAD_TARGET = "500ms"
+# The time between target and deadline is 1.5 s, so all requests with a target may wait in the overflow queue. The queue
+# is short enough to become full.
+OVERLOAD_SETTINGS = {"confirmsRecovery": True, "overflowQueue": {"minTimeAfterTargetMs": 1000, "maxQueued": 24},
+                     "zoneTransfer": {"costPerKilobyte": 0.0125, "maxCost": 0.5}}
+QUEUED_IN_OVERFLOW = "Queued an attempt in the overflow."
+# Time after its deadline of 2 s in which a request must be answered even if its entry was paused for several times.
+MAX_OVERTIME = 4.0
+OPEN = re.compile(r"(slots_in_use|slots_queued|slots_overflowing|attempts_serving|attempts_queued)\b")
+EMPTY_SECONDS = 2.0  # Time after the last answer in which no node may still hold an attempt.
 
 # Faults from outside the processes. Link faults are injected by a loopback proxy before each link.
 OUTSIDE = sorted(set(faults.HISTORY) - {"node-paused", "node-killed", "node-stopped"})
@@ -82,7 +96,7 @@
         begin, index = generator.uniform(0.2, seconds), generator.randrange(nodes)
         series = CHANGES[generator.choice(PLANNED_CHANGES if planned else sorted(CHANGES))]
         events += [Event(begin + after, what, index) for after, what in series]
-    return sorted(events + _announcements(seed, seconds, nodes))
+    return sorted(events + _announcements(seed, seconds, nodes) + _gray_failures(seed, seconds, nodes))
 
 
 def _announcements(seed, seconds, nodes):
@@ -98,23 +112,47 @@
     return events
 
 
+def _gray_failures(seed, seconds, nodes):
+    """Returns the begin and end of failures of servers that report success at their health endpoints. Each of them
+    lasts longer than the nodes' estimate of a failure takes to decay."""
+    if is_planned(seed) or not has_overload(seed):
+        return []
+    generator = random.Random(f"gray failures {seed}")
+    events = []
+    for index in generator.sample(range(nodes), max(1, nodes // 3)):
+        begin, length = generator.uniform(0.2, seconds / 2), generator.uniform(2.0, 5.0)
+        events += [Event(begin, "begin", index, "server-fails-at-once"),
+                   Event(begin + length, "end", index, "server-fails-at-once")]
+    return events
+
+
 def is_planned(seed):
     return seed % 3 == 0
 
 
+def has_overload(seed):
+    """Whether the nodes confirm recoveries, queue attempts in the overflow and weigh the bytes between zones. Without
+    planned work alone, servers also fail at once and demand exceeds the capacity for some seconds."""
+    return random.Random(f"overload {seed}").random() < 0.6
+
+
 def run(seed, seconds=6, settings=None, nodes=NODES):
     """Runs one seed. Returns (violations, history, events)."""
     events = schedule(seed, seconds, nodes)
-    with Fleet(lambda block: generated(block, vms=nodes, deadline=DEADLINE), proxied=True,
-               backends=["--service-time-ms", 8], settings=settings or _settings(seed), seed=seed) as fleet:
-        load = fleet.load(_streams(fleet), seconds + SETTLE_SECONDS + 2, timeout=CALL_TIMEOUT, connections=4)
+    bursts = has_overload(seed) and not is_planned(seed)
+    with Fleet(lambda block: generated(block, vms=nodes, deadline=DEADLINE,
+                                       target=OVERLOAD_TARGET if has_overload(seed) else None),
+               proxied=True, backends=["--service-time-ms", OVERLOAD_SERVICE_MS if bursts else 8],
+               settings=settings or _settings(seed), seed=seed) as fleet:
+        streams = _streams(fleet) + (_burst(fleet, seed, seconds, nodes) if bursts else [])
+        load = fleet.load(streams, seconds + SETTLE_SECONDS + 2, timeout=CALL_TIMEOUT, connections=4)
         revisions = []
         _play(fleet, events, revisions, is_planned(seed))
         time.sleep(SETTLE_SECONDS)
         withdrawal = Withdrawal("shops", time.time(), KEY_BOUND_SECONDS)
         fleet.publish(fleet.configuration.without_keys_of("shops"))
         attempts = load.wait()
-        violations = _recovery(fleet)
+        violations = _recovery(fleet) + list(_open_attempts(fleet)) + list(_late_answers(attempts))
         records = fleet.server_records()
         actions = [{**action, "server": server} for server, record in records.items() for action in record["actions"]]
         keys_seen = sum(record["keys_seen"] for record in records.values())
@@ -123,6 +161,7 @@
         if is_planned(seed):
             violations += list(_cut_requests(history)) + list(answers_forgotten(history))
         fleet.keeps_folder = bool(violations)
+        history.overflowed = sum(node.log().count(QUEUED_IN_OVERFLOW) for node in fleet.nodes.values())
         return violations, history, events
 
 
@@ -138,21 +177,32 @@
             totals["seeds that failed"] += 1
             continue
         report.note(f"seed {seed}: {len(history.attempts)} attempts, {len(history.actions)} actions, "
-                    f"{len(events)} events, {len(violations)} violations")
+                    f"{history.overflowed} in the overflow, {len(events)} events, {len(violations)} violations")
         for violation in violations[:10]:
             print(f"  {violation.rule}: {violation.detail}", file=sys.stderr)
         totals["attempts"] += len(history.attempts)
         totals["actions"] += len(history.actions)
+        totals["queued in the overflow"] += history.overflowed
         totals["violations"] += len(violations)
         totals["seeds that failed"] += bool(violations)
     report("runs", runs, "count")
-    for metric in ("attempts", "actions", "violations", "seeds that failed"):
+    for metric in ("attempts", "actions", "queued in the overflow", "violations", "seeds that failed"):
         report(metric, totals[metric], "count")
 
 
 def _settings(seed):
     """Half of the seeds use placement that queries free slots, as on the operators' platform."""
-    return {"placement": "least-cost", "asksForFreeSlots": True} if seed % 2 else {}
+    placement = {"placement": "least-cost", "asksForFreeSlots": True} if seed % 2 else {}
+    return {**placement, **(OVERLOAD_SETTINGS if has_overload(seed) else {})}
+
+
+def _burst(fleet, seed, seconds, nodes):
+    """Returns the streams of a demand above the capacity for some seconds, mostly of requests that run at most once."""
+    generator = random.Random(f"burst {seed}")
+    begin = generator.uniform(0.5, seconds / 2)
+    times = {"start": begin, "stop": begin + generator.uniform(1.5, 3.0)}
+    rate = OVERLOAD_RATE * nodes / NODES
+    return [fleet.stream("vans", 0.7 * rate, "POST", "/refunds", **times), fleet.stream("shops", 0.3 * rate, **times)]
 
 
 def _streams(fleet):
@@ -177,7 +227,7 @@
         if late > LATE_SECONDS and not planned:
             print(f"  {event.what} of node {event.index + 1} came {late:.1f} s late", file=sys.stderr)
         if event.what == "begin":
-            fault = {**faults.HISTORY, **faults.ANNOUNCEMENTS}[event.fault]
+            fault = {**faults.HISTORY, **faults.ANNOUNCEMENTS, **faults.BRIEF_GRAY}[event.fault]
             undo.setdefault((event.fault, event.index), fault(fleet, event.index))
         elif event.what == "end":
             undo.pop((event.fault, event.index), lambda: None)()
@@ -259,6 +309,26 @@
     return missing
 
 
+def _open_attempts(fleet):
+    """Checks that no node holds an attempt after all callers have their answers."""
+    def held(name):
+        return {sample: value for sample, value in fleet.metrics(name).items() if value and OPEN.search(sample)}
+    for name in fleet.nodes:
+        try:
+            wait_until(lambda name=name: not held(name), EMPTY_SECONDS, f"{name} to end all attempts")
+        except TimeoutError as error:
+            yield Violation("open_attempts", f"{error}: {held(name)}")
+
+
+def _late_answers(attempts):
+    """Checks that each request is answered or refused by its deadline, with room for a paused entry."""
+    for attempt in attempts:
+        taken = attempt["end"] - attempt["sent"]
+        if taken > float(DEADLINE.rstrip("s")) + MAX_OVERTIME:
+            yield Violation("late_answers", f"{attempt['action']} through {attempt['target']} was answered with "
+                                            f"{attempt['status']} after {taken:.1f} s")
+
+
 def _cut_requests(history):
     """Checks that under planned work alone each caller gets an answer, and only refusals that did not run. A stopped
     process refuses the connection, which tells the caller that nothing ran."""
--- a/scripts/lab/configuration.py
+++ b/scripts/lab/configuration.py
@@ -62,10 +62,12 @@
             "peerPort": block.port(ports.PEER, index), "adminPort": block.port(ports.ADMIN, index)}
 
 
-def generated(block, vms=3, zones="abc", slots=5, workspaces=None, prefer="fast-detection", floor=0.5, deadline="5s"):
+def generated(block, vms=3, zones="abc", slots=5, workspaces=None, prefer="fast-detection", floor=0.5, deadline="5s",
+              target=None):
     """Generates one service `counter` with a server on each VM and the routes /balances, /refunds and /scans.
 
     workspaces: {name: (rate, burst)}; by default two whose rates are far above the load.
+    target: target latency of all routes; by default they have none.
     """
     made = Configuration()
     made.services = [{"id": "counter", "prefer": prefer, "floor": floor, "healthPath": "/health"}]
@@ -75,6 +77,8 @@
          "deadline": deadline, "retention": "10m"},
         {"id": "scans", "pathPrefix": "/scans", "methods": ["GET"], "service": "counter", "deadline": deadline,
          "stream": True}]
+    for route in made.routes if target else []:
+        route["targetLatency"] = target
     for index in range(vms):
         zone = zones[index % len(zones)]
         made.vms.append(_vm(block, index, zone))
--- a/scripts/lab/faults.py
+++ b/scripts/lab/faults.py
@@ -79,6 +79,9 @@
     "server-announces-end": server_fault("leave"),
 }
 
+# A server that fails most requests at once while its health endpoint reports success.
+BRIEF_GRAY = {"server-fails-at-once": server_fault("half-alive", ratio=0.85)}
+
 # The gray failures whose detection is measured.
 GRAY = {
     "slow-tenfold": server_fault("slow", factor=10),
--- a/scripts/lab/history.py
+++ b/scripts/lab/history.py
@@ -20,12 +20,14 @@
     keys_seen:   requests at backend servers that held a caller's key
     revisions:   (time, node, current revision), in the order in which the nodes were queried; 0 means no revision yet
     withdrawals: of keys, during the run
+    overflowed:  number of attempts that waited in the overflow queue of a node
     """
     attempts: list
     actions: list
     keys_seen: int = 0
     revisions: list = field(default_factory=list)
     withdrawals: list = field(default_factory=list)
+    overflowed: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/testing/backend.cpp
+++ b/src/testing/backend.cpp
@@ -196,7 +196,7 @@
     const FaultKind fault = faultNow();
     const bool faultApplies = draw(m_fault.ratio);
     const bool appliesEarly = draw(0.5);
-    const bool fails = fault == FaultKind::HalfAlive || (fault == FaultKind::Errors && faultApplies);
+    const bool fails = (fault == FaultKind::HalfAlive || fault == FaultKind::Errors) && faultApplies;
     const bool hangs = fault == FaultKind::Hang && faultApplies;
     const bool failsEarly = fails && (appliesEarly || fault == FaultKind::HalfAlive);
     if (failsEarly) {
