Drop waiting requests that can't be repeated when their server is held

They were refused only when a slot became free. If requests at the server hang, that is at their deadlines, so refunds in the overflow queue waited 12 s for a refusal while another server was free. Now such attempts are dropped as not run at once, and their entries place them elsewhere. Attempts in the regular queue and those of a last resort wait as before.

testsuite/overflow-queue, server_heldWhileRefundsWait_givesThemBackAtOnce: fails without the change (the queue is not empty 2 s after the hold), passes with it (one run each).

--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -155,6 +155,7 @@
     void finishAttempt(ActiveAttempt &activeAttempt, health::AttemptOutcome outcome);
     void recordEntry(LocalServer &localServer, const base::VmId &entry);
     void notifyHold(const LocalServer &localServer, std::string_view evidence);
+    void dropNonRetryableOverflow(LocalServer &localServer);
     void recordOutcome(LocalServer &localServer, const ActiveAttempt &activeAttempt, health::AttemptOutcome outcome);
     ServedAnswer answerOf(const ActiveAttemptPtr &activeAttempt);
     health::AttemptOutcome outcomeOf(const ActiveAttempt &activeAttempt, net::http::status status);
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -144,6 +144,7 @@
     std::shared_ptr<net::HttpExchange> exchange;
     std::function<void()> onHangSuspected; ///< Notifies the entry that the attempt seems to hang.
     AnswerKind answerKind = AnswerKind::Answered;
+    bool inOverflow = false; ///< The attempt was queued in the overflow.
     bool running = false;
     bool timedOut = false;
     bool stopped = false; ///< The answer is no longer needed.
@@ -236,6 +237,7 @@
         m_registry.drop({activeAttempt->hop.requestId(), static_cast<int>(activeAttempt->hop.attempt)});
         co_return refusalOf(*activeAttempt, verdict.code, verdict.retryAfter);
     }
+    activeAttempt->inOverflow = verdict.inOverflow;
     if (verdict.inOverflow) {
         logOverflow(*activeAttempt, localServer.admission.queue());
     }
@@ -568,6 +570,7 @@
         activeAttempt->overdue = true;
         if (localServer->admission.hold().recordOverdue(now) == health::HoldChange::Held) {
             notifyHold(*localServer, "overdue");
+            dropNonRetryableOverflow(*localServer);
         }
         const bool mayRetry = activeAttempt->hop.idempotent
             && activeAttempt->deadline - now > localServer->admission.queue().runTimes().mean(activeAttempt->hop.route);
@@ -955,6 +958,26 @@
     }
 }
 
+/// Drops the attempts that can't be repeated from the overflow of a server that is held, so that their entries place
+/// them elsewhere. If requests at the server hang, no slot becomes free before their deadlines.
+void ServingNode::dropNonRetryableOverflow(LocalServer &localServer)
+{
+    if (!m_context.settings.ejection || !localServer.admission.isHeldBack(false)) {
+        return;
+    }
+    for (const auto &[id, activeAttempt] : m_attempts) {
+        const wire::HopRequest &hop = activeAttempt->hop;
+        const bool waits = activeAttempt->inOverflow && !activeAttempt->decision && !activeAttempt->stopped;
+        if (!waits || hop.server != localServer.admission.server().id || hop.idempotent || hop.lastResort) {
+            continue;
+        }
+        localServer.admission.queue().cancel(id);
+        m_registry.drop({id.request, id.attempt});
+        activeAttempt->decision = limits::QueueDecision{id, false, ResultCode::HopBackendServerEjected, {}};
+        activeAttempt->changed.notify();
+    }
+}
+
 void ServingNode::recordOutcome(LocalServer &localServer,
                                 const ActiveAttempt &activeAttempt,
                                 health::AttemptOutcome outcome)
@@ -970,6 +993,7 @@
     switch (localServer.admission.hold().ended(activeAttempt.healthKey(), outcome, relativeTime, now)) {
     case health::HoldChange::Held:
         notifyHold(localServer, "failed");
+        dropNonRetryableOverflow(localServer);
         break;
     case health::HoldChange::Returned:
         m_context.metrics.countReturn(localServer.admission.server().service);
--- a/testsuite/overflow-queue/run.py
+++ b/testsuite/overflow-queue/run.py
@@ -182,6 +182,18 @@
         self.assertEqual({(answer.status, answer.outcome) for answer in self.group("refund") + self.group("lookup")}
                          - {(503, "not-run"), (429, "not-run")}, {(200, "")})
 
+    # Guards against refunds that wait until their deadline behind requests that hang, although the server is held.
+    def test_server_heldWhileRefundsWait_givesThemBackAtOnce(self):
+        self.fill(lookups=0)
+        self.fleet.server_fault(SERVER, "hang")
+        self.only(SERVER, OTHER)
+        wait_until(lambda: "Held back a backend server." in self.fleet.nodes[HOLDER].log(), 10, "a hold")
+        wait_until(lambda: self.overflowing() == 0, 2, "the refunds to leave the queue")
+        for thread in self.threads:
+            thread.join()
+        served_elsewhere = [answer for answer in self.group("refund") if answer.server == OTHER]
+        self.assertTrue(served_elsewhere)
+
 
 if __name__ == "__main__":
     unittest.main()
