Let a risky trial follow an answered one after a second; name two labels

Found in review: 1. the delay of 2 to 8 s until a request that can't be repeated is a trial also counted from an answer, so a service with only such requests left a recovered server out for seconds more; the new test failed before. 2. The case that bounds the labels of the metrics did not list purpose and zone, whose values are fixed lists of nine and two; it checks as much as before.

--- a/src/health/recoveryconfirmation.cpp
+++ b/src/health/recoveryconfirmation.cpp
@@ -61,7 +61,7 @@
     }
     const base::Duration passed = now - m_lastEvidence;
     if (!idempotent) {
-        return passed >= riskyTrialDelay();
+        return passed >= (m_answersInARow > 0 ? m_settings.trialInterval : riskyTrialDelay());
     }
     const base::Duration interval = m_failures > 2 ? m_settings.laterTrialInterval : m_settings.trialInterval;
     return m_answersInARow > 0 || passed >= interval;
--- a/src/health/recoveryconfirmation_test.cpp
+++ b/src/health/recoveryconfirmation_test.cpp
@@ -73,6 +73,18 @@
     }
 }
 
+// Guards against a server that stays without work for seconds after an answered trial, if its service gets only requests
+// that can't be repeated.
+BOOST_AUTO_TEST_CASE(heldServer_whoseRiskyTrialWasAnswered_admitsTheNextOneSoon)
+{
+    recovery.recordFailure(clock.now());
+    clock.advance(4s);
+    recovery.recordAnswer(clock.now());
+    BOOST_TEST(!admits(false));
+    clock.advance(1s);
+    BOOST_TEST(admits(false));
+}
+
 BOOST_AUTO_TEST_CASE(server_whereNoConfirmationIsRequired_isNeverPending)
 {
     RecoveryConfirmation other;
--- a/testsuite/metrics/run.py
+++ b/testsuite/metrics/run.py
@@ -104,7 +104,7 @@
         labels = {label for name in self.names for sample in self.fleet.metrics(name)
                   for label in re.findall(r'([a-z_]+)="', sample)}
         self.assertLessEqual(labels, {"service", "kind", "outcome", "code", "event", "action", "reason", "evidence",
-                                      "answer", "call", "budget", "result", "le"})
+                                      "answer", "call", "budget", "result", "le", "purpose", "zone"})
 
 
 if __name__ == "__main__":
