--- a/src/health/recoveryconfirmation_test.cpp
+++ b/src/health/recoveryconfirmation_test.cpp
@@ -73,8 +73,8 @@
     }
 }
 
-// Guards against a server that stays without work for seconds after an answered trial, if its service gets only requests
-// that can't be repeated.
+// Guards against a server that stays without work for seconds after an answered trial, if its service gets only
+// requests that can't be repeated.
 BOOST_AUTO_TEST_CASE(heldServer_whoseRiskyTrialWasAnswered_admitsTheNextOneSoon)
 {
     recovery.recordFailure(clock.now());
