Handle pipelined requests of a connection concurrently

A node read the next request of a connection only after it had answered the one before. Callers that pipeline waited for the sum of the runs, and a slow request delayed the runs of all behind it. With ServerLimits::pipelinedRequests above 1, safe requests without a body run concurrently and are answered in order. PipelineWindow decides what is started, whose turn it is and which answer closes; the default of 1 keeps the present connection class.

Unread bytes of a next request hid the end of a connection: recv(MSG_PEEK) of one byte sees these bytes and not the end behind them, so runs continued after their callers had disconnected. The socket state (POLLRDHUP) is checked instead, every 100 ms while bytes are unread. This holds for connections without a pipeline too; their answers do not change.

--- a/src/fuzz/targets.cpp
+++ b/src/fuzz/targets.cpp
@@ -1,3 +1,5 @@
+#include "../net/pipelinewindow.h"
+#include "../net/requesthead.h"
 #include "targets.h"
 
 #include "papayastep/config/check.h"
@@ -14,6 +16,8 @@
 #include <sodium.h>
 
 #include <array>
+#include <deque>
+#include <iterator>
 #include <stdexcept>
 
 namespace papayastep::fuzz {
@@ -73,6 +77,89 @@
     decodeEach<wire::SlotQuery, wire::SlotOffer>(payload);
 }
 
+/// Handles a pipeline without a network: the number of fields of a head decides how many answers are sent before it.
+class PipelineReplay
+{
+public:
+    PipelineReplay()
+    {
+        m_window.setBounds({maxOpen, maxWaitingBytes});
+    }
+
+    void run(std::string_view bytes)
+    {
+        while (!m_window.isClosed()) {
+            const auto block = net::checkHeadBlock({bytes.data(), bytes.size()}, maxHeaderBytes);
+            if (!block.isComplete || block.code != base::ResultCode::Ok) {
+                break;
+            }
+            net::RequestParser parser;
+            boost::beast::error_code error;
+            parser.eager(false);
+            parser.header_limit(maxHeaderBytes);
+            parser.body_limit(maxHeaderBytes);
+            bytes.remove_prefix(parser.put({bytes.data(), bytes.size()}, error));
+            if (error || !parser.is_header_done()) {
+                break;
+            }
+            const auto &head = parser.get();
+            answer(static_cast<std::size_t>(std::distance(head.begin(), head.end())) % maxOpen);
+            start(net::pipelinedRequestOf(parser));
+            if (!parser.is_done()) {
+                break;
+            }
+        }
+        answer(m_open.size());
+    }
+
+private:
+    static constexpr std::size_t maxOpen = 4;
+    static constexpr std::size_t maxWaitingBytes = 100;
+    static constexpr std::uint32_t maxHeaderBytes = 16 * 1024;
+
+    static void require(bool condition, const char *rule)
+    {
+        if (!condition) {
+            throw std::logic_error(rule);
+        }
+    }
+
+    void start(const net::PipelinedRequest &request)
+    {
+        while (!m_window.mayStart(request.isSafe) && !m_open.empty()) {
+            answer(1);
+        }
+        if (!m_window.mayStart(request.isSafe)) {
+            return;
+        }
+        require(!m_closed, "a request was started behind a closing answer");
+        require(m_open.empty() || (request.isSafe && m_open.back().isSafe), "an unsafe request ran beside another");
+        require(m_open.empty() || !m_open.back().isLast, "a request was started behind the last one");
+        const auto number = m_window.start(request);
+        m_open.push_back(request);
+        require(m_open.size() <= maxOpen, "too many requests were started");
+        if (!m_window.isFirst(number)) {
+            m_window.addWaiting(number, maxWaitingBytes / 2);
+        }
+    }
+
+    void answer(std::size_t count)
+    {
+        for (; count > 0 && !m_open.empty(); --count) {
+            const bool closes = m_window.closesWithFirst(m_open.front().isLast);
+            require(!closes || m_open.size() == 1, "an answer before the last one closes the connection");
+            require(closes || !m_open.front().isLast, "the last answer does not close the connection");
+            m_closed = m_closed || closes;
+            m_window.finishFirst();
+            m_open.pop_front();
+        }
+    }
+
+    net::PipelineWindow m_window;
+    std::deque<net::PipelinedRequest> m_open;
+    bool m_closed = false;
+};
+
 }
 
 void fuzzConfiguration(std::string_view bytes)
@@ -111,11 +198,17 @@
     }
 }
 
+void fuzzPipeline(std::string_view bytes)
+{
+    PipelineReplay().run(bytes);
+}
+
 std::span<const Target> targets()
 {
     static constexpr std::array all{Target{"configuration", fuzzConfiguration},
                                     Target{"hop", fuzzHop},
                                     Target{"peer", fuzzPeer},
+                                    Target{"pipeline", fuzzPipeline},
                                     Target{"platform", fuzzPlatform},
                                     Target{"rawheader", fuzzRawHeader}};
     return all;
--- a/src/fuzz/targets.h
+++ b/src/fuzz/targets.h
@@ -22,6 +22,10 @@
 /// Decodes a raw HTTP header block.
 void fuzzRawHeader(std::string_view bytes);
 
+/// Reads a pipeline of requests as a connection does, and answers them in an order that depends on the input. Checks
+/// which requests are handled concurrently and that nothing is started behind a closing answer.
+void fuzzPipeline(std::string_view bytes);
+
 /// A fuzz target with the name of its corpus folder.
 struct Target
 {
--- a/src/include/papayastep/net/httpserver.h
+++ b/src/include/papayastep/net/httpserver.h
@@ -23,6 +23,10 @@
     base::Duration bodyTimeout = std::chrono::seconds(20);
     base::Duration idleTimeout = std::chrono::seconds(60); ///< Maximum time between two requests of a connection.
     base::Duration writeTimeout = std::chrono::seconds(30); ///< Per write, for callers that do not read their answer.
+    /// Number of requests of a connection that are handled concurrently. Connections that were opened while it was 1
+    /// continue to handle one request after the other.
+    std::size_t pipelinedRequests = 1;
+    std::size_t pipelinedBytes = 256 * 1024; ///< Of the answers of a connection that wait for earlier ones.
 
     auto operator<=>(const ServerLimits &) const = default;
 };
@@ -56,6 +60,13 @@
     virtual void watchClient(std::function<void()> gone) = 0;
 };
 
+/// Counts what the pipelined connections of a server do.
+struct PipelineCounters
+{
+    std::uint64_t startedConcurrently = 0; ///< Requests that were started while an earlier one was open.
+    std::uint64_t pauses = 0; ///< Times that a connection was not read further because of a bound.
+};
+
 /// Answers requests. Called in the thread of the server's context.
 class RequestHandler
 {
@@ -68,7 +79,6 @@
 };
 
 class ServerConnection;
-using ConnectionSet = std::set<ServerConnection *>;
 
 /// An HTTP/1.1 server on one endpoint that checks strictly what it accepts as a request.
 class HttpServer
@@ -93,11 +103,14 @@
     std::size_t inFlight() const;
     std::size_t connections() const;
     std::uint64_t refusedConnections() const;
+    const PipelineCounters &pipelineCounters() const;
 
 private:
-    friend class ServerConnection;
+    friend class SerialConnection;
+    friend class PipelinedConnection;
     using ConnectionSet = std::set<ServerConnection *>;
     Awaitable<void> acceptLoop();
+    std::shared_ptr<ServerConnection> makeConnection(tcp::socket socket);
     Awaitable<void> waitForConnection();
     bool acceptOrRefuse(tcp::socket &socket);
     Awaitable<void> pauseAfterFailure();
@@ -111,6 +124,7 @@
     std::shared_ptr<ConnectionSet> m_connections;
     std::size_t m_inFlight = 0;
     std::uint64_t m_refused = 0;
+    PipelineCounters m_pipelineCounters;
     bool m_closesAfterAnswers = false;
     bool m_stopping = false;
 };
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,7 +1,10 @@
-#include "papayastep/net/httpserver.h"
+#include "disconnectdetector.h"
+#include "requesthead.h"
+#include "serverconnection.h"
 
 #include "papayastep/base/error.h"
 #include "papayastep/base/log.h"
+#include "papayastep/net/httpserver.h"
 #include "papayastep/net/task.h"
 
 #include <boost/asio/read_until.hpp>
@@ -10,7 +13,6 @@
 #include <algorithm>
 #include <optional>
 #include <stdexcept>
-#include <sys/socket.h>
 
 namespace papayastep::net {
 
@@ -18,46 +20,25 @@
 
 constexpr std::string_view logPrefix = "net";
 
-base::ResultCode codeOfParserError(const beast::error_code &error)
-{
-    if (error == http::error::bad_content_length || error == http::error::bad_transfer_encoding) {
-        return base::ResultCode::RequestAmbiguousLength;
-    }
-    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-        return base::ResultCode::RequestHeaderTooLarge;
-    }
-    if (error == http::error::body_limit) {
-        return base::ResultCode::RequestBodyTooLarge;
-    }
-    if (error == beast::error::timeout) {
-        return base::ResultCode::RequestTooSlow;
-    }
-    return base::ResultCode::RequestMalformed;
-}
-
 bool isOutOfDescriptors(const beast::error_code &error)
 {
     return error == asio::error::no_descriptors || error == beast::errc::too_many_files_open_in_system;
 }
 
-bool peerHasClosed(tcp::socket &socket)
-{
-    char byte = 0;
-    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 }
 
-/// One connection, which reads one request after the other and passes each to the handler.
-class ServerConnection final : public ServerExchange, public std::enable_shared_from_this<ServerConnection>
+/// A connection that reads one request after the other and passes each to the handler.
+class SerialConnection final : public ServerConnection,
+                               public ServerExchange,
+                               public std::enable_shared_from_this<SerialConnection>
 {
 public:
-    ServerConnection(HttpServer &server, tcp::socket socket)
+    SerialConnection(HttpServer &server, tcp::socket socket)
         : m_server(server)
         , m_stream(std::move(socket))
         , m_buffer(server.m_limits.headerBytes + readAhead)
         , m_registry(server.m_connections)
+        , m_detector(m_stream.socket())
     {
         beast::error_code error;
         const auto remote = m_stream.socket().remote_endpoint(error);
@@ -65,12 +46,12 @@
         m_registry->insert(this);
     }
 
-    ~ServerConnection() override
+    ~SerialConnection() override
     {
         m_registry->erase(this);
     }
 
-    Awaitable<void> run()
+    Awaitable<void> run() override
     {
         beast::error_code error;
         m_stream.socket().set_option(tcp::no_delay(true), error);
@@ -102,7 +83,7 @@
     /// Ends the wait for the next request. If its first bytes have been read but not yet processed, the wait ends with
     /// them and the request is answered: closing the connection here would drop a request that has been received, which
     /// its caller can't send again.
-    void closeIfIdle()
+    void stop() override
     {
         if (m_waiting) {
             m_stream.cancel();
@@ -200,13 +181,12 @@
 
     void watchClient(std::function<void()> gone) override
     {
-        auto watch = [self = weak_from_this(), gone = std::move(gone)](const beast::error_code &error) {
+        m_detector.start([self = weak_from_this(), gone = std::move(gone)] {
             const auto connection = self.lock();
-            if (!error && connection && !connection->m_answered && peerHasClosed(connection->m_stream.socket())) {
+            if (connection && !connection->m_answered) {
                 gone();
             }
-        };
-        m_stream.socket().async_wait(tcp::socket::wait_read, std::move(watch));
+        });
     }
 
 private:
@@ -304,27 +284,15 @@
     Awaitable<bool> checkRawBytes()
     {
         for (;;) {
-            const auto data = m_buffer.cdata();
-            const std::string_view bytes(static_cast<const char *>(data.data()), data.size());
-            const auto end = bytes.find("\r\n\r\n");
-            const auto block = bytes.substr(0, end == std::string_view::npos ? end : end + 4);
-            // An incomplete block may end between CR and LF, or just before the byte that folds a line.
-            const auto checked = end == std::string_view::npos && !block.empty() && block.back() == '\r'
-                ? block.substr(0, block.size() - 1)
-                : block;
-            if (checkRawHeader(checked) != base::ResultCode::Ok) {
-                const std::string detail = "the header contains a bare line end, a folded line or a NUL byte";
-                co_await refuse(base::ResultCode::RequestMalformed, detail);
+            const HeadBlock block = checkHeadBlock(m_buffer.cdata(), m_server.m_limits.headerBytes);
+            if (block.code != base::ResultCode::Ok) {
+                const std::string detail(block.detail);
+                co_await refuse(block.code, detail);
                 co_return false;
             }
-            if (end != std::string_view::npos) {
+            if (block.isComplete) {
                 co_return true;
             }
-            if (bytes.size() > m_server.m_limits.headerBytes) {
-                const std::string detail = "the header is larger than the limit";
-                co_await refuse(base::ResultCode::RequestHeaderTooLarge, detail);
-                co_return false;
-            }
             beast::error_code error;
             const auto got = co_await m_stream.async_read_some(m_buffer.prepare(readAhead / 8), into(error));
             m_buffer.commit(got);
@@ -365,6 +333,7 @@
         if (m_parser->get().version() == 10 || !m_parser->get().keep_alive()) {
             m_closing = true;
         }
+        m_detector.stop();
         beast::error_code ignored;
         m_stream.socket().cancel(ignored);
         m_serializer.reset();
@@ -406,12 +375,6 @@
         }
     }
 
-    static bool mayHaveBody(http::status status)
-    {
-        const auto number = static_cast<unsigned>(status);
-        return number >= 200 && status != http::status::no_content && status != http::status::not_modified;
-    }
-
     void closeOnWriteError(const beast::error_code &error)
     {
         if (error) {
@@ -435,7 +398,9 @@
     std::unique_ptr<http::response<http::buffer_body>> m_streamed;
     std::unique_ptr<http::response_serializer<http::buffer_body>> m_serializer;
     std::string m_remoteAddress;
-    std::shared_ptr<ConnectionSet> m_registry; ///< Shared, since a connection may outlive its server at shutdown.
+    std::shared_ptr<HttpServer::ConnectionSet>
+        m_registry; ///< Shared, since a connection may outlive its server at shutdown.
+    DisconnectDetector m_detector;
     bool m_waiting = false; ///< Whether it waits for the first bytes of a request.
     bool m_closing = false;
     bool m_answered = false;
@@ -486,7 +451,7 @@
     beast::error_code ignored;
     m_acceptor.close(ignored);
     for (ServerConnection *connection : *m_connections) {
-        connection->closeIfIdle();
+        connection->stop();
     }
 }
 
@@ -500,6 +465,11 @@
     return m_connections->size();
 }
 
+const PipelineCounters &HttpServer::pipelineCounters() const
+{
+    return m_pipelineCounters;
+}
+
 std::uint64_t HttpServer::refusedConnections() const
 {
     return m_refused;
@@ -528,11 +498,19 @@
             recordRefusal("limit");
             continue;
         }
-        auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
+        const auto connection = makeConnection(std::move(socket));
         spawnTask(m_context, "connection", [connection] { return connection->run(); });
     }
 }
 
+std::shared_ptr<ServerConnection> HttpServer::makeConnection(tcp::socket socket)
+{
+    if (m_limits.pipelinedRequests > 1) {
+        return makePipelinedConnection(*this, std::move(socket));
+    }
+    return std::make_shared<SerialConnection>(*this, std::move(socket));
+}
+
 /// Without a free descriptor, accept() fails even if no connection is waiting, so calling it again at once would spin.
 Awaitable<void> HttpServer::waitForConnection()
 {
