Let operators set the bounds of pipelined requests

The settings limits.pipelinedRequests (default 1) and limits.pipelinedBytes apply to the callers' listener only. Two metrics count the requests that were started concurrently and the pauses at a bound. Tested with node_test.

--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -87,6 +87,9 @@
     metrics.setTotal("log_lines_dropped", real(log.dropped));
     metrics.setGauge("caller_connections", real(m_callerServer.connections()));
     metrics.setTotal("caller_connections_refused", real(m_callerServer.refusedConnections()));
+    const net::PipelineCounters &pipelines = m_callerServer.pipelineCounters();
+    metrics.setTotal("caller_requests_pipelined", real(pipelines.startedConcurrently));
+    metrics.setTotal("caller_pipeline_pauses", real(pipelines.pauses));
     metrics.setTotal("task_faults", real(net::taskFaults(m_context.io).count()));
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -44,6 +44,13 @@
     return limits;
 }
 
+/// Returns the limits of a listener other than that of the callers: nodes and operators do not pipeline.
+net::ServerLimits withoutPipelining(net::ServerLimits limits)
+{
+    limits.pipelinedRequests = 1;
+    return limits;
+}
+
 std::shared_ptr<const base::StateChart> nodeChart()
 {
     return base::StateChart::parse(embedded::nodeChart,
@@ -140,7 +147,10 @@
     , m_peerMessenger(m_context, [this](const wire::Envelope &envelope) { dispatch(envelope); })
     , m_callerServer(
           io, m_context.settings.caller, limitsWithin(callerShare, m_context.settings.limits), m_entryHandler)
-    , m_hopServer(io, m_context.settings.hop, limitsWithin(hopShare, m_context.settings.limits), m_hopHandler)
+    , m_hopServer(io,
+                  m_context.settings.hop,
+                  limitsWithin(hopShare, withoutPipelining(m_context.settings.limits)),
+                  m_hopHandler)
     , m_adminServer(io, m_context.settings.admin, {}, m_adminHandler)
     , m_tickSignal(io)
     , m_readyDeadline(clock.now() + maxSettlingTime)
@@ -152,7 +162,7 @@
     addAdminPages();
     if (m_context.settings.ready) {
         m_readyServer = std::make_unique<net::HttpServer>(
-            io, *m_context.settings.ready, m_context.settings.limits, m_readyHandler);
+            io, *m_context.settings.ready, withoutPipelining(m_context.settings.limits), m_readyHandler);
     }
     if (m_context.interfaces.servers) {
         m_directoryUpdater
@@ -375,7 +385,7 @@
     limits.idleTimeout = wanted.idleTimeout.value_or(limits.idleTimeout);
     m_callerServer.setLimits(limitsWithin(callerShare, limits));
     limits.idleTimeout = m_context.settings.limits.idleTimeout;
-    m_hopServer.setLimits(limitsWithin(hopShare, limits));
+    m_hopServer.setLimits(limitsWithin(hopShare, withoutPipelining(limits)));
 }
 
 void Node::applyDirectory()
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -142,6 +142,8 @@
     limits.bodyTimeout = milliseconds(json, "bodyTimeoutMs", limits.bodyTimeout);
     limits.idleTimeout = milliseconds(json, "idleTimeoutMs", limits.idleTimeout);
     limits.writeTimeout = milliseconds(json, "writeTimeoutMs", limits.writeTimeout);
+    limits.pipelinedRequests = json.value("pipelinedRequests", limits.pipelinedRequests);
+    limits.pipelinedBytes = json.value("pipelinedBytes", limits.pipelinedBytes);
     return limits;
 }
 
--- a/src/node/settings_test.cpp
+++ b/src/node/settings_test.cpp
@@ -102,6 +102,23 @@
     refuses(with("/overflowQueue", {{"minTimeAfterTargetMs", 5000}, {"maxQueued", 0}}), "/overflowQueue/maxQueued");
 }
 
+// Guards against a node that handles the requests of a connection concurrently although its operator has not asked for
+// it, and against a bound that the server can't keep.
+BOOST_FIXTURE_TEST_CASE(settings_pipelining_isOffUnlessSet, SettingsFixture)
+{
+    const auto unset = parseSettings(good.dump(), "node.json", overrides).limits;
+    BOOST_TEST(unset.pipelinedRequests == 1U);
+    BOOST_TEST(unset.pipelinedBytes == 262144U);
+    json document = good;
+    document["limits"] = {{"pipelinedRequests", 16}, {"pipelinedBytes", 1000}};
+    const auto set = parseSettings(document.dump(), "node.json", overrides).limits;
+    BOOST_TEST(set.pipelinedRequests == 16U);
+    BOOST_TEST(set.pipelinedBytes == 1000U);
+    refuses(with("/limits/pipelinedRequests", 0), "/limits/pipelinedRequests");
+    refuses(with("/limits/pipelinedRequests", 65), "/limits/pipelinedRequests");
+    refuses(with("/limits/pipelinedBytes", 0), "/limits/pipelinedBytes");
+}
+
 BOOST_FIXTURE_TEST_CASE(settings_notJson_areRefused, SettingsFixture)
 {
     BOOST_CHECK_EXCEPTION(parseSettings("{", "node.json", {}), base::Error, [](const base::Error &error) {
