Pipeline safe calls in the load client and the soak test

A closed-loop stream with `pipelined` keeps that many safe calls unanswered on each connection. Answers are matched by their order and checked by the identifier of the call, as before. A call without an answer on a connection that the server has closed is sent once more.

--- a/scripts/lab/cases/soak.py
+++ b/scripts/lab/cases/soak.py
@@ -151,8 +151,11 @@
 
 
 def _settings(seed):
-    """Half of the seeds use placement that queries free slots, as on the operators' platform."""
-    return {"placement": "least-cost", "asksForFreeSlots": True} if seed % 2 else {}
+    """Half of the seeds use placement that queries free slots and handle pipelined requests concurrently, as on the
+    operators' platform."""
+    if seed % 2:
+        return {"placement": "least-cost", "asksForFreeSlots": True, "limits": {"pipelinedRequests": 16}}
+    return {}
 
 
 def _streams(fleet):
@@ -165,6 +168,7 @@
             fleet.stream("vans", 20, "POST", "/refunds", idempotencyKey=True, repeatAfter=0.3, repeatRatio=0.5),
             fleet.stream("vans", 20, "POST", "/refunds", idempotencyKey=True, repeatAnswered=True),
             fleet.stream("shops", 0, pause=0.1),
+            fleet.stream("shops", 0, pause=0.1, pipelined=8),
             fleet.stream("vans", 0, "POST", "/refunds", pause=0.1)]
 
 
--- a/src/include/papayastep/testing/loadclient.h
+++ b/src/include/papayastep/testing/loadclient.h
@@ -3,6 +3,7 @@
 #include "papayastep/testing/httpserver.h"
 
 #include <chrono>
+#include <deque>
 #include <fstream>
 #include <functional>
 #include <memory>
@@ -41,6 +42,9 @@
     /// Closed loop only: seconds between a response and the next call of the worker. If it is not 0, each worker keeps
     /// one connection, and uses the same node until that node no longer responds.
     double pause = 0;
+    /// Closed loop only, without a body and with a safe method: number of calls that each worker keeps unanswered on
+    /// its connection. With more than one, `pause` is the time between an answer and the next calls.
+    std::size_t pipelined = 1;
     double start = 0; ///< Start of the stream, in seconds since the start of the run.
     double stop = 1e9;
 };
@@ -71,6 +75,12 @@
     using ConnectionPtr = std::unique_ptr<Connection>;
     struct Call;
     struct Attempt;
+    struct SentCall
+    {
+        std::shared_ptr<const Call> call;
+        double sentUnix = 0;
+        bool isResent = false;
+    };
     struct Tally
     {
         std::uint64_t offered = 0;
@@ -85,6 +95,12 @@
     boost::asio::awaitable<void> runOpenLoop(const LoadStream &stream);
     boost::asio::awaitable<void> runClosedLoop(const LoadStream &stream);
     boost::asio::awaitable<void> runFaithful(const LoadStream &stream);
+    boost::asio::awaitable<void> runPipelined(const LoadStream &stream);
+    /// Keeps calls unanswered on one connection until it ends. `calls` are those without an answer so far. Throws if
+    /// the connection fails. Returns normally after an answer that closes it, behind which no call has run.
+    boost::asio::awaitable<void> pipeline(const LoadStream &stream, std::size_t target, std::deque<SentCall> &calls);
+    static bool mayResend(const boost::system::error_code &error, std::deque<SentCall> &calls);
+    void noteFailed(std::deque<SentCall> &calls, std::size_t target, const std::string &error);
     boost::asio::awaitable<void> makeCall(std::shared_ptr<const Call> call);
     boost::asio::awaitable<void> repeatLater(std::shared_ptr<const Call> call, std::size_t firstTarget);
     /// `kept` is the connection of a worker that has its own. It is used if it is open, and returned if it can be
--- a/src/testing/loadclient.cpp
+++ b/src/testing/loadclient.cpp
@@ -29,6 +29,7 @@
                                                 repeatUnknown,
                                                 repeatAnswered,
                                                 pause,
+                                                pipelined,
                                                 start,
                                                 stop)
 
@@ -134,6 +135,10 @@
     m_streams = json::parse(plan).at("streams").get<std::vector<LoadStream>>();
     std::transform(settings.targets.begin(), settings.targets.end(), std::back_inserter(m_targets), endpointOf);
     for (const LoadStream &stream : m_streams) {
+        const bool isSafe = stream.method == "GET" || stream.method == "HEAD" || stream.method == "OPTIONS";
+        if (stream.pipelined > 1 && (stream.rate > 0 || !isSafe || !stream.body.empty())) {
+            throw std::invalid_argument("only closed-loop streams of safe requests without a body can be pipelined");
+        }
         if (stream.rate > 0) {
             begin();
             asio::co_spawn(context, runOpenLoop(stream), asio::detached);
@@ -141,6 +146,10 @@
         }
         for (int worker = 0; worker < settings.connections; ++worker) {
             begin();
+            if (stream.pipelined > 1) {
+                asio::co_spawn(context, runPipelined(stream), asio::detached);
+                continue;
+            }
             asio::co_spawn(context, stream.pause > 0 ? runFaithful(stream) : runClosedLoop(stream), asio::detached);
         }
     }
@@ -229,6 +238,99 @@
     end();
 }
 
+asio::awaitable<void> LoadClient::runPipelined(const LoadStream &stream)
+{
+    std::size_t target = randomTarget();
+    std::deque<SentCall> calls;
+    while (!isOver() || !calls.empty()) {
+        boost::system::error_code error;
+        try {
+            co_await pipeline(stream, target, calls);
+        } catch (const boost::system::system_error &failure) {
+            error = failure.code();
+        }
+        if (error && !mayResend(error, calls)) {
+            noteFailed(calls, target, error.message());
+        }
+        target = error ? (target + 1) % m_targets.size() : target;
+    }
+    end();
+}
+
+/// Returns whether the calls may be sent again after `error`, and marks them as resent. A server may close a connection
+/// without open requests while further calls are on their way, so a safe call is sent once more.
+bool LoadClient::mayResend(const boost::system::error_code &error, std::deque<SentCall> &calls)
+{
+    const bool isClosed = error == http::error::end_of_stream || error == asio::error::connection_reset
+        || error == asio::error::broken_pipe;
+    const bool wasResent = std::any_of(calls.begin(), calls.end(), [](const SentCall &call) { return call.isResent; });
+    for (SentCall &call : calls) {
+        call.isResent = call.isResent || call.sentUnix > 0;
+    }
+    return isClosed && !wasResent;
+}
+
+asio::awaitable<void> LoadClient::pipeline(const LoadStream &stream, std::size_t target, std::deque<SentCall> &calls)
+{
+    const auto limit = seconds(m_settings.timeoutSeconds);
+    Connection connection(m_context);
+    asio::steady_timer timer(m_context);
+    std::size_t sent = 0;
+    bool isOpen = true;
+    if (calls.empty()) {
+        calls.push_back({nextCall(stream, Clock::now()), 0});
+    }
+    connection.stream.expires_after(limit);
+    co_await connection.stream.async_connect(m_targets[target], asio::use_awaitable);
+    connection.stream.socket().set_option(tcp::no_delay(true));
+    while (isOpen && !calls.empty()) {
+        while (calls.size() < stream.pipelined && !isOver()) {
+            calls.push_back({nextCall(stream, Clock::now()), 0});
+        }
+        connection.stream.expires_after(limit);
+        for (; sent < calls.size(); ++sent) {
+            const Request request = requestOf(*calls[sent].call);
+            calls[sent].sentUnix = unixTime();
+            co_await http::async_write(connection.stream, request, asio::use_awaitable);
+        }
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(maxBodyBytes);
+        parser.skip(stream.method == "HEAD");
+        co_await http::async_read(connection.stream, connection.buffer, parser, asio::use_awaitable);
+        const Response response = parser.release();
+        const SentCall first = calls.front();
+        calls.pop_front();
+        --sent;
+        Attempt result;
+        result.target = m_settings.targets[target];
+        result.sentUnix = first.sentUnix;
+        result.endUnix = unixTime();
+        result.latencyMs = std::chrono::duration<double, std::milli>(Clock::now() - first.call->due).count();
+        judge(*first.call, response, result);
+        note(*first.call, result, 0);
+        isOpen = response.keep_alive();
+        connection.stream.expires_never();
+        if (stream.pause > 0) {
+            timer.expires_after(seconds(stream.pause));
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+}
+
+void LoadClient::noteFailed(std::deque<SentCall> &calls, std::size_t target, const std::string &error)
+{
+    for (const SentCall &sent : calls) {
+        Attempt result;
+        result.target = m_settings.targets[target];
+        result.sentUnix = sent.sentUnix > 0 ? sent.sentUnix : unixTime();
+        result.endUnix = unixTime();
+        result.latencyMs = std::chrono::duration<double, std::milli>(Clock::now() - sent.call->due).count();
+        result.error = error;
+        note(*sent.call, result, 0);
+    }
+    calls.clear();
+}
+
 asio::awaitable<void> LoadClient::makeCall(std::shared_ptr<const Call> call)
 {
     const LoadStream &stream = call->stream;
