--- a/src/net/httpserverpipeline_test.cpp
+++ b/src/net/httpserverpipeline_test.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-constexpr std::uint16_t port = 18472;
+// Differs from those of the other tests, which run at the same time.
+constexpr std::uint16_t port = 18474;
 
 using Targets = std::vector<std::string>;
 
