--- a/scripts/lab/cases/soak.py
+++ b/scripts/lab/cases/soak.py
@@ -191,8 +191,10 @@
 
 
 def _settings(seed):
-    """Half of the seeds use placement that queries free slots, as on the operators' platform."""
-    placement = {"placement": "least-cost", "asksForFreeSlots": True} if seed % 2 else {}
+    """Half of the seeds use placement that queries free slots and handle pipelined requests concurrently, as on the
+    operators' platform."""
+    pipelining = {"limits": {"pipelinedRequests": 16}}
+    placement = {"placement": "least-cost", "asksForFreeSlots": True, **pipelining} if seed % 2 else {}
     return {**placement, **(OVERLOAD_SETTINGS if has_overload(seed) else {})}
 
 
@@ -215,6 +217,7 @@
             fleet.stream("vans", 20, "POST", "/refunds", idempotencyKey=True, repeatAfter=0.3, repeatRatio=0.5),
             fleet.stream("vans", 20, "POST", "/refunds", idempotencyKey=True, repeatAnswered=True),
             fleet.stream("shops", 0, pause=0.1),
+            fleet.stream("shops", 0, pause=0.1, pipelined=8),
             fleet.stream("vans", 0, "POST", "/refunds", pause=0.1)]
 
 
