--- a/src/model/fleetmodel_test.cpp
+++ b/src/model/fleetmodel_test.cpp
@@ -8,8 +8,34 @@
 
 namespace {
 
+/// A fleet with the load of one test, which prints what callers got.
+struct PlayedFleet
+{
+    FleetResult play(std::uint64_t seed) const
+    {
+        FleetModel model(shape, seed);
+        FleetResult result = model.run(14s);
+        for (std::size_t kind = 0; kind < result.classes.size(); ++kind) {
+            const ClassResult &ends = result.classes[kind];
+            BOOST_TEST_MESSAGE("seed " << seed << " class " << kind << " asked " << ends.asked << " in target "
+                                       << ends.inTarget << " late " << ends.late << " refused " << ends.refused
+                                       << " failed " << ends.failed);
+        }
+        BOOST_TEST_MESSAGE("questions " << result.questions << " repeats refused " << result.repeatsRefused
+                                        << " retry limit used " << result.retryLimitUsed << " busiest "
+                                        << result.busiestToMean << " lost at failing servers "
+                                        << result.lostAtFailingServers);
+        BOOST_TEST_MESSAGE("crashes " << result.crashes << " most cold starts " << result.mostColdStarts
+                                      << " last start in the evacuation "
+                                      << std::chrono::duration<double>(result.lastStartInEvacuation).count());
+        return result;
+    }
+
+    FleetShape shape;
+};
+
 /// 353 VMs in six availability zones: a service with lookups and refunds whose lookups call a second one.
-struct LargeFleet
+struct LargeFleet : PlayedFleet
 {
     LargeFleet()
     {
@@ -49,24 +75,6 @@
         shape.spells = {0.3, 7s, 8s, 0.85};
         shape.retryLimit = {0.2, 630, 10s};
     }
-
-    FleetResult play(std::uint64_t seed) const
-    {
-        FleetModel model(shape, seed);
-        FleetResult result = model.run(14s);
-        for (std::size_t kind = 0; kind < result.classes.size(); ++kind) {
-            const ClassResult &ends = result.classes[kind];
-            BOOST_TEST_MESSAGE("seed " << seed << " class " << kind << " asked " << ends.asked << " in target "
-                                       << ends.inTarget << " late " << ends.late << " refused " << ends.refused
-                                       << " failed " << ends.failed);
-        }
-        BOOST_TEST_MESSAGE("questions " << result.questions << " repeats refused " << result.repeatsRefused
-                                        << " retry limit used " << result.retryLimitUsed << " busiest "
-                                        << result.busiestToMean);
-        return result;
-    }
-
-    FleetShape shape;
 };
 
 constexpr std::size_t lookups = 0;
@@ -106,7 +114,7 @@
 
 /// 104 VMs in four availability zones with short runs: lookups whose runs make two calls at once to a small service,
 /// whose backend servers bear eleven requests a second while they are cold.
-struct ShortRunFleet
+struct ShortRunFleet : PlayedFleet
 {
     ShortRunFleet()
     {
@@ -146,24 +154,6 @@
         shape.errorShare = 0.012;
         shape.retryLimit = {0.2, 210, 10s};
     }
-
-    FleetResult play(std::uint64_t seed) const
-    {
-        FleetModel model(shape, seed);
-        FleetResult result = model.run(14s);
-        for (std::size_t kind = 0; kind < result.classes.size(); ++kind) {
-            const ClassResult &ends = result.classes[kind];
-            BOOST_TEST_MESSAGE("seed " << seed << " class " << kind << " asked " << ends.asked << " in target "
-                                       << ends.inTarget << " late " << ends.late << " refused " << ends.refused
-                                       << " failed " << ends.failed);
-        }
-        BOOST_TEST_MESSAGE("crashes " << result.crashes << " most cold starts " << result.mostColdStarts
-                                      << " last start in the evacuation "
-                                      << std::chrono::duration<double>(result.lastStartInEvacuation).count());
-        return result;
-    }
-
-    FleetShape shape;
 };
 
 /// Requests that a cold server bears in a second: its rate times 1.5, and 8 more.
@@ -220,7 +210,7 @@
 
 /// 95 VMs in three availability zones whose servers have long gray failures: lookups and purchases whose runs make a
 /// call each, and two kinds of request that can't be repeated at the smallest service.
-struct CompetingCallers
+struct CompetingCallers : PlayedFleet
 {
     CompetingCallers()
     {
@@ -274,24 +264,6 @@
         shape.confirmsRecovery = true;
         shape.overflow = limits::OverflowSettings();
     }
-
-    FleetResult play(std::uint64_t seed) const
-    {
-        FleetModel model(shape, seed);
-        FleetResult result = model.run(14s);
-        for (std::size_t kind = 0; kind < result.classes.size(); ++kind) {
-            const ClassResult &ends = result.classes[kind];
-            BOOST_TEST_MESSAGE("seed " << seed << " class " << kind << " asked " << ends.asked << " in target "
-                                       << ends.inTarget << " late " << ends.late << " refused " << ends.refused
-                                       << " failed " << ends.failed);
-        }
-        BOOST_TEST_MESSAGE("lost at failing servers " << result.lostAtFailingServers << " questions "
-                                                      << result.questions << " retry limit used "
-                                                      << result.retryLimitUsed);
-        return result;
-    }
-
-    FleetShape shape;
 };
 
 }
