--- a/src/limits/slotqueue.cpp
+++ b/src/limits/slotqueue.cpp
@@ -521,12 +521,12 @@
 SlotQueue::Queued SlotQueue::takeNext(Tier &tier)
 {
     if (tier.queues.empty()) {
-        const Queued next = *m_queued.at(tier.overflow.next(m_clock.now())->attempt).overflowing;
+        Queued next = *m_queued.at(tier.overflow.next(m_clock.now())->attempt).overflowing;
         ++m_overflowStarted;
         removeQueued(next.attempt);
         return next;
     }
-    const Queued next = tier.queues.front().attempts.front();
+    Queued next = tier.queues.front().attempts.front();
     // The workspace has had its turn and moves to the back, before its queue is removed if it becomes empty.
     tier.queues.splice(tier.queues.end(), tier.queues, tier.queues.begin());
     removeQueued(next.attempt);
