--- a/src/net/disconnectdetector.h
+++ b/src/net/disconnectdetector.h
@@ -11,7 +11,7 @@
 /// still unread.
 bool peerHasClosed(tcp::socket &socket);
 
-/// Reports the end of a connection on which nobody reads. While no byte is unread, it waits for the socket to become
+/// Reports the end of a connection while no read is pending. While no byte is unread, it waits for the socket to become
 /// readable. Unread bytes would end each such wait at once, so behind them it checks the state of the socket at
 /// intervals.
 class DisconnectDetector
