Add two failing tests of nodes behind silent connections and silent peers (CONFIG)

Both fail on the code as it is: - net_test: 3 idle connections go silent at once. The first call is lost by its timeout, and so is the second one, 0 of 1 answered, although a new connection would work. - configurationstream_test: of three peers that hold the missing revision, the first two do not answer. The third is not asked within a second (0 requests; by the settings after 2.04 s).

--- a/src/membership/configurationstream_test.cpp
+++ b/src/membership/configurationstream_test.cpp
@@ -113,6 +113,16 @@
     BOOST_TEST(std::count(asked.begin(), asked.end(), TestFleet::vm(2)) > 0);
 }
 
+// Guards against a node that spends the time in which a revision must be active on two peers that do not answer.
+BOOST_FIXTURE_TEST_CASE(request_toTwoPeersThatDoNotAnswer_reachesAThirdWithinASecond, NodeBehindFixture)
+{
+    for (int peer = 1; peer <= 3; ++peer) {
+        reportRevision(peer, 5);
+    }
+    const auto asked = askedWithin(1s);
+    BOOST_TEST(std::count(asked.begin(), asked.end(), TestFleet::vm(3)) == 1);
+}
+
 // An answer applies to files that the node no longer holds. If it did not end the request, the node would wait until
 // the timeout.
 BOOST_FIXTURE_TEST_CASE(answer_thatDoesNotApply_endsTheRequest, NodeBehindFixture)
--- a/src/net/httpclient_test.cpp
+++ b/src/net/httpclient_test.cpp
@@ -1,8 +1,10 @@
 #include "papayastep/base/clock.h"
-#include "papayastep/net/httpclient.h"
+#include "papayastep/base/error.h"
+#include "papayastep/net/httpget.h"
 #include "papayastep/net/task.h"
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace papayastep;
@@ -47,6 +49,99 @@
     bool ended = false;
 };
 
+/// Timeouts of a call that is expected to be answered, and of one that is expected to be lost.
+constexpr base::Duration answeredTimeout = std::chrono::seconds(20);
+constexpr base::Duration lostTimeout = std::chrono::milliseconds(100);
+
+/// Calls to a server whose open connections can go silent while new ones work.
+struct SilentConnectionsFixture
+{
+    SilentConnectionsFixture()
+    {
+        net::spawnTask(context, "accept", [this] { return acceptAll(); });
+    }
+
+    net::Awaitable<void> acceptAll()
+    {
+        for (;;) {
+            const auto socket = std::make_shared<net::tcp::socket>(context);
+            net::beast::error_code error;
+            co_await acceptor.async_accept(*socket, net::into(error));
+            const int generation = connectionGeneration;
+            net::spawnTask(context, "serve", [this, socket, generation] { return serve(socket, generation); });
+        }
+    }
+
+    net::Awaitable<void> serve(std::shared_ptr<net::tcp::socket> socket, int generation)
+    {
+        net::beast::flat_buffer buffer;
+        for (;;) {
+            net::http::request<net::http::empty_body> request;
+            net::beast::error_code error;
+            co_await net::http::async_read(*socket, buffer, request, net::into(error));
+            if (error) {
+                co_return;
+            }
+            net::http::response<net::http::empty_body> response(net::http::status::ok, 11);
+            response.content_length(0);
+            if (generation == connectionGeneration) {
+                co_await net::http::async_write(*socket, response, net::into(error));
+            }
+        }
+    }
+
+    /// Makes `count` calls at the same time and returns how many were answered.
+    int call(int count)
+    {
+        int pending = count;
+        int answered = 0;
+        for (int index = 0; index < count; ++index) {
+            net::spawnTask(context, "call", [this, &pending, &answered]() -> net::Awaitable<void> {
+                const bool isAnswered = co_await callOnce();
+                answered += isAnswered ? 1 : 0;
+                --pending;
+            });
+        }
+        while (pending > 0) {
+            context.run_one();
+        }
+        return answered;
+    }
+
+    net::Awaitable<bool> callOnce()
+    {
+        net::GetLimits limits;
+        limits.timeout = timeout;
+        try {
+            const net::Endpoint server{"127.0.0.1", acceptor.local_endpoint().port()};
+            std::string target = "/";
+            co_await net::httpGet(context, pool, server, std::move(target), limits);
+        } catch (const base::Error &) {
+            co_return false;
+        }
+        co_return true;
+    }
+
+    base::Duration timeout = answeredTimeout; ///< Of each call.
+    const base::SystemClock clock;
+    net::asio::io_context context{1};
+    net::tcp::acceptor acceptor{context, {net::asio::ip::make_address("127.0.0.1"), 0}};
+    net::HttpPool pool{context, clock, {}};
+    int connectionGeneration = 0; ///< Connections of an earlier generation are silent.
+};
+
+}
+
+// Guards against a node that loses one call after the other, each by its timeout, while new connections would work.
+BOOST_FIXTURE_TEST_CASE(call_afterOneThatWasLostOnASilentConnection_usesANewConnection, SilentConnectionsFixture)
+{
+    constexpr int idleConnections = 3;
+    BOOST_REQUIRE(call(idleConnections) == idleConnections);
+    ++connectionGeneration;
+    timeout = lostTimeout;
+    BOOST_TEST(call(1) == 0);
+    timeout = answeredTimeout;
+    BOOST_TEST(call(1) == 1);
 }
 
 // A faulty backend server sends a trailer field after its answer that is longer than Beast can count, and Beast throws.
