--- a/src/include/papayastep/testing/backend.h
+++ b/src/include/papayastep/testing/backend.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <memory>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace papayastep::testing {
@@ -25,6 +26,7 @@
     Shed, ///< A share `ratio` of the requests is refused with 503 and Retry-After, as under overload.
     Limit, ///< The server works normally and names a limit of `rate` requests per second in each answer.
     Leave, ///< The server works normally and announces its end in each answer.
+    End, ///< The server ends when it runs a request whose target contains `target`, and then refuses connections.
 };
 
 struct Fault
@@ -34,6 +36,7 @@
     double ratio = 1;
     double period = 2;
     double rate = 1;
+    std::string target;
 };
 
 struct BackendSettings
@@ -98,6 +101,7 @@
     int m_maxBusy = 0;
     std::uint64_t m_shed = 0;
     std::uint64_t m_cancelled = 0;
+    bool m_ended = false; ///< Whether the server ended by FaultKind::End.
     std::uint64_t m_keysSeen = 0;
     std::vector<std::string> m_keys;
     std::vector<std::pair<double, std::string>> m_arrivals;
--- a/src/testing/backend.cpp
+++ b/src/testing/backend.cpp
@@ -28,7 +28,8 @@
                               {FaultKind::Pause, "pause"},
                               {FaultKind::Shed, "shed"},
                               {FaultKind::Limit, "limit"},
-                              {FaultKind::Leave, "leave"}})
+                              {FaultKind::Leave, "leave"},
+                              {FaultKind::End, "end"}})
 
 namespace {
 
@@ -124,6 +125,7 @@
             {"last_start", m_arrivals.empty() ? 0 : m_arrivals.back().first},
             {"shed", m_shed},
             {"cancelled", m_cancelled},
+            {"ended", m_ended},
             {"max_busy", m_maxBusy},
             {"keys_seen", m_keysSeen}};
 }
@@ -211,6 +213,11 @@
         ++m_cancelled;
         co_return std::nullopt;
     }
+    if (fault == FaultKind::End && request.target().find(m_fault.target) != std::string::npos) {
+        m_ended = true;
+        m_server.close();
+        co_return std::nullopt;
+    }
     commit(request);
     co_await spend(stream, half);
     co_await waitWhilePaused();
@@ -404,7 +411,8 @@
                            body.value("factor", standard.factor),
                            body.value("ratio", standard.ratio),
                            body.value("period", standard.period),
-                           body.value("rate", standard.rate)});
+                           body.value("rate", standard.rate),
+                           body.value("target", standard.target)});
             return statusResponse(request, http::status::ok, json::object());
         }
     } catch (const std::exception &error) {
--- /dev/null
+++ b/testsuite/request-that-ends-servers/run.py
@@ -0,0 +1,39 @@
+#!/usr/bin/env python3
+"""A lookup ends every backend server that runs it, and its caller repeats it at one node after the other."""
+import unittest
+
+from lab import http
+from lab.configuration import generated
+from lab.fleet import Fleet
+
+SERVERS = 6
+ALLOWED_ENDS = 3
+TARGET = "/balances/ends-servers"
+OTHER_TARGET = "/balances/1"
+
+
+class RequestThatEndsServersTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet(lambda block: generated(block, vms=SERVERS))
+        self.addCleanup(self.fleet.close)
+        for server in self.fleet.servers:
+            self.fleet.server_fault(server["id"], "end", target=TARGET)
+
+    def call(self, node, target):
+        return http.call_with_key(self.fleet.caller_port(node), self.fleet.configuration.keys["shops"], "GET", target)
+
+    def ended_servers(self):
+        return [server for server, record in self.fleet.server_records().items() if record["ended"]]
+
+    # Guards against one request that ends all servers of a service.
+    def test_requestUnderWhichThreeServersEnded_isSentToNoOther(self):
+        answers = [self.call(node, TARGET) for node in list(self.fleet.nodes) * 2]
+        self.assertEqual(len(self.ended_servers()), ALLOWED_ENDS)
+        last = answers[-1]
+        self.assertEqual((last.status, last.outcome, last.code), (503, "not-run", "4017"))
+        self.assertNotIn("retry-after", last.headers)
+        self.assertEqual(self.call("vm-01", OTHER_TARGET).status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
