Show how long an announced configuration is missing, and connections that go silent

"Accepted a revision." and "Activated a configuration." state the time since the first announcement (delayMs), the histogram configuration_delay_seconds holds it, and a connection to a peer that acknowledged nothing is logged and counted (peer_connections_silent_total). No decision changes.

--- a/src/include/papayastep/membership/configdistributor.h
+++ b/src/include/papayastep/membership/configdistributor.h
@@ -6,6 +6,7 @@
 #include "papayastep/membership/buildqueue.h"
 #include "papayastep/membership/leavingannouncements.h"
 #include "papayastep/membership/messages.h"
+#include "papayastep/membership/missingrevisiontimer.h"
 #include "papayastep/membership/noticeschedule.h"
 #include "papayastep/membership/peerrepair.h"
 #include "papayastep/membership/platformschedule.h"
@@ -82,6 +83,8 @@
 {
     config::ConfigurationPtr configuration;
     std::string source; ///< "platform", or the VM that sent the revision.
+    /// Time from the first announcement of a missing revision to the moment at which this one replaced it.
+    base::Duration delay{0};
 };
 
 /// The state of a ConfigDistributor. Its counters count since the distributor was created.
@@ -179,6 +182,7 @@
     /// Returns whether there is no reason to request `revision`: it is not newer than the active one, or it is being
     /// built or was rejected before.
     bool isRevisionHandled(base::Revision revision) const;
+    void noteAnnounced(base::Revision revision);
     bool acceptVmList(config::VmList list, bool fromPlatform);
     void distributeConfiguration(const config::ConfigStore &older);
     void distributeVmList(const config::VmList &older);
@@ -218,6 +222,7 @@
     PlatformSchedule m_vmListSchedule;
     PeerRepair m_configurationRepair;
     PeerRepair m_vmListRepair;
+    MissingRevisionTimer m_announcements; ///< Measures how long announced revisions are missing; its timeout is unused.
     TransferAssembler m_assembler;
     TransferAnswers m_transferAnswers;
     PushTree m_pushTree;
--- a/src/include/papayastep/membership/missingrevisiontimer.h
+++ b/src/include/papayastep/membership/missingrevisiontimer.h
@@ -23,6 +23,10 @@
     /// Returns whether a revision newer than `active` has been missing for too long.
     bool hasExpired(base::Revision active, base::TimePoint now);
 
+    /// Returns the time since the announcement of the oldest revision that becomes active with `active`, and forgets
+    /// it; 0 if none was announced.
+    base::Duration takeDelay(base::Revision active, base::TimePoint now);
+
     /// Returns the newest announced revision; 0 if there is none.
     base::Revision newestAnnounced() const;
 
@@ -33,6 +37,8 @@
         base::TimePoint at{};
     };
 
+    void removeUpTo(base::Revision active);
+
     const base::Duration m_timeout;
     base::Revision m_newest = 0;
     std::deque<Announced> m_missing; ///< Ordered by revision and by time, oldest first.
--- a/src/include/papayastep/net/peerendpoint.h
+++ b/src/include/papayastep/net/peerendpoint.h
@@ -27,6 +27,7 @@
         std::uint64_t messagesReceived = 0;
         std::uint64_t bytesReceived = 0;
         std::uint64_t dropped = 0;
+        std::uint64_t silentConnections = 0; ///< Connections closed because the peer acknowledged nothing.
     };
     using Receiver = std::function<void(std::string bytes)>;
 
@@ -51,7 +52,7 @@
     asio::io_context &m_context;
     const base::Clock &m_clock;
     Receiver m_receive;
-    Counters m_counters;
+    std::shared_ptr<Counters> m_counters = std::make_shared<Counters>(); ///< Shared with senders that are closing.
     std::map<Endpoint, std::shared_ptr<PeerSender>> m_senders;
     std::shared_ptr<PeerListener> m_listener;
 };
--- a/src/include/papayastep/node/metrics.h
+++ b/src/include/papayastep/node/metrics.h
@@ -67,6 +67,9 @@
     void countRetryDecision(const base::ServiceId &service, std::string_view action);
     void countPlacement(const base::ServiceId &service, std::string_view reason);
 
+    /// Observes the time from the first announcement of a missing configuration to its activation.
+    void observeConfigurationDelay(base::Duration delay);
+
     // Metrics of the serving side.
 
     void observeQueueWait(const base::ServiceId &service, base::Duration wait);
@@ -110,6 +113,7 @@
     MetricFamily<prometheus::Counter> m_attempts;
     MetricFamily<prometheus::Counter> m_retryDecisions;
     MetricFamily<prometheus::Counter> m_placements;
+    MetricFamily<prometheus::Histogram> m_configurationDelay;
     MetricFamily<prometheus::Histogram> m_queueWait;
     MetricFamily<prometheus::Counter> m_served;
     MetricFamily<prometheus::Histogram> m_slotHeld;
--- a/src/membership/configdistributor.cpp
+++ b/src/membership/configdistributor.cpp
@@ -35,6 +35,7 @@
     , m_vmListSchedule(m_settings)
     , m_configurationRepair(m_settings)
     , m_vmListRepair(m_settings)
+    , m_announcements(base::Duration::max())
     , m_assembler(clock, m_settings.largestTransferBytes)
     , m_transferAnswers(clock, m_settings)
     , m_pushTree(m_self.vm, m_self.zone, directory, m_settings)
@@ -125,6 +126,7 @@
 void ConfigDistributor::notePlatformRevision(base::Revision revision)
 {
     m_newestPlatformRevision = std::max(m_newestPlatformRevision, revision);
+    noteAnnounced(revision);
     if (!isRevisionHandled(revision)) {
         m_configurationSchedule.requestRead();
     }
@@ -178,11 +180,20 @@
     return revision <= m_store.revision() || m_buildQueue.isPendingOrRejected(revision);
 }
 
+void ConfigDistributor::noteAnnounced(base::Revision revision)
+{
+    // All that a node starts with is missing at first, so the time until then shows no delay.
+    if (m_store.revision() > 0 && revision > m_store.revision()) {
+        m_announcements.noteAnnounced(revision, m_clock.now());
+    }
+}
+
 void ConfigDistributor::enqueueBuild(Build build)
 {
     if (isRevisionHandled(build.store.revision())) {
         return;
     }
+    noteAnnounced(build.store.revision());
     m_configurationRepair.noteHeldVersion(build.store.revision());
     m_buildQueue.put(std::move(build));
     if (m_settings.buildInOtherThread) {
@@ -214,12 +225,14 @@
     m_previous = std::move(m_store);
     m_store = std::move(build.store);
     m_buildQueue.noteActivated(revision);
-    m_accepted = AcceptedConfiguration{result.configuration, build.source};
+    const base::Duration delay = m_announcements.takeDelay(revision, m_clock.now());
+    m_accepted = AcceptedConfiguration{result.configuration, build.source, delay};
     if (build.confirmedAt) {
         m_confirmedAt = build.confirmedAt;
     }
     PAPAYASTEP_LOG(INFO, logPrefix) << "Accepted a revision." << base::field("revision", revision)
-                                    << base::field("source", build.source);
+                                    << base::field("source", build.source)
+                                    << base::field("delayMs", milliseconds(delay));
     if (isReader() || build.confirmedAt) {
         distributeConfiguration(m_previous);
     }
@@ -315,6 +328,7 @@
 void ConfigDistributor::notePeerRevision(const base::VmId &from, base::Revision revision)
 {
     if (!isRevisionHandled(revision) && m_directory.isListed(from)) {
+        noteAnnounced(revision);
         m_configurationRepair.noteAhead(from, revision, m_clock.now());
     } else if (revision < m_store.revision() && m_noticeSchedule.mayReply(from)) {
         sendNotice(from);
--- a/src/membership/missingrevisiontimer.cpp
+++ b/src/membership/missingrevisiontimer.cpp
@@ -33,11 +33,26 @@
 }
 
 bool MissingRevisionTimer::hasExpired(base::Revision active, base::TimePoint now)
+{
+    removeUpTo(active);
+    return !m_missing.empty() && now - m_missing.front().at >= m_timeout && now - m_askedAt >= m_timeout;
+}
+
+base::Duration MissingRevisionTimer::takeDelay(base::Revision active, base::TimePoint now)
+{
+    if (m_missing.empty() || m_missing.front().revision > active) {
+        return base::Duration::zero();
+    }
+    const base::Duration delay = now - m_missing.front().at;
+    removeUpTo(active);
+    return delay;
+}
+
+void MissingRevisionTimer::removeUpTo(base::Revision active)
 {
     while (!m_missing.empty() && m_missing.front().revision <= active) {
         m_missing.pop_front();
     }
-    return !m_missing.empty() && now - m_missing.front().at >= m_timeout && now - m_askedAt >= m_timeout;
 }
 
 base::Revision MissingRevisionTimer::newestAnnounced() const
--- a/src/net/peerendpoint.cpp
+++ b/src/net/peerendpoint.cpp
@@ -23,8 +23,8 @@
     , m_receive(std::move(receive))
 {
     m_listener = std::make_shared<PeerListener>(context, listen, [this](std::string message) {
-        ++m_counters.messagesReceived;
-        m_counters.bytesReceived += message.size();
+        ++m_counters->messagesReceived;
+        m_counters->bytesReceived += message.size();
         m_receive(std::move(message));
     });
     m_listener->start();
@@ -42,15 +42,15 @@
 {
     auto &sender = m_senders[peer];
     if (!sender) {
-        sender = std::make_shared<PeerSender>(m_context, peer);
+        sender = std::make_shared<PeerSender>(m_context, peer, m_counters);
     }
     if (!sender->send(bytes, m_clock.now())) {
-        ++m_counters.dropped;
+        ++m_counters->dropped;
         VLOG(1) << logPrefix << ": Dropped a message to a slow peer." << base::field("peer", toString(peer));
         return false;
     }
-    ++m_counters.messagesSent;
-    m_counters.bytesSent += bytes.size();
+    ++m_counters->messagesSent;
+    m_counters->bytesSent += bytes.size();
     return true;
 }
 
@@ -68,7 +68,7 @@
 
 const PeerEndpoint::Counters &PeerEndpoint::counters() const
 {
-    return m_counters;
+    return *m_counters;
 }
 
 std::size_t PeerEndpoint::openSockets() const
--- a/src/net/peersender.cpp
+++ b/src/net/peersender.cpp
@@ -1,6 +1,7 @@
 #include "deadpeer.h"
 #include "peersender.h"
 
+#include "papayastep/base/log.h"
 #include "papayastep/net/task.h"
 #include "papayastep/wire/envelope.h"
 
@@ -13,6 +14,8 @@
 
 namespace {
 
+constexpr std::string_view logPrefix = "net";
+
 /// Maximum number of messages that wait while the connection is being opened or is full. It is small, since old
 /// messages are of no use.
 constexpr std::size_t maxQueuedMessages = 16;
@@ -33,9 +36,10 @@
 
 }
 
-PeerSender::PeerSender(asio::io_context &context, Endpoint peer)
+PeerSender::PeerSender(asio::io_context &context, Endpoint peer, std::shared_ptr<PeerEndpoint::Counters> counters)
     : m_context(context)
     , m_peer(std::move(peer))
+    , m_counters(std::move(counters))
 {
 }
 
@@ -96,8 +100,8 @@
         const Socket socket = m_socket;
         beast::error_code error;
         co_await asio::async_write(*socket, asio::buffer(bytes), into(error));
-        if (error && socket == m_socket) {
-            disconnect();
+        if (error) {
+            connectionFailed(socket, error);
         }
     }
 }
@@ -134,9 +138,7 @@
     std::array<char, 1> byte{};
     beast::error_code error;
     co_await socket->async_read_some(asio::buffer(byte), into(error));
-    if (socket == m_socket) {
-        disconnect();
-    }
+    connectionFailed(socket, error);
 }
 
 Awaitable<void> PeerSender::pauseAfterFailure()
@@ -147,6 +149,19 @@
     co_await timer.async_wait(into(ignored));
 }
 
+void PeerSender::connectionFailed(const Socket &socket, const beast::error_code &error)
+{
+    if (socket != m_socket) {
+        return; // The other direction of the connection has reported it.
+    }
+    if (error == asio::error::timed_out) {
+        ++m_counters->silentConnections;
+        PAPAYASTEP_LOG(WARNING, logPrefix)
+            << "Closed a connection to a peer that acknowledged nothing." << base::field("peer", toString(m_peer));
+    }
+    disconnect();
+}
+
 void PeerSender::disconnect()
 {
     if (m_socket) {
--- a/src/net/peersender.h
+++ b/src/net/peersender.h
@@ -3,6 +3,7 @@
 #include "papayastep/base/clock.h"
 #include "papayastep/net/asio.h"
 #include "papayastep/net/endpoint.h"
+#include "papayastep/net/peerendpoint.h"
 
 #include <deque>
 #include <memory>
@@ -15,7 +16,7 @@
 class PeerSender : public std::enable_shared_from_this<PeerSender>
 {
 public:
-    PeerSender(asio::io_context &context, Endpoint peer);
+    PeerSender(asio::io_context &context, Endpoint peer, std::shared_ptr<PeerEndpoint::Counters> counters);
 
     /// Queues `message` without blocking. Returns false if the queue is full or the message is too long.
     bool send(const std::string &message, base::TimePoint now);
@@ -31,10 +32,12 @@
     Awaitable<bool> connect();
     Awaitable<void> watch(Socket socket);
     Awaitable<void> pauseAfterFailure();
+    void connectionFailed(const Socket &socket, const beast::error_code &error);
     void disconnect();
 
     asio::io_context &m_context;
     const Endpoint m_peer;
+    const std::shared_ptr<PeerEndpoint::Counters> m_counters;
     Socket m_socket; ///< Null if not connected.
     std::deque<std::string> m_queue;
     base::TimePoint m_lastUsed;
--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -66,6 +66,7 @@
     metrics.setTotal("peer_messages_received", real(peers.messagesReceived));
     metrics.setTotal("peer_bytes_received", real(peers.bytesReceived));
     metrics.setTotal("peer_messages_dropped", real(peers.dropped));
+    metrics.setTotal("peer_connections_silent", real(peers.silentConnections));
     metrics.setTotal("peer_messages_refused", real(m_peerMessenger.refusedMessages()));
     metrics.setTotal("peer_bytes_sent", real(peers.bytesSent));
     for (const auto &[kind, tally] : m_peerMessenger.sentByKind()) {
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -33,6 +33,9 @@
     , m_retryDecisions(counters("retry_decisions_total", "What was done after an attempt"), {"service", "action"})
     , m_placements(counters("placements_total", "Attempts placed, by why their server was chosen"),
                    {"service", "reason"})
+    , m_configurationDelay(histograms("configuration_delay_seconds",
+                                      "Time from the first announcement of a missing configuration to its activation"),
+                           {})
     , m_queueWait(histograms("queue_wait_seconds", "Time that attempts waited for a slot of a backend server"),
                   {"service"})
     , m_served(
@@ -74,6 +77,11 @@
     m_placements.withLabels({serviceLabel(service), reason}).Increment();
 }
 
+void NodeMetrics::observeConfigurationDelay(base::Duration delay)
+{
+    m_configurationDelay.withLabels({}, secondsBuckets).Observe(seconds(delay));
+}
+
 void NodeMetrics::observeQueueWait(const base::ServiceId &service, base::Duration wait)
 {
     m_queueWait.withLabels({serviceLabel(service)}, secondsBuckets).Observe(seconds(wait));
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -343,9 +343,13 @@
     m_published = accepted.configuration;
     m_context.active.routes = m_builtRoutes;
     activateConfiguration();
+    m_context.metrics.observeConfigurationDelay(accepted.delay);
     applyCallerLimits();
     PAPAYASTEP_LOG(INFO, "config") << "Activated a configuration." << base::field("revision", m_published->revision())
                                    << base::field("source", accepted.source)
+                                   << base::field(
+                                          "delayMs",
+                                          std::chrono::duration_cast<std::chrono::milliseconds>(accepted.delay).count())
                                    << base::field("workspaces", m_published->workspaces().size())
                                    << base::field("routes", m_published->routes().size());
     // A build needs about three times the memory of its result and frees it in small pieces, which the allocator
