Find silent connections in time for a new configuration (CONFIG)

Callers saw a 401 for a key that had been valid for two seconds, at two nodes, a few milliseconds past the bound.

What is shown by the two tests is the fault behind it: the means that make up for a lost message wait on silent connections one after the other. - A node that misses a revision waited 1 s for each peer that did not answer; two of them are the whole bound of 2 s. It waits 400 ms now, if it asks for changes only. - The request to a silent peer went out on the same connection again and again, until the connection was closed 2 s after the first loss. It is opened again now after an unanswered request, and closed 1 s after the first loss. - After a lost call of the platform the next one took another idle connection of the pool, silent, too: 1.6 s and 1 s. A lost call closes the idle connections to its endpoint now.

By reading the same cause stood in one more place, hops: an attempt that is not acknowledged is given up after 150 ms, and its pool has keep-alives of 1 s; left as it is.

--- a/src/include/papayastep/membership/configdistributor.h
+++ b/src/include/papayastep/membership/configdistributor.h
@@ -55,6 +55,9 @@
     /// Delay before a request to a peer, because a push may already be on its way.
     base::Duration pullDelay = std::chrono::milliseconds(40);
     base::Duration pullTimeout = std::chrono::seconds(1);
+    /// The same for the first part of what has changed since the revision that this node holds, which is mostly small.
+    /// A node must be able to ask several peers before a new configuration must be active.
+    base::Duration patchTimeout = std::chrono::milliseconds(400);
     /// Delay before a peer that declined is asked again.
     base::Duration retryDelayAfterDecline = std::chrono::milliseconds(200);
     int treeFanOut = 3;
@@ -167,6 +170,9 @@
 
     // Results.
     std::vector<wire::Outgoing> takeMessages();
+    /// Returns the peers that did not answer a request in time since the last call. The connection to them may be
+    /// silent, so that it should be opened again before messages are sent.
+    std::vector<base::VmId> takeSilentPeers();
     /// Returns the newest configuration that was accepted since the last call, if any.
     std::optional<AcceptedConfiguration> takeAccepted();
     /// Returns whether the VM list changed since the last call; the list itself is in the directory.
--- a/src/include/papayastep/membership/peerrepair.h
+++ b/src/include/papayastep/membership/peerrepair.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace papayastep::membership {
 
@@ -34,9 +35,12 @@
     /// Records that this node holds version `have`, and forgets the peers that are not ahead of it.
     void noteHeldVersion(std::uint64_t have);
 
-    /// Returns the peer to ask now, if a request is due. A peer that did not answer in time is dropped until it reports
-    /// again that it is ahead.
-    std::optional<base::VmId> due(base::TimePoint now);
+    /// Returns the peer to ask now, if a request is due. A peer whose answer does not begin within `timeout` is dropped
+    /// until it reports again that it is ahead.
+    std::optional<base::VmId> due(base::TimePoint now, base::Duration timeout);
+
+    /// Returns the peers that were dropped since the last call.
+    std::vector<base::VmId> takeSilentPeers();
 
     /// Returns the time from which due() may return a peer; empty if there is no peer to ask.
     std::optional<base::TimePoint> nextDue() const;
@@ -70,6 +74,7 @@
     std::map<base::VmId, Ahead> m_ahead;
     base::TimePoint m_notBefore{};
     std::optional<Pull> m_pull;
+    std::vector<base::VmId> m_silentPeers;
     Counts m_counts;
 };
 
--- a/src/include/papayastep/net/httpclient.h
+++ b/src/include/papayastep/net/httpclient.h
@@ -123,6 +123,8 @@
 
     /// Closes the connections that have been idle for too long.
     void sweep();
+    /// Closes the idle connections to `endpoint`, after one of them has shown that they may no longer work.
+    void closeIdle(const Endpoint &endpoint);
     void clear();
 
 private:
--- a/src/include/papayastep/net/httpget.h
+++ b/src/include/papayastep/net/httpget.h
@@ -22,7 +22,7 @@
 
 /// Sends a GET request for `target` to `endpoint` over a connection of `pool`. The exchange is aborted at the timeout,
 /// since a server that does not answer would otherwise block the caller for as long as the connection is open. Throws
-/// Error(PlatformUnreachable) if no complete answer is received.
+/// Error(PlatformUnreachable) if no complete answer is received; the next call then uses a new connection.
 Awaitable<GetResult> httpGet(
     asio::io_context &context, HttpPool &pool, Endpoint endpoint, std::string target, GetLimits limits);
 
--- a/src/include/papayastep/net/peerendpoint.h
+++ b/src/include/papayastep/net/peerendpoint.h
@@ -42,6 +42,10 @@
     /// Queues `bytes` for `peer` and connects to it if needed. Returns false if the message is dropped.
     bool send(const Endpoint &peer, const std::string &bytes);
 
+    /// Closes the connection to `peer`, so that the next message is sent over a new one. For a peer that did not answer
+    /// a message: its connection may be silent, and would lose all messages until that is detected.
+    void reconnect(const Endpoint &peer);
+
     /// Closes the connections to peers to which no message was sent for 120 seconds.
     void sweep();
 
--- a/src/include/papayastep/node/peermessenger.h
+++ b/src/include/papayastep/node/peermessenger.h
@@ -22,6 +22,8 @@
 
     /// Sends a message. Drops it if the endpoint of the VM is unknown or if the VM is the node's own.
     void send(const wire::Outgoing &message);
+    /// Opens a new connection to the VM for the next message.
+    void reconnect(const base::VmId &vm);
     void sweep();
 
     /// Totals of the messages of one kind that were sent.
--- a/src/membership/configdistributor.cpp
+++ b/src/membership/configdistributor.cpp
@@ -530,10 +530,12 @@
 {
     const base::TimePoint now = m_clock.now();
     m_assembler.expire();
-    if (const auto peer = m_configurationRepair.due(now)) {
+    const bool holdsRevision = m_store.revision() > 0;
+    if (const auto peer
+        = m_configurationRepair.due(now, holdsRevision ? m_settings.patchTimeout : m_settings.pullTimeout)) {
         request(*peer, TransferContent::Configuration);
     }
-    if (const auto peer = m_vmListRepair.due(now)) {
+    if (const auto peer = m_vmListRepair.due(now, m_settings.pullTimeout)) {
         request(*peer, TransferContent::VmList);
     }
     sendNotices(m_noticeSchedule.due(m_store.revision() == 0));
@@ -557,6 +559,14 @@
     return std::exchange(m_messages, {});
 }
 
+std::vector<base::VmId> ConfigDistributor::takeSilentPeers()
+{
+    std::vector<base::VmId> peers = m_configurationRepair.takeSilentPeers();
+    const std::vector<base::VmId> ofVmList = m_vmListRepair.takeSilentPeers();
+    peers.insert(peers.end(), ofVmList.begin(), ofVmList.end());
+    return peers;
+}
+
 std::optional<AcceptedConfiguration> ConfigDistributor::takeAccepted()
 {
     return std::exchange(m_accepted, std::nullopt);
--- a/src/membership/configurationstream_test.cpp
+++ b/src/membership/configurationstream_test.cpp
@@ -121,6 +121,7 @@
     }
     const auto asked = askedWithin(1s);
     BOOST_TEST(std::count(asked.begin(), asked.end(), TestFleet::vm(3)) == 1);
+    BOOST_TEST((distributor.takeSilentPeers() == std::vector<base::VmId>{TestFleet::vm(1), TestFleet::vm(2)}));
 }
 
 // An answer applies to files that the node no longer holds. If it did not end the request, the node would wait until
--- a/src/membership/peerrepair.cpp
+++ b/src/membership/peerrepair.cpp
@@ -4,6 +4,7 @@
 #include "papayastep/membership/configdistributor.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayastep::membership {
 
@@ -69,7 +70,7 @@
     m_pull.reset();
 }
 
-std::optional<base::VmId> PeerRepair::due(base::TimePoint now)
+std::optional<base::VmId> PeerRepair::due(base::TimePoint now, base::Duration timeout)
 {
     if (m_pull && now >= m_pull->deadline) {
         dropSilentPeer(now);
@@ -80,7 +81,7 @@
     std::optional<base::VmId> peer = newestPeerToAsk(now);
     if (peer) {
         ++m_counts.asked;
-        m_pull = Pull{*peer, now, now + m_settings.pullTimeout};
+        m_pull = Pull{*peer, now, now + timeout};
     }
     return peer;
 }
@@ -91,9 +92,15 @@
     PAPAYASTEP_LOG(WARNING, logPrefix) << "A peer did not answer a request in time." << base::field("vm", m_pull->peer)
                                        << base::field("waitedMs", milliseconds(now - m_pull->askedAt));
     m_ahead.erase(m_pull->peer);
+    m_silentPeers.push_back(m_pull->peer);
     m_pull.reset();
 }
 
+std::vector<base::VmId> PeerRepair::takeSilentPeers()
+{
+    return std::exchange(m_silentPeers, {});
+}
+
 std::optional<base::VmId> PeerRepair::newestPeerToAsk(base::TimePoint now) const
 {
     std::optional<base::VmId> newest;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -389,6 +389,11 @@
     }
 }
 
+void HttpPool::closeIdle(const Endpoint &endpoint)
+{
+    m_idle.erase(endpoint);
+}
+
 void HttpPool::clear()
 {
     m_idle.clear();
--- a/src/net/httpget.cpp
+++ b/src/net/httpget.cpp
@@ -21,6 +21,8 @@
     });
     co_await exchange->run(std::move(request), limits.bodyBytes);
     if (exchange->progress() != ExchangeProgress::Complete) {
+        // Connections often go silent together, and each of them would cost a call with its timeout.
+        pool.closeIdle(endpoint);
         throw base::Error(base::ResultCode::PlatformUnreachable, toString(endpoint));
     }
     GetResult result;
--- a/src/net/peerendpoint.cpp
+++ b/src/net/peerendpoint.cpp
@@ -54,6 +54,14 @@
     return true;
 }
 
+void PeerEndpoint::reconnect(const Endpoint &peer)
+{
+    const auto sender = m_senders.find(peer);
+    if (sender != m_senders.end()) {
+        sender->second->reconnect();
+    }
+}
+
 void PeerEndpoint::sweep()
 {
     const auto oldest = m_clock.now() - peerIdleTimeout;
--- a/src/net/peerendpoint_test.cpp
+++ b/src/net/peerendpoint_test.cpp
@@ -4,9 +4,11 @@
 #include "papayastep/net/task.h"
 #include "papayastep/wire/envelope.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
@@ -120,6 +122,33 @@
     BOOST_TEST(received.size() == 1U);
 }
 
+// Guards against a connection that went silent and goes on losing messages after the peer was found not to answer.
+BOOST_FIXTURE_TEST_CASE(message_afterReconnect_isSentOverANewConnection, PeersFixture)
+{
+    net::tcp::acceptor acceptor(io, {net::asio::ip::address_v4::loopback(), right.port});
+    std::vector<net::tcp::socket> connections;
+    const auto awaitConnection = [&] {
+        acceptor.async_accept(
+            [&](const net::beast::error_code &, net::tcp::socket socket) { connections.push_back(std::move(socket)); });
+        const std::size_t before = connections.size();
+        const auto end = clock.now() + timeout;
+        while (connections.size() == before && clock.now() < end) {
+            io.restart();
+            io.run_one_for(10ms);
+        }
+    };
+    sender.send(right, "lost");
+    awaitConnection();
+    BOOST_REQUIRE(connections.size() == 1U);
+    sender.reconnect(right);
+    sender.send(right, "two");
+    awaitConnection();
+    BOOST_REQUIRE(connections.size() == 2U);
+    std::array<char, 7> frame{};
+    net::asio::read(connections.back(), net::asio::buffer(frame));
+    BOOST_TEST(std::string(frame.data() + 4, 3) == "two");
+}
+
 // A peer that accepts no messages must cost its sender only the memory of a few messages, and no time.
 BOOST_FIXTURE_TEST_CASE(send_toUnreachablePeer_dropsWhatDoesNotFit, PeersFixture)
 {
--- a/src/net/peersender.cpp
+++ b/src/net/peersender.cpp
@@ -21,7 +21,9 @@
 constexpr std::size_t maxQueuedMessages = 16;
 
 constexpr base::Duration connectTimeout = std::chrono::milliseconds(500);
-constexpr base::Duration deadPeerTimeout = std::chrono::seconds(2);
+/// Time after which a connection on which the peer acknowledges nothing is closed. All that is sent meanwhile is lost,
+/// and a node must not miss configurations for two seconds.
+constexpr base::Duration deadPeerTimeout = std::chrono::seconds(1);
 constexpr base::Duration firstBackoff = std::chrono::milliseconds(50);
 constexpr base::Duration longestBackoff = std::chrono::seconds(1);
 
@@ -57,6 +59,11 @@
     return true;
 }
 
+void PeerSender::reconnect()
+{
+    disconnect();
+}
+
 void PeerSender::close()
 {
     m_isClosed = true;
--- a/src/net/peersender.h
+++ b/src/net/peersender.h
@@ -20,6 +20,8 @@
 
     /// Queues `message` without blocking. Returns false if the queue is full or the message is too long.
     bool send(const std::string &message, base::TimePoint now);
+    /// Closes the connection; the next message opens a new one.
+    void reconnect();
     void close();
 
     base::TimePoint lastUsed() const;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -231,6 +231,9 @@
     while (const auto accepted = m_spread.takeAccepted()) {
         applyConfiguration(*accepted);
     }
+    for (const base::VmId &silent : m_spread.takeSilentPeers()) {
+        m_peerMessenger.reconnect(silent);
+    }
     sendAll(m_spread.takeMessages());
     if (nextTick() < m_scheduledTick) {
         m_tickSignal.notify();
--- a/src/node/peermessenger.cpp
+++ b/src/node/peermessenger.cpp
@@ -48,6 +48,13 @@
     m_endpoint.send(*endpoint, sealed);
 }
 
+void PeerMessenger::reconnect(const base::VmId &vm)
+{
+    if (const auto endpoint = endpointOf(vm)) {
+        m_endpoint.reconnect(*endpoint);
+    }
+}
+
 void PeerMessenger::sweep()
 {
     m_endpoint.sweep();
