Keep announced revisions in a class of their own; count an entry's own ends once

By reading: a node that is entry and serving node of an attempt keeps one table of ends, and added the ends that the attempt carries to it. The third attempt of a request, placed at the server of the entry's own VM, was refused after two ends, three are allowed. No test of its own: the placement that leads there can't be forced end to end.

--- a/src/include/papayastep/membership/configdistributor.h
+++ b/src/include/papayastep/membership/configdistributor.h
@@ -3,10 +3,10 @@
 #include "papayastep/base/clock.h"
 #include "papayastep/base/error.h"
 #include "papayastep/config/configstore.h"
+#include "papayastep/membership/announcedrevisions.h"
 #include "papayastep/membership/buildqueue.h"
 #include "papayastep/membership/leavingannouncements.h"
 #include "papayastep/membership/messages.h"
-#include "papayastep/membership/missingrevisiontimer.h"
 #include "papayastep/membership/noticeschedule.h"
 #include "papayastep/membership/peerrepair.h"
 #include "papayastep/membership/platformschedule.h"
@@ -228,7 +228,7 @@
     PlatformSchedule m_vmListSchedule;
     PeerRepair m_configurationRepair;
     PeerRepair m_vmListRepair;
-    MissingRevisionTimer m_announcements; ///< Measures how long announced revisions are missing; its timeout is unused.
+    AnnouncedRevisions m_announcedRevisions;
     TransferAssembler m_assembler;
     TransferAnswers m_transferAnswers;
     PushTree m_pushTree;
--- a/src/include/papayastep/membership/missingrevisiontimer.h
+++ b/src/include/papayastep/membership/missingrevisiontimer.h
@@ -2,8 +2,7 @@
 
 #include "papayastep/base/clock.h"
 #include "papayastep/base/identifiers.h"
-
-#include <deque>
+#include "papayastep/membership/announcedrevisions.h"
 
 namespace papayastep::membership {
 
@@ -23,25 +22,12 @@
     /// Returns whether a revision newer than `active` has been missing for too long.
     bool hasExpired(base::Revision active, base::TimePoint now);
 
-    /// Returns the time since the announcement of the oldest revision that becomes active with `active`, and forgets
-    /// it; 0 if none was announced.
-    base::Duration takeDelay(base::Revision active, base::TimePoint now);
-
     /// Returns the newest announced revision; 0 if there is none.
     base::Revision newestAnnounced() const;
 
 private:
-    struct Announced
-    {
-        base::Revision revision = 0;
-        base::TimePoint at{};
-    };
-
-    void removeUpTo(base::Revision active);
-
     const base::Duration m_timeout;
-    base::Revision m_newest = 0;
-    std::deque<Announced> m_missing; ///< Ordered by revision and by time, oldest first.
+    AnnouncedRevisions m_announced;
     base::TimePoint m_askedAt{};
 };
 
--- a/src/include/papayastep/routing/serverendtable.h
+++ b/src/include/papayastep/routing/serverendtable.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <set>
-#include <string_view>
 
 /// Limits the number of backend servers that one request may end.
 namespace papayastep::routing {
--- a/src/membership/configdistributor.cpp
+++ b/src/membership/configdistributor.cpp
@@ -35,7 +35,6 @@
     , m_vmListSchedule(m_settings)
     , m_configurationRepair(m_settings)
     , m_vmListRepair(m_settings)
-    , m_announcements(base::Duration::max())
     , m_assembler(clock, m_settings.largestTransferBytes)
     , m_transferAnswers(clock, m_settings)
     , m_pushTree(m_self.vm, m_self.zone, directory, m_settings)
@@ -184,7 +183,7 @@
 {
     // All that a node starts with is missing at first, so the time until then shows no delay.
     if (m_store.revision() > 0 && revision > m_store.revision()) {
-        m_announcements.noteAnnounced(revision, m_clock.now());
+        m_announcedRevisions.note(revision, m_clock.now());
     }
 }
 
@@ -225,7 +224,8 @@
     m_previous = std::move(m_store);
     m_store = std::move(build.store);
     m_buildQueue.noteActivated(revision);
-    const base::Duration delay = m_announcements.takeDelay(revision, m_clock.now());
+    const base::Duration delay = m_announcedRevisions.delayOf(revision, m_clock.now());
+    m_announcedRevisions.removeUpTo(revision);
     m_accepted = AcceptedConfiguration{result.configuration, build.source, delay};
     if (build.confirmedAt) {
         m_confirmedAt = build.confirmedAt;
--- a/src/net/portcheck.cpp
+++ b/src/net/portcheck.cpp
@@ -3,7 +3,6 @@
 #include "papayastep/base/clock.h"
 
 #include <chrono>
-#include <memory>
 
 namespace papayastep::net {
 
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -775,8 +775,10 @@
     }
     const auto digest = routing::requestDigest(
         hop.workspace, net::view(request.head.method_string()), net::view(request.head.target()), request.body);
-    return m_context.serverEnds.admit(digest, hop.serverEnds) ? std::nullopt
-                                                              : std::optional(ResultCode::RequestEndsServers);
+    // The ends that an entry on this VM knows are in the table already.
+    const std::size_t furtherEnds = hop.entry == m_context.settings.vm ? 0 : hop.serverEnds;
+    return m_context.serverEnds.admit(digest, furtherEnds) ? std::nullopt
+                                                           : std::optional(ResultCode::RequestEndsServers);
 }
 
 /// Whether the connection to the server broke while it ran the attempt, without a reason that is known here. A server
