--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -51,10 +51,23 @@
             self._file.flush()
 
 
-def free_port(address):
+def free_ports(addresses, count):
+    """Returns ports that are free at all addresses, below the range of outgoing connections."""
+    found = []
+    while len(found) < count:
+        port = random.randint(20000, 30000)
+        if port not in found and all(_is_free(address, port) for address in addresses):
+            found.append(port)
+    return found
+
+
+def _is_free(address, port):
     with socket.socket() as probe:
-        probe.bind((address, 0))
-        return probe.getsockname()[1]
+        try:
+            probe.bind((address, port))
+        except OSError:
+            return False
+    return True
 
 
 class HttpReader:
@@ -113,9 +126,9 @@
 class Store:
     """The platform's store: items under one revision, which can be read and watched."""
 
-    def __init__(self, address):
+    def __init__(self, address, port):
         self.address = address
-        self.port = free_port(address)
+        self.port = port
         self._changed = threading.Condition()
         self._items = {}
         self._events = []
@@ -182,7 +195,7 @@
 class Server:
     """A backend server. `answer` may be replaced to make it faulty; the default one is sound."""
 
-    def __init__(self, record, server_id, service, address, zone="chaguanas", slots=5, work_s=0.05):
+    def __init__(self, record, server_id, service, address, port, zone="chaguanas", slots=5, work_s=0.05):
         self.record = record
         self.id = server_id
         self.service = service
@@ -190,7 +203,7 @@
         self.zone = zone
         self.slots = slots
         self.work_s = work_s
-        self.port = free_port(address)
+        self.port = port
         self.born = int(time.time() * 1000)
         self.draining = False
         self.runs = []  # Request ids, in the order in which work on them began.
@@ -418,16 +431,16 @@
         self._folder = tempfile.TemporaryDirectory()
         self.folder = self._folder.name
         net = f"127.{random.randint(16, 250)}.{random.randint(1, 250)}"
-        self.store = Store(f"{net}.250")
-        self.store.put("op/config", configuration)
+        addresses = [f"{net}.{number}" for number in range(1, len(services) + 1)]
         # Ports are the same on all machines.
-        self.ports = {name: free_port(f"{net}.249") for name in ("outbound", "inbound", "ready")}
-        self.peer_port = 7660
+        store_port, server_port, outbound, inbound, ready, self.peer_port = free_ports([*addresses, f"{net}.250"], 6)
+        self.ports = {"outbound": outbound, "inbound": inbound, "ready": ready}
+        self.store = Store(f"{net}.250", store_port)
+        self.store.put("op/config", configuration)
         self.servers = []
         self.nodes = []
-        for number, service in enumerate(services, 1):
-            address = f"{net}.{number}"
-            server = Server(record, f"i-{number:02d}{random.getrandbits(24):06x}", service, address)
+        for number, (service, address) in enumerate(zip(services, addresses), 1):
+            server = Server(record, f"i-{number:02d}{random.getrandbits(24):06x}", service, address, server_port)
             self.servers.append(server)
             self.nodes.append(Node(self, address, service, server.zone))
 
