--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,6 @@
-"""Uploads that are as large as the configuration allows end the node that takes them."""
+"""A configuration with more than 64 keys for a tenant is never put in force, nor is any later one that keeps them."""
 import os
-import signal
 import sys
-import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
@@ -10,83 +8,69 @@
 import fleet as lab  # noqa: E402
 
 MACHINES = 10
-MEMORY_MB = 160
-MAX_BODY_BYTES = 67_108_864
-USUAL_BODY_BYTES = 360_000
-ENDS = 3  # Ends of one machine's process that break the rule, on a tenth of the machines and two at least.
-DEADLINE_MS = 25_000
-PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 1e6
+CONFIG_APPLY_S = 2
+ROUNDS_S = (2.5, 6, 10)  # Times after the acknowledgement at which requests are sent; the bound is CONFIG_APPLY_S.
+KEYS = [f"k{number:02d}9wu3fexd9dnn2ctnfz" for number in range(100)]
+FIRST_KEYS = 60
+MOST_KEYS_THAT_WORK = 64
 
 
-class MemoryLimit:
-    """The platform's limit: it kills a node that uses more memory, and starts it again."""
+def configuration(version, keys, routes):
+    prefixes = [("lookup", "/lookups/"), ("price", "/prices/")][:routes]
+    result = lab.configuration([lab.route(name, prefix, "safe", "counter-desk", 4) for name, prefix in prefixes],
+                               ["counter-desk"])
+    result["version"] = f"r{version}"
+    for resource in result["resources"]:
+        if resource["resource_type"] == "tenants":
+            resource["spec"]["api_keys"] = keys
+    return result
 
-    def __init__(self, record, nodes):
-        self.record = record
-        self.nodes = nodes
-        self.ends = {node.address: 0 for node in nodes}
-        self.peaks = {node.address: 0.0 for node in nodes}
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._watch, daemon=True)
-        self._thread.start()
-
-    def _watch(self):
-        while not self._stopped.wait(0.002):
-            for node in self.nodes:
-                self._check(node)
 
-    def _check(self, node):
-        if node.child.poll() is not None:
-            raise lab.CannotRun(f"the process at {node.address} ended by itself")
-        with open(f"/proc/{node.child.pid}/statm", encoding="ascii") as file:
-            used = int(file.read().split()[1]) * PAGE_MB
-        self.peaks[node.address] = max(self.peaks[node.address], used)
-        if used <= MEMORY_MB:
-            return
-        self.ends[node.address] += 1
-        self.record.write(f"the process at {node.address} uses {used:.0f} MB of {MEMORY_MB} MB and is killed")
-        node.child.send_signal(signal.SIGKILL)
-        node.child.wait()
-        time.sleep(0.3)
-        node.start()
-
-    def stop(self):
-        self._stopped.set()
-        self._thread.join()
+class Requests:
+    """Sends requests to each node and counts those that are handled as only an older version allows."""
 
+    def __init__(self, record, fleet):
+        self.record = record
+        self.fleet = fleet
+        self.stale = 0
+        self._count = 0
 
-def wait_until_ready(node):
-    end = time.monotonic() + 15
-    while not node.is_ready():
-        if time.monotonic() > end:
-            raise lab.CannotRun(f"the node at {node.address} is not ready again")
-        time.sleep(0.05)
+    def send(self, what, key, path, is_stale):
+        """`is_stale(status, has_run)` tells whether only an older version allows this."""
+        for node in self.fleet.nodes:
+            self._count += 1
+            name = f"{what}-{self._count}"
+            status = lab.call(node.outbound, name, "GET", path, key=key).status
+            has_run = any(name in server.runs for server in self.fleet.servers)
+            stale = is_stale(status, has_run)
+            self.stale += stale
+            self.record.write(f"{name} sent to {node.address}, answered {status}, "
+                              f"{'run' if has_run else 'not run'}{', as an older version says' if stale else ''}")
 
 
 def run(record, trouble):
-    services = ["tracker"] * (MACHINES - 3) + ["dispatch"] * 3
-    configuration = lab.configuration([lab.route("upload", "/manifests/", "upload", "dispatch", 25)], set(services))
-    configuration["resources"].append(
-        {"resource_type": "limits", "metadata": {},
-         "spec": {"max_header_bytes": 16384, "max_body_bytes": MAX_BODY_BYTES, "header_timeout_s": 3,
-                  "idle_timeout_s": 15}})
-    body = b"x" * (MAX_BODY_BYTES if trouble else USUAL_BODY_BYTES)
-    with lab.Fleet(record, services, configuration) as fleet:
-        limit = MemoryLimit(record, fleet.nodes)
-        for upload in range(1, ENDS + 1):
-            for node in fleet.nodes[:2]:
-                name = f"upload-{node.address}-{upload}"
-                record.write(f"{name} is sent, {len(body)} bytes")
-                answer = lab.call(node.outbound, name, "POST", "/manifests/7", body, DEADLINE_MS)
-                record.write(f"{name} answered {answer.status or 'nothing'}, connection {answer.error}, after "
-                             f"{answer.seconds:.2f} s")
-                time.sleep(1)
-                wait_until_ready(node)
-        limit.stop()
-        record.write(f"most memory in MB: {({a: round(p) for a, p in limit.peaks.items()})}")
-        record.write(f"processes ended: {limit.ends}")
-        ended = sum(1 for ends in limit.ends.values() if ends >= ENDS)
-        return int(ended >= max(2, MACHINES / 10))
+    kept = KEYS[1:FIRST_KEYS]
+    added = KEYS[FIRST_KEYS:MOST_KEYS_THAT_WORK + (2 if trouble else 1)]
+    with lab.Fleet(record, ["counter-desk"] * MACHINES, configuration(3, KEYS[:FIRST_KEYS], 1)) as fleet:
+        lab.warm_up(record, fleet.nodes, "GET", "/lookups/1", key=KEYS[0])
+        fleet.store.put("op/config", configuration(5, kept + added, 1))
+        acknowledged = time.monotonic()
+        record.write(f"r5 is acknowledged: 1 key withdrawn, {len(added)} keys added, {len(kept + added)} in all")
+        requests = Requests(record, fleet)
+        for after in ROUNDS_S:
+            time.sleep(max(0.0, acknowledged + after - time.monotonic()))
+            record.write(f"{after} s after the acknowledgement, {CONFIG_APPLY_S} s are allowed")
+            requests.send("withdrawn-key", KEYS[0], "/lookups/1", lambda status, has_run: has_run)
+            requests.send("added-key", added[0], "/lookups/1", lambda status, has_run: status in (401, 403, 404))
+        fleet.store.put("op/config", configuration(8, kept + added, 2))
+        record.write("r8 is acknowledged: 1 route added")
+        time.sleep(CONFIG_APPLY_S + 0.5)
+        requests.send("added-route", kept[0], "/prices/1", lambda status, has_run: status in (401, 403, 404))
+        crashed = fleet.crashed()
+        if crashed:
+            raise lab.CannotRun(f"processes ended: {crashed}")
+        record.write(f"{requests.stale} requests were handled as only an older version allows")
+        return int(requests.stale > 0)
 
 
 lab.main(HERE, run)
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -345,7 +345,7 @@
     return closed
 
 
-def warm_up(record, nodes, method, path):
+def warm_up(record, nodes, method, path, key=KEY):
     """Sends requests to each node until it serves one: the nodes need a moment to find each other."""
     for node in nodes:
         end = time.monotonic() + 15
@@ -354,7 +354,7 @@
             if time.monotonic() > end:
                 raise CannotRun(f"the node at {node.address} serves nothing before the disruption")
             name = f"warm-up-{random.getrandbits(32):08x}"
-            status = call(node.outbound, name, method, path, deadline_ms=3000).status
+            status = call(node.outbound, name, method, path, deadline_ms=3000, key=key).status
             record.write(f"{name} answered {status}")
 
 
