--- a/src/config/entryreader.cpp
+++ b/src/config/entryreader.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <unordered_set>
 
 namespace papayastep::config {
 
@@ -84,10 +85,41 @@
     }
 }
 
+/// Finds duplicates among the keys of a workspace. Nearly every workspace has a single key, and some have many
+/// thousands.
+class KnownKeys
+{
+public:
+    explicit KnownKeys(const KeyFingerprints &keys)
+        : m_keys(keys)
+    {
+    }
+
+    /// Returns whether `key` is among the keys, which may have grown since the last call.
+    bool contains(const KeyFingerprint &key)
+    {
+        if (m_keys.size() < maxSearchedKeys) {
+            return std::find(m_keys.begin(), m_keys.end(), key) != m_keys.end();
+        }
+        for (; m_indexed < m_keys.size(); ++m_indexed) {
+            m_index.insert(m_keys[m_indexed]);
+        }
+        return m_index.contains(key);
+    }
+
+private:
+    static constexpr std::size_t maxSearchedKeys = 16; ///< Below this number a search is faster than a hash set.
+
+    const KeyFingerprints &m_keys;
+    std::unordered_set<KeyFingerprint> m_index;
+    std::size_t m_indexed = 0;
+};
+
 void readKeys(const json &entry, KeyFingerprints &keys, const EntryContext &context)
 {
+    KnownKeys known(keys);
     const auto add = [&](const KeyFingerprint &key, const std::string &fieldPath) {
-        if (std::find(keys.begin(), keys.end(), key) != keys.end()) {
+        if (known.contains(key)) {
             context.fail(ResultCode::ConfigDuplicate, fieldPath, "the workspace already has this key");
         }
         keys.push_back(key);
@@ -150,7 +182,22 @@
 bool isHostCharacter(char character)
 {
     return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') || character == '-'
-        || character == '.';
+        || character == '.' || character == '_';
+}
+
+/// Reads a path that nodes request. Unlike a path prefix it may end in a slash or have a query.
+void readRequestedPath(const json &entry, const char *name, std::string &into, const EntryContext &context)
+{
+    const json *field = fieldOf(entry, name);
+    if (!field) {
+        return;
+    }
+    into = field->get<std::string>();
+    const bool hasOnlyVisibleCharacters
+        = std::all_of(into.begin(), into.end(), [](char character) { return character > ' ' && character < 127; });
+    if (!into.empty() && (!into.starts_with('/') || !hasOnlyVisibleCharacters)) {
+        context.fail(ResultCode::ConfigSchema, name, "the path must start with a slash and have no spaces");
+    }
 }
 
 void readHost(const json &entry, std::string &into, const EntryContext &context)
@@ -249,7 +296,7 @@
             = *field == "few-ejections" ? DetectionPreference::FewEjections : DetectionPreference::FastDetection;
     }
     read(json, "floor", into.floor);
-    readPath(json, "healthPath", into.healthPath, context);
+    readRequestedPath(json, "healthPath", into.healthPath, context);
     readDuration(json, "coldStart", maxColdStart, into.coldStart.duration, context);
     read(json, "coldRequestsPerSecond", into.coldStart.requestsPerSecond);
 }
