Leave out an invalid entry of an accepted configuration instead of rejecting the revision

What callers saw: nothing of a new configuration was in force while one of its entries was invalid, nor of any later one that kept the entry. Withdrawn keys went on working, added ones got 401, added routes 404.

Cause: a node rejects a revision for its first error. That suits the files of an operator, who reads the error before they are published. A platform that has accepted a configuration owes the rest of it.

Why this works: check() removes the entries in which its errors lie and checks the rest again, which depends on the files only, so that all nodes leave out the same. Valid files are checked once, as before.

--- a/src/config/check.cpp
+++ b/src/config/check.cpp
@@ -1,11 +1,13 @@
 #include "crosscheck.h"
 #include "fileparser.h"
+#include "invalidentries.h"
 #include "merger.h"
 #include "schemacheck.h"
 
 #include "papayastep/config/check.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string_view>
 
 namespace papayastep::embedded {
@@ -56,9 +58,7 @@
         && merger.backendServers().entries.empty();
 }
 
-}
-
-CheckResult check(base::Revision revision, const std::vector<ConfigurationFile> &files)
+CheckResult checkAll(base::Revision revision, const std::vector<ConfigurationFile> &files)
 {
     ErrorList errors(maxReportedErrors);
     ErrorList warnings(maxReportedErrors);
@@ -78,6 +78,29 @@
     return result;
 }
 
+}
+
+CheckResult check(base::Revision revision, const std::vector<ConfigurationFile> &files, InvalidEntries invalidEntries)
+{
+    CheckResult result = checkAll(revision, files);
+    if (result.errors.empty() || invalidEntries == InvalidEntries::Reject) {
+        return result;
+    }
+    std::vector<ConfigurationFile> remaining = files;
+    std::vector<SkippedEntry> skipped;
+    // Entries that refer to a removed one are found in the next round only.
+    while (!result.errors.empty()) {
+        std::vector<SkippedEntry> removed = removeInvalidEntries(remaining, result.errors);
+        if (removed.empty()) {
+            break;
+        }
+        std::move(removed.begin(), removed.end(), std::back_inserter(skipped));
+        result = checkAll(revision, remaining);
+    }
+    result.skipped = std::move(skipped);
+    return result;
+}
+
 std::vector<base::Error> checkFiles(const std::vector<ConfigurationFile> &files)
 {
     return check(0, files).errors;
--- a/src/include/papayastep/membership/buildqueue.h
+++ b/src/include/papayastep/membership/buildqueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayastep/base/clock.h"
+#include "papayastep/config/check.h"
 #include "papayastep/config/configstore.h"
 
 #include <optional>
@@ -23,10 +24,11 @@
 {
     config::ConfigurationPtr configuration; ///< Null if the revision is not valid.
     std::string error;
+    std::vector<config::SkippedEntry> skipped{}; ///< Entries that were left out of the configuration.
 };
 
 /// Parses and checks a revision. Takes a second at the planned size, touches nothing else and may run in any thread.
-BuildResult runBuild(const Build &build);
+BuildResult runBuild(const Build &build, config::InvalidEntries invalidEntries = config::InvalidEntries::Reject);
 
 /// Decides which revisions are built: one at a time, only the newest of those that wait, and none that was rejected
 /// before. Without the last rule, a node that receives an invalid revision repeatedly would parse it each time.
--- a/src/include/papayastep/membership/configdistributor.h
+++ b/src/include/papayastep/membership/configdistributor.h
@@ -68,6 +68,7 @@
     std::size_t answersPerSecond = 16; ///< Transfers sent on request; limits the load that one peer can cause.
     /// Whether the caller takes each build by takeBuild(); otherwise it is run at once.
     bool buildInOtherThread = false;
+    config::InvalidEntries invalidEntries = config::InvalidEntries::Reject;
 
     auto operator<=>(const DistributionSettings &) const = default;
 };
@@ -104,6 +105,7 @@
     std::uint64_t buildCount = 0; ///< Number of configurations parsed; one per new revision.
     std::uint64_t rejectedCount = 0; ///< Number of revisions that were complete but not valid.
     std::string lastRejection; ///< Error of the revision that was rejected last.
+    std::size_t skippedEntries = 0; ///< Number of invalid entries that were left out of the active revision.
     std::uint64_t peersAsked = 0; ///< Number of requests to peers for a newer revision.
     std::uint64_t peersDeclined = 0; ///< Number of those requests that the peer declined.
     std::uint64_t peersTimedOut = 0; ///< Number of those requests that the peer did not answer in time.
@@ -229,6 +231,7 @@
     PeerRepair m_configurationRepair;
     PeerRepair m_vmListRepair;
     AnnouncedRevisions m_announcedRevisions;
+    std::size_t m_skippedEntries = 0; ///< Invalid entries that were left out of the active revision.
     TransferAssembler m_assembler;
     TransferAnswers m_transferAnswers;
     PushTree m_pushTree;
--- a/src/include/papayastep/node/interfaces.h
+++ b/src/include/papayastep/node/interfaces.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "papayastep/config/check.h"
 #include "papayastep/net/callstatistics.h"
 #include "papayastep/net/platformclient.h"
 #include "papayastep/net/serversource.h"
@@ -19,6 +20,8 @@
     std::shared_ptr<net::CallStatistics> platformCalls = std::make_shared<net::CallStatistics>();
     std::shared_ptr<net::PlatformClient> platform;
     std::shared_ptr<net::ServerSource> servers; ///< Null if the configuration lists the backend servers.
+    /// Skip if the platform has accepted a configuration before it publishes it, so that no operator corrects it here.
+    config::InvalidEntries invalidEntries = config::InvalidEntries::Reject;
 };
 
 /// Returns the interfaces that papayastep defines itself.
--- a/src/membership/buildqueue.cpp
+++ b/src/membership/buildqueue.cpp
@@ -13,12 +13,14 @@
 
 }
 
-BuildResult runBuild(const Build &build)
+BuildResult runBuild(const Build &build, config::InvalidEntries invalidEntries)
 {
     try {
-        return {config::buildConfiguration(build.store.revision(), build.store.files()), {}};
+        config::CheckResult checked = config::check(build.store.revision(), build.store.files(), invalidEntries);
+        const std::string error = checked.errors.empty() ? std::string() : checked.errors.front().what();
+        return {std::move(checked.configuration), error, std::move(checked.skipped)};
     } catch (const base::Error &error) {
-        return {nullptr, error.what()};
+        return {nullptr, error.what(), {}};
     }
 }
 
--- a/src/membership/configdistributor.cpp
+++ b/src/membership/configdistributor.cpp
@@ -13,12 +13,24 @@
 
 constexpr std::string_view logPrefix = "membership";
 constexpr std::size_t maxFiles = 2000;
+constexpr std::size_t maxLoggedEntries = 20; ///< Of the invalid entries of one revision.
 
 std::uint64_t milliseconds(base::Duration duration)
 {
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+void logSkipped(base::Revision revision, const std::vector<config::SkippedEntry> &skipped)
+{
+    for (std::size_t index = 0; index < std::min(skipped.size(), maxLoggedEntries); ++index) {
+        const config::SkippedEntry &entry = skipped[index];
+        PAPAYASTEP_LOG(ERROR, logPrefix) << "Skipped an invalid entry of a revision."
+                                         << base::field("revision", revision) << base::field("section", entry.section)
+                                         << base::field("id", entry.id) << base::field("code", number(entry.code))
+                                         << base::field("detail", entry.detail);
+    }
+}
+
 }
 
 ConfigDistributor::ConfigDistributor(NodeIdentity self,
@@ -199,7 +211,7 @@
         return;
     }
     if (auto next = m_buildQueue.take()) {
-        const BuildResult result = runBuild(*next);
+        const BuildResult result = runBuild(*next, m_settings.invalidEntries);
         finishBuild(std::move(*next), result);
     }
 }
@@ -223,6 +235,8 @@
     }
     m_previous = std::move(m_store);
     m_store = std::move(build.store);
+    m_skippedEntries = result.skipped.size();
+    logSkipped(revision, result.skipped);
     m_buildQueue.noteActivated(revision);
     const base::Duration delay = m_announcedRevisions.delayOf(revision, m_clock.now());
     m_announcedRevisions.removeUpTo(revision);
@@ -599,6 +613,7 @@
     status.buildCount = m_buildQueue.finishedCount();
     status.rejectedCount = m_buildQueue.rejectedCount();
     status.lastRejection = m_buildQueue.lastRejection();
+    status.skippedEntries = m_skippedEntries;
     status.peersAsked = m_configurationRepair.counts().asked;
     status.peersTimedOut = m_configurationRepair.counts().unanswered;
     status.peersDeclined = m_configurationRepair.counts().declined;
--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -39,6 +39,7 @@
     metrics.setGauge("configuration_revision", real(m_published ? m_published->revision() : 0));
     metrics.setGauge("configuration_news_age_seconds", ageSeconds(spread.confirmationAge));
     metrics.setTotal("configurations_rejected", real(spread.rejectedCount));
+    metrics.setGauge("configuration_skipped_entries", real(spread.skippedEntries));
     metrics.setTotal("configuration_peers_asked", real(spread.peersAsked));
     metrics.setTotal("configuration_peers_silent", real(spread.peersTimedOut));
     metrics.setTotal("configuration_peers_declined", real(spread.peersDeclined));
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -58,11 +58,12 @@
                                    {"configured", "stop-requested", "drained", "patience-ended"});
 }
 
-membership::DistributionSettings spreadSettings(bool hasDirectory)
+membership::DistributionSettings spreadSettings(const Interfaces &interfaces)
 {
     membership::DistributionSettings settings;
     settings.buildInOtherThread = true;
-    if (hasDirectory) {
+    settings.invalidEntries = interfaces.invalidEntries;
+    if (interfaces.servers) {
         // The watch of the directory also reports new revisions, so no node needs a second watch for them.
         settings.readersPerZone = 0;
         settings.listingIncludesFiles = true;
@@ -98,17 +99,17 @@
 
 /// Builds a configuration. It runs in the builder thread, where an uncaught exception would terminate the process. A
 /// revision that can't be built for any reason is rejected instead, and the active revision stays.
-Built buildAll(const membership::Build &build) noexcept
+Built buildAll(const membership::Build &build, config::InvalidEntries invalidEntries) noexcept
 {
     try {
         Built built;
-        built.result = membership::runBuild(build);
+        built.result = membership::runBuild(build, invalidEntries);
         if (built.result.configuration) {
             built.routes = std::make_shared<routing::RouteTable>(built.result.configuration);
         }
         return built;
     } catch (const std::exception &error) {
-        return {{nullptr, error.what()}, nullptr};
+        return {{nullptr, error.what(), {}}, nullptr};
     }
 }
 
@@ -136,7 +137,7 @@
                m_vmDirectory,
                clock,
                seed + 1,
-               spreadSettings(m_context.interfaces.servers != nullptr))
+               spreadSettings(m_context.interfaces))
     , m_serverDirectory(clock)
     , m_roster(clock, ownEntry(m_context.settings), fleetPorts(m_context.settings))
     , m_configurationFetcher(m_context, m_spread, *m_context.interfaces.platform)
@@ -333,8 +334,9 @@
     if (!build) {
         return;
     }
-    net::asio::post(m_builder, [this, build = std::move(*build)]() mutable {
-        Built built = buildAll(build);
+    const config::InvalidEntries invalidEntries = m_context.interfaces.invalidEntries;
+    net::asio::post(m_builder, [this, invalidEntries, build = std::move(*build)]() mutable {
+        Built built = buildAll(build, invalidEntries);
         net::asio::post(m_context.io, [this, build = std::move(build), built = std::move(built)]() mutable {
             m_builtRoutes = built.routes;
             m_spread.finishBuild(std::move(build), built.result);
--- a/src/node/nodepages.cpp
+++ b/src/node/nodepages.cpp
@@ -141,6 +141,7 @@
                 {"platformStale", spread.platformStale},
                 {"reader", spread.reader},
                 {"rejection", spread.lastRejection},
+                {"skippedEntries", spread.skippedEntries},
                 {"vmListVersion", spread.vmListVersion},
                 {"vms", m_context.vms.vms.size()},
                 {"open", m_entryHandler.openRequests()},
--- a/testsuite/operators-platform/run.py
+++ b/testsuite/operators-platform/run.py
@@ -57,6 +57,19 @@
         self.store.put("op/config", configuration(4, [KEY]))
         self.assertEqual(self.refund()[0], 401)
 
+    # Guards against a withdrawn key that goes on working since another entry of the revision has a value that no
+    # configuration file may have, or that is no value at all.
+    def test_withdrawnKey_besideManyKeysAndAnInvalidEntry_stopsWorkingAtEachEntry(self):
+        published = configuration(5, [f"added-{number}" for number in range(100)])
+        broken = {"resource_type": "tenants", "metadata": {"name": "broken"}, "spec": {"api_keys": "none"}}
+        published["resources"].append(broken)
+        self.store.put("op/config", published)
+        for address in ADDRESSES:
+            wait_until(lambda a=address: self.refund(a)[0] == 401, 10, "the withdrawal")
+            self.assertEqual(self.refund(address, key="added-99")[0], 200)
+        for node in self.nodes:
+            self.assertIn("Skipped an invalid entry of a revision. revision=5 section=workspaces id=broken", node.log())
+
     def test_plannedStop_endsTheNode(self):
         self.nodes[0].terminate()
         self.assertEqual(self.nodes[0].wait(10), 0)
