End a large answer at its deadline, also one that stops in the middle or has no end

Cause: the timer of an attempt ended with the function that buffers the beginning of the answer. What was forwarded after that had no time limit, neither beside the server nor at the entry.

Why this works: the deadline belongs to the body that is forwarded, at both nodes, so that a node that stands still or is cut off holds nobody either. It aborts the read or the write in progress, whichever side is waited for. Only waiting for the server counts as its timeout.

--- a/scripts/lab/platformstandins.py
+++ b/scripts/lab/platformstandins.py
@@ -101,6 +101,9 @@
         self.limit = None  # Text of the header Server-Limit.
         self.leaving = False
         self.announces_on_health_path = True
+        # Answers a request in the place of the server, and returns whether the connection stays open. It is called with
+        # the handler of the connection and the id of the request.
+        self.trouble = None
         backend = self
 
         class Handler(_Handler):
@@ -115,6 +118,9 @@
             def answer(self):
                 length = int(self.headers.get("Content-Length", 0))
                 body = self.rfile.read(length)
+                if backend.trouble:
+                    self.close_connection = not backend.trouble(self, self.headers.get("Request-Id", ""))
+                    return
                 if self.path == "/health":
                     self.send(200, Instance_Id=backend.id)
                     return
--- a/src/include/papayastep/net/httpserver.h
+++ b/src/include/papayastep/net/httpserver.h
@@ -56,6 +56,9 @@
     /// message.
     virtual Awaitable<bool> finishStream() = 0;
 
+    /// Closes the connection at once. A write in progress returns false.
+    virtual void abort() = 0;
+
     /// Calls `gone` once if the client closes its connection before it is answered.
     virtual void watchClient(std::function<void()> gone) = 0;
 };
--- a/src/include/papayastep/node/servedanswer.h
+++ b/src/include/papayastep/node/servedanswer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "papayastep/base/clock.h"
 #include "papayastep/net/httpmessage.h"
 #include "papayastep/wire/hop.h"
 
@@ -21,6 +22,12 @@
 
     /// Whether the body was received completely.
     virtual bool complete() const = 0;
+
+    /// The deadline of the attempt, after which the transfer is aborted.
+    virtual base::TimePoint deadline() const = 0;
+
+    /// Aborts the transfer. A read in progress returns an empty part.
+    virtual void abort() = 0;
 };
 
 /// The result of an attempt, in the same form for a server of this VM and for a server behind a hop.
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -179,6 +179,12 @@
         co_return written;
     }
 
+    void abort() override
+    {
+        m_closing = true;
+        m_stream.close();
+    }
+
     void watchClient(std::function<void()> gone) override
     {
         m_detector.start([self = weak_from_this(), gone = std::move(gone)] {
--- a/src/net/pipelinedconnection.cpp
+++ b/src/net/pipelinedconnection.cpp
@@ -234,6 +234,11 @@
         co_return written;
     }
 
+    void abort() override
+    {
+        m_connection->abort();
+    }
+
     void watchClient(std::function<void()> gone) override
     {
         m_gone = std::move(gone);
--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -39,8 +39,9 @@
 class HopBody final : public AnswerBody
 {
 public:
-    explicit HopBody(std::shared_ptr<net::HttpExchange> exchange)
+    HopBody(std::shared_ptr<net::HttpExchange> exchange, base::TimePoint deadline)
         : m_exchange(std::move(exchange))
+        , m_deadline(deadline)
     {
     }
     ~HopBody() override
@@ -57,9 +58,18 @@
     {
         return m_exchange->progress() == net::ExchangeProgress::Complete;
     }
+    base::TimePoint deadline() const override
+    {
+        return m_deadline;
+    }
+    void abort() override
+    {
+        m_exchange->cancel();
+    }
 
 private:
     std::shared_ptr<net::HttpExchange> m_exchange;
+    base::TimePoint m_deadline;
 };
 
 }
@@ -269,7 +279,7 @@
     m_context.transfers.record(
         TransferPurpose::Answer, m_context.isInOtherZone(m_vm), m_answer.bodyBytes() + m_answer.reply.report.size());
     if (m_exchange->progress() != net::ExchangeProgress::Complete) {
-        m_answer.remainingBody = std::make_unique<HopBody>(m_exchange);
+        m_answer.remainingBody = std::make_unique<HopBody>(m_exchange, m_startedAt + base::Duration(m_hop.remaining));
     }
     try {
         m_context.health.applyReport(m_vm, wire::decode<health::ServerReport>(m_answer.reply.report));
--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -658,11 +658,13 @@
 net::Awaitable<void> EntryRequest::forwardLargeAnswer(ServedAnswer &answer, net::ResponseHead head)
 {
     // A named result: GCC 12 destroys an argument by value twice when the co_await stands in a condition.
-    const bool whole = co_await forwardStream(m_exchange, answer, std::move(head));
+    const bool whole = co_await forwardStream(m_context.io, m_context.clock, m_exchange, answer, std::move(head));
     countOutcome(whole ? EndedRequest::answeredOutcome : EndedRequest::brokenOffOutcome, ResultCode::Ok);
     if (!whole) {
+        const bool isLate = m_context.clock.now() >= answer.remainingBody->deadline();
         PAPAYASTEP_LOG(INFO, logPrefix) << "Broke an answer off." << base::field("request", shownId())
-                                        << base::field("server", answer.reply.server);
+                                        << base::field("server", answer.reply.server)
+                                        << base::field("reason", isLate ? "deadline" : "incomplete");
     }
 }
 
--- a/src/node/hophandler.cpp
+++ b/src/node/hophandler.cpp
@@ -133,7 +133,7 @@
         co_await exchange.answer(std::move(whole));
         co_return;
     }
-    co_await forwardStream(exchange, answer, std::move(head));
+    co_await forwardStream(m_context.io, m_context.clock, exchange, answer, std::move(head));
 }
 
 }
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -170,7 +170,9 @@
 
     net::Awaitable<std::string> readPart() override
     {
+        m_reading = true;
         std::string part = co_await m_activeAttempt->exchange->readPart();
+        m_reading = false;
         if (part.empty() || complete()) {
             finish();
         }
@@ -182,6 +184,19 @@
         return m_activeAttempt->exchange->progress() == net::ExchangeProgress::Complete;
     }
 
+    base::TimePoint deadline() const override
+    {
+        return m_activeAttempt->deadline;
+    }
+
+    void abort() override
+    {
+        // A body that waits for a slow client is no failure of the backend server.
+        m_activeAttempt->timedOut = m_activeAttempt->timedOut || m_reading;
+        m_activeAttempt->stopped = m_activeAttempt->stopped || !m_reading;
+        m_activeAttempt->exchange->cancel();
+    }
+
 private:
     void finish()
     {
@@ -199,6 +214,7 @@
 
     ServingNode &m_serving;
     ActiveAttemptPtr m_activeAttempt;
+    bool m_reading = false;
 };
 
 ServingNode::ServingNode(NodeContext &context)
