Destroy the tasks of a node before the node when it stops

What operators saw: a node that got SIGTERM while it forwarded a large answer ended with SIGSEGV after its drain time. The answers had been cut off by then, so callers saw nothing more.

Cause: the event loop destroys unfinished tasks in its destructor, which ran after that of the node. The task of an open answer then reported its end to a node that no longer existed.

Why this works: the tasks are destroyed once the loop has stopped, while all that they use exists, whatever they are waiting for.

--- a/scripts/lab/platformcase.py
+++ b/scripts/lab/platformcase.py
@@ -19,6 +19,8 @@
 class OperatorsPlatformCase(unittest.TestCase):
     """Starts a node and a backend server at each address."""
 
+    MORE_SETTINGS = {}  # Of the nodes.
+
     def setUp(self):
         self.ports = PortBlock()
         self.addCleanup(self.ports.close)
@@ -41,7 +43,7 @@
         settings = {"vm": address, "zone": "arima", "service": "counter", "interfaces": "platform",
                     "rateLimits": "pooled", "placement": "least-cost", "readyPath": "/papayastep/ready",
                     "listen": {name: f"{address}:{self.ports.port(kind)}" for name, kind in ports.items()},
-                    "platform": [f"127.0.0.1:{self.ports.port(PLATFORM)}"], "announceFirstMs": 50}
+                    "platform": [f"127.0.0.1:{self.ports.port(PLATFORM)}"], "announceFirstMs": 50, **self.MORE_SETTINGS}
         path = os.path.join(self.folder, f"{address}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -5,6 +5,7 @@
 #include "papayastep/base/error.h"
 #include "papayastep/base/log.h"
 #include "papayastep/base/logoutput.h"
+#include "papayastep/net/eventloop.h"
 #include "papayastep/net/task.h"
 #include "papayastep/node/node.h"
 #include "papayastep/node/processsignals.h"
@@ -109,7 +110,7 @@
 
 void run(const CommandLine &line)
 {
-    papayastep::net::asio::io_context io(1);
+    papayastep::net::EventLoop io;
     papayastep::node::ProcessSignals signals(io);
     const papayastep::base::SystemClock clock;
     papayastep::base::LogOutput log(STDOUT_FILENO, clock);
@@ -122,6 +123,8 @@
     signals.watch(
         [&node](papayastep::node::SignalRequest request, int signal) { handleSignal(node, request, signal); });
     papayastep::net::runLoop(io);
+    // Answers that are still open use the node until their tasks are destroyed.
+    io.destroyTasks();
 }
 
 }
--- a/testsuite/endless-answers/run.py
+++ b/testsuite/endless-answers/run.py
@@ -143,5 +143,28 @@
         self.play(ANSWER + b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"A: b\r\n" * 100)
 
 
+class StopWithAnOpenAnswerTest(OperatorsPlatformCase):
+    MORE_SETTINGS = {"drainTimeoutMs": 200}
+
+    # Guards against a node that crashes when it ends while an answer is still open, before its time limit.
+    def test_stop_withAnOpenAnswer_endsTheNode(self):
+        trouble = EndlessAnswer(ANSWER + b"Content-Length: 400000\r\n\r\n" + b"x" * 300000, b"")
+        for server in self.servers:
+            server.trouble = trouble
+        callers = []
+        for address in ADDRESSES:
+            caller = socket.create_connection((address, self.ports.port(CALLER)), timeout=HANG_S)
+            self.addCleanup(caller.close)
+            caller.sendall(f"GET /lookups/7 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r1\r\nApi-Key: {KEY}\r\n\r\n"
+                           .encode())
+            callers.append(caller)
+        for caller in callers:
+            self.assertTrue(caller.recv(1))  # The beginning of the answer.
+        for node in self.nodes:
+            node.terminate()
+        for node in self.nodes:
+            self.assertEqual(node.wait(HANG_S), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
