Probe backend servers on connections of their own

Cause: a health check has no request id, so the second copy of its answer can't be told from the answer to the request that is sent next on the same connection.

Why this works: no request is ever sent on a connection that has carried a health check. The price is one idle connection for each server that is probed.

--- a/src/include/papayastep/node/nodecontext.h
+++ b/src/include/papayastep/node/nodecontext.h
@@ -56,6 +56,9 @@
     wire::HopCodec hopCodec;
     net::HttpPool hopPool;
     net::HttpPool backendPool;
+    /// Connections for probes. A server may send an answer twice, and that to a probe has no request id: on a
+    /// connection of a request, its second copy would be taken for the answer to that request.
+    net::HttpPool probePool;
     const std::unique_ptr<limits::RateLimiter> rateLimiter;
     limits::RateLimiter &tokens; ///< The rate limiter under a short name.
     health::HealthMonitor health;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -508,6 +508,7 @@
     m_context.serverEnds.expire();
     m_context.hopPool.sweep();
     m_context.backendPool.sweep();
+    m_context.probePool.sweep();
     m_peerMessenger.sweep();
     logTransfers();
 }
--- a/src/node/nodecontext.cpp
+++ b/src/node/nodecontext.cpp
@@ -78,6 +78,7 @@
     , hopCodec(settings.secret)
     , hopPool(io, clock, {})
     , backendPool(io, clock, {})
+    , probePool(io, clock, {})
     , rateLimiter(makeRateLimiter(settings, incarnation, clock))
     , tokens(*rateLimiter)
     , health({settings.vm, incarnation}, clock, random(), healthSettings(settings))
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -64,7 +64,7 @@
 net::Awaitable<void> Prober::probe(config::BackendServer server, std::string path)
 {
     const net::Endpoint endpoint{server.address, server.port};
-    auto exchange = std::make_shared<net::HttpExchange>(m_context.io, m_context.backendPool, endpoint);
+    auto exchange = std::make_shared<net::HttpExchange>(m_context.io, m_context.probePool, endpoint);
     net::asio::steady_timer deadline(m_context.io);
     deadline.expires_after(probeTimeout);
     deadline.async_wait([weak = std::weak_ptr<net::HttpExchange>(exchange)](const net::beast::error_code &error) {
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -1121,6 +1121,7 @@
             localServer->admission.recordConnectionFailure();
             // A server that is down loses its open connections too, without a notice if its VM lost power.
             m_context.backendPool.clear();
+            m_context.probePool.clear();
         }
     }
     finishAttempt(*activeAttempt, outcome);
--- a/testsuite/operators-platform/run.py
+++ b/testsuite/operators-platform/run.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
 """Two nodes on the operators' platform, with stand-ins for its store and for the backend server beside each node."""
+import functools
 import unittest
 
 from lab.platformcase import ADDRESSES, KEY, OperatorsPlatformCase
@@ -70,6 +71,32 @@
         for node in self.nodes:
             self.assertIn("Skipped an invalid entry of a revision. revision=5 section=workspaces id=broken", node.log())
 
+    # Guards against a refund that runs and whose caller gets the promise of a 503 that it did not: the second copy of an
+    # answer to a health check, which has no request id.
+    def test_refund_behindASecondHealthAnswer_getsItsOwnAnswer(self):
+        checked = set()
+
+        def answer(server, handler, request_id):
+            if handler.path == "/health":
+                checked.add(server.id)
+                handler.follows_health_answer = True
+                handler.send(503, Instance_Id=server.id)
+                return True
+            if getattr(handler, "follows_health_answer", False):
+                handler.send(503, Instance_Id=server.id)
+            server.requests.append((handler.command, handler.path, dict(handler.headers), b""))
+            handler.send(200, server.id.encode(), Request_Id=request_id, Response_Stamp="proof")
+            return True
+
+        for server in self.servers:
+            server.trouble = functools.partial(answer, server)
+        wait_until(lambda: len(checked) == len(self.servers), 20, "a health check of each server")
+        for address in ADDRESSES * 3:
+            before = sum(len(server.requests) for server in self.servers)
+            status = self.refund(address)[0]
+            ran = sum(len(server.requests) for server in self.servers) - before
+            self.assertIn((status, ran), [(200, 1), (503, 0)])
+
     def test_plannedStop_endsTheNode(self):
         self.nodes[0].terminate()
         self.assertEqual(self.nodes[0].wait(10), 0)
