--- a/src/membership/configurationstream_test.cpp
+++ b/src/membership/configurationstream_test.cpp
@@ -95,6 +95,56 @@
     }
 };
 
+/// A fleet in which each node receives a message of another one every 20 ms, with the revision of its sender. The first
+/// node alone watches the platform; a node that misses a revision for too long reads it there.
+class FleetWithTraffic
+{
+public:
+    FleetWithTraffic(TestFleet &fleet, int nodes, std::uint64_t seed)
+        : m_fleet(fleet)
+        , m_random(seed)
+        , m_timers(static_cast<std::size_t>(nodes), MissingRevisionTimer(600ms))
+    {
+    }
+
+    void publish()
+    {
+        m_fleet.publishRate(static_cast<int>(m_fleet.platformRevision) + 1);
+        m_fleet.distributor(0).notePlatformRevision(m_fleet.platformRevision);
+    }
+
+    void run(std::chrono::milliseconds duration)
+    {
+        for (auto passed = 0ms; passed < duration; passed += 20ms) {
+            const int nodes = static_cast<int>(m_timers.size());
+            for (int node = 0; node < nodes; ++node) {
+                receive(node, static_cast<int>(m_random() % m_timers.size()));
+            }
+            m_fleet.run(20ms);
+        }
+    }
+
+private:
+    void receive(int node, int sender)
+    {
+        ConfigDistributor &distributor = m_fleet.distributor(node);
+        MissingRevisionTimer &timer = m_timers[static_cast<std::size_t>(node)];
+        const base::TimePoint now = m_fleet.clock.now();
+        if (!m_fleet.isSilent(sender, node)) {
+            distributor.notePeerRevision(TestFleet::vm(sender), m_fleet.distributor(sender).revision());
+            timer.noteAnnounced(m_fleet.distributor(sender).revision(), now);
+        }
+        if (timer.hasExpired(distributor.revision(), now)) {
+            timer.notePlatformAsked(now);
+            distributor.notePlatformRevision(timer.newestAnnounced());
+        }
+    }
+
+    TestFleet &m_fleet;
+    std::mt19937_64 m_random;
+    std::vector<MissingRevisionTimer> m_timers;
+};
+
 }
 
 // A peer answers no request but pushes every new revision. If its pushes counted as progress of the request, the node
@@ -196,6 +246,29 @@
     BOOST_TEST(std::chrono::duration<double>(lag).count() <= std::chrono::duration<double>(longestLag).count());
 }
 
+// Guards against a revision that is late since nodes wait for one peer after the other over connections that have gone
+// silent without an end.
+BOOST_AUTO_TEST_CASE(fleet_whoseConnectionsWentSilent_holdsANewRevisionWithinTwoSeconds)
+{
+    FLAGS_minloglevel = google::GLOG_FATAL;
+    constexpr int nodes = 24;
+    DistributionSettings settings;
+    settings.readersPerZone = 0;
+    settings.listingIncludesFiles = true;
+    for (const auto &[seed, share, silentFor] :
+         {std::tuple(1, 0.7, 4500ms), {2, 0.7, 3000ms}, {3, 0.9, 3000ms}, {4, 1.0, 3000ms}}) {
+        TestFleet fleet(nodes, 4, static_cast<std::uint64_t>(seed), settings);
+        FleetWithTraffic traffic(fleet, nodes, static_cast<std::uint64_t>(seed));
+        traffic.publish();
+        traffic.run(10s);
+        fleet.silenceConnections(share);
+        traffic.run(silentFor);
+        traffic.publish();
+        traffic.run(2s);
+        BOOST_TEST(fleet.nodesAt(2) == nodes, "seed " << seed << ": " << fleet.nodesAt(2) << " nodes");
+    }
+}
+
 // Newer revisions of a stream are announced while one is missing. If each of them restarted the wait for the peers, a
 // node that the peers left out would never read the platform itself.
 BOOST_AUTO_TEST_CASE(timer_withAMissingRevision_expiresAlthoughNewerOnesAreAnnounced)
--- a/src/membership/testfleet.cpp
+++ b/src/membership/testfleet.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds stepLength{20};
+/// As in net::PeerSender.
+constexpr std::chrono::seconds deadPeerTimeout{1};
 
 base::Incarnation incarnationOf(int node)
 {
@@ -176,7 +178,8 @@
     for (wire::Outgoing &message : m_nodes[static_cast<std::size_t>(from)].distributor->takeMessages()) {
         ++messages;
         messageBytes += message.payload.size();
-        if (isPartitioned(from, indexOf(message.to) - 100) || share(m_random) < faults.lossRatio) {
+        const int to = indexOf(message.to) - 100;
+        if (isPartitioned(from, to) || isSilent(from, to) || share(m_random) < faults.lossRatio) {
             continue;
         }
         if (share(m_random) < faults.duplicateRatio) {
@@ -191,6 +194,33 @@
     m_sides = sideOfNode;
 }
 
+void TestFleet::silenceConnections(double share)
+{
+    std::bernoulli_distribution isSilenced(share);
+    const int nodes = static_cast<int>(m_nodes.size());
+    for (int from = 0; from < nodes; ++from) {
+        for (int to = 0; to < nodes; ++to) {
+            if (isSilenced(m_random)) {
+                m_silent[{from, to}] = std::nullopt;
+            }
+        }
+    }
+}
+
+bool TestFleet::isSilent(int from, int to)
+{
+    const auto found = m_silent.find({from, to});
+    if (found == m_silent.end()) {
+        return false;
+    }
+    found->second = found->second.value_or(clock.now() + deadPeerTimeout);
+    if (clock.now() < *found->second) {
+        return true;
+    }
+    m_silent.erase(found);
+    return false;
+}
+
 void TestFleet::heal()
 {
     std::fill(m_sides.begin(), m_sides.end(), 0);
--- a/src/membership/testfleet.h
+++ b/src/membership/testfleet.h
@@ -40,6 +40,12 @@
     void partition(const std::vector<int> &sideOfNode);
     void heal();
 
+    /// Silences a `share` of the open connections between two nodes, each in one direction. A connection loses all that
+    /// is sent on it until its sender replaces it, a second after the first message that is not acknowledged.
+    void silenceConnections(double share);
+    /// Returns whether a message that is sent now is lost on a silent connection.
+    bool isSilent(int from, int to);
+
     int nodesAt(base::Revision revision) const;
     int nodesAtVmList(std::uint64_t version) const;
     ConfigDistributor &distributor(int node);
@@ -86,6 +92,8 @@
     std::vector<Node> m_nodes;
     std::vector<InFlight> m_inFlight;
     std::vector<int> m_sides;
+    /// The silent connections, by sender and receiver, with the time at which they are replaced if it is known.
+    std::map<std::pair<int, int>, std::optional<base::TimePoint>> m_silent;
     std::map<base::Revision, std::vector<config::ConfigurationFile>> m_published;
     config::VmList m_vmList;
 };
