Keep the connection after an answer to a request without a body

Cause: a request without a body counted as one whose body had not been read.

Why this works: the parser is at its end if and only if the bytes that follow belong to the next request.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -116,7 +116,6 @@
             m_closing = true;
             throw base::Error(codeOfParserError(error), error.message());
         }
-        m_bodyRead = true;
         co_return std::move(m_parser->get().body());
     }
 
@@ -228,7 +227,6 @@
         m_buffer.max_size(std::max(m_buffer.max_size(), m_server.m_limits.headerBytes + readAhead));
         m_parser->body_limit(m_server.m_limits.bodyBytes);
         m_answered = false;
-        m_bodyRead = false;
         m_streamFinished = true;
 
         beast::error_code error;
@@ -375,7 +373,7 @@
     void prepareHead(ResponseHead &head, bool close)
     {
         head.version(11);
-        if (close || !m_bodyRead || m_server.m_closesAfterAnswers || !m_parser->get().keep_alive()) {
+        if (close || !m_parser->is_done() || m_server.m_closesAfterAnswers || !m_parser->get().keep_alive()) {
             head.set(http::field::connection, "close");
             m_closing = true;
         }
@@ -410,7 +408,6 @@
     bool m_waiting = false; ///< Whether it waits for the first bytes of a request.
     bool m_closing = false;
     bool m_answered = false;
-    bool m_bodyRead = false;
     bool m_streamFinished = true;
 };
 
--- a/src/net/httpserver_test.cpp
+++ b/src/net/httpserver_test.cpp
@@ -19,9 +19,13 @@
 class AnswersAll final : public net::RequestHandler
 {
 public:
+    bool readsBodies = true;
+
     net::Awaitable<void> handle(net::ServerExchange &exchange) override
     {
-        co_await exchange.readBody();
+        if (readsBodies) {
+            co_await exchange.readBody();
+        }
         net::WholeAnswer answer = net::jsonAnswer(net::http::status::ok, "{}\n");
         co_await exchange.answer(std::move(answer));
     }
@@ -138,6 +142,27 @@
     }
 }
 
+// Guards against a connection that is closed at each refusal, with the requests that its caller has sent behind it.
+BOOST_FIXTURE_TEST_CASE(answer_beforeReadingARequestWithoutABody_keepsTheConnection, OpenConnectionFixture)
+{
+    handler.readsBodies = false;
+    send(requestText);
+    send(requestText);
+    server.stop();
+    context.poll();
+    const std::string answers = readToEnd().value_or("reset");
+    BOOST_TEST(answers.find("close") == std::string::npos);
+    BOOST_TEST(answers.find("HTTP/1.1 200", 1) != std::string::npos);
+}
+
+// Guards against a body that is read as the next request.
+BOOST_FIXTURE_TEST_CASE(answer_beforeReadingABody_closesTheConnection, OpenConnectionFixture)
+{
+    handler.readsBodies = false;
+    send("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100\r\n\r\n");
+    BOOST_TEST(readToEnd().value_or("reset").find("Connection: close") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(stop_idleConnection_isClosed)
 {
     OpenConnectionFixture open;
