--- a/src/membership/configurationstream_test.cpp
+++ b/src/membership/configurationstream_test.cpp
@@ -130,7 +130,7 @@
         ConfigDistributor &distributor = m_fleet.distributor(node);
         MissingRevisionTimer &timer = m_timers[static_cast<std::size_t>(node)];
         const base::TimePoint now = m_fleet.clock.now();
-        if (!m_fleet.isSilent(sender, node)) {
+        if (!m_fleet.losesMessage(sender, node)) {
             distributor.notePeerRevision(TestFleet::vm(sender), m_fleet.distributor(sender).revision());
             timer.noteAnnounced(m_fleet.distributor(sender).revision(), now);
         }
--- a/src/membership/testfleet.cpp
+++ b/src/membership/testfleet.cpp
@@ -179,7 +179,7 @@
         ++messages;
         messageBytes += message.payload.size();
         const int to = indexOf(message.to) - 100;
-        if (isPartitioned(from, to) || isSilent(from, to) || share(m_random) < faults.lossRatio) {
+        if (isPartitioned(from, to) || losesMessage(from, to) || share(m_random) < faults.lossRatio) {
             continue;
         }
         if (share(m_random) < faults.duplicateRatio) {
@@ -207,7 +207,7 @@
     }
 }
 
-bool TestFleet::isSilent(int from, int to)
+bool TestFleet::losesMessage(int from, int to)
 {
     const auto found = m_silent.find({from, to});
     if (found == m_silent.end()) {
--- a/src/membership/testfleet.h
+++ b/src/membership/testfleet.h
@@ -43,8 +43,8 @@
     /// Silences a `share` of the open connections between two nodes, each in one direction. A connection loses all that
     /// is sent on it until its sender replaces it, a second after the first message that is not acknowledged.
     void silenceConnections(double share);
-    /// Returns whether a message that is sent now is lost on a silent connection.
-    bool isSilent(int from, int to);
+    /// Returns whether a message that is sent now is lost on a silent connection, and records that it was sent.
+    bool losesMessage(int from, int to);
 
     int nodesAt(base::Revision revision) const;
     int nodesAtVmList(std::uint64_t version) const;
