--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,11 +1,11 @@
 """QUOTA: two nodes hold the pool of one tenant at the same time."""
 import asyncio
-import bisect
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib2"))
 import deployment as lab  # noqa: E402
+import quota  # noqa: E402
 
 ADDRESSES = [f"127.0.0.{number}" for number in range(11, 17)]
 SERVICE = "counter"
@@ -14,32 +14,13 @@
 # it is the same in each run: first the node at .13; without it, the node at .16.
 LEAVING, RESTARTED = "127.0.0.13", "127.0.0.16"
 RATE, BURST = 20.0, 20.0
-WINDOW, OVERAGE, SLACK, DRAIN = 5.0, 0.25, 20, 2.0
-ALLOWED = (RATE * WINDOW + BURST) * (1 + OVERAGE) + SLACK
+DRAIN = 2.0
+ALLOWED = quota.allowed(RATE, BURST)
 STAY = 15.0  # Seconds for which the leaving backend still serves; the pages: "at times many seconds".
 FLOOD = 9.0  # Seconds in which the tenant sends eight times its rate.
 PER_NODE = 32.0  # Requests a second at each of five nodes.
 
 
-async def flood(deployment, address, seconds):
-    calls = []
-    for number in range(int(seconds * PER_NODE)):
-        name = f"{address.rsplit('.', 1)[1]}-{number:04d}"
-        calls.append(asyncio.create_task(deployment.call(address, name, f"/lookups/{number}", KEY, deadline=2.0)))
-        await asyncio.sleep(1 / PER_NODE)
-    await asyncio.gather(*calls)
-
-
-def most_in_window(deployment):
-    """Returns the largest number of requests that were sent, and arrived at a backend that ran them, in one window."""
-    spans = sorted((deployment.sent[request][0], arrived) for arrived, _, request, *_ in deployment.runs)
-    most = 0
-    for begin, _ in spans:
-        first = bisect.bisect_left(spans, (begin, 0))
-        most = max(most, sum(1 for sent, arrived in spans[first:] if sent <= begin + WINDOW and arrived <= begin + WINDOW))
-    return most
-
-
 async def case(deployment, trouble):
     await deployment.start(lab.configuration(3, [
         lab.route("lookup", "/lookups/", "safe", SERVICE), lab.resource("services", SERVICE, health_path="/health"),
@@ -58,13 +39,13 @@
     else:
         await asyncio.sleep(1.0)
     senders = [address for address in ADDRESSES if address != LEAVING]
-    await asyncio.gather(*(flood(deployment, address, FLOOD) for address in senders))
+    await asyncio.gather(*(quota.send_steadily(deployment, address, "/lookups/", KEY, FLOOD, PER_NODE) for address in senders))
     if deployment.record.now() > gone + STAY:
         raise lab.CannotRun("the machine is too slow: the leaving machine would have gone")
     deployment.nodes[LEAVING].terminate()
-    most = most_in_window(deployment)
+    most = quota.most_in_window(deployment)
     deployment.record.write("result", most=most, allowed=ALLOWED, runs=len(deployment.runs))
-    print(f"{most} requests of the tenant in {WINDOW} s, allowed {ALLOWED}")
+    print(f"{most} requests of the tenant in {quota.WINDOW} s, allowed {ALLOWED}")
     return "QUOTA" if most > ALLOWED else None
 
 
