--- a/review/4/case.py
+++ b/review/4/case.py
@@ -17,8 +17,10 @@
 DRAIN = 2.0
 ALLOWED = quota.allowed(RATE, BURST)
 STAY = 15.0  # Seconds for which the leaving backend still serves; the pages: "at times many seconds".
-FLOOD = 9.0  # Seconds in which the tenant sends eight times its rate.
-PER_NODE = 32.0  # Requests a second at each of five nodes.
+FLOOD = 9.0  # Seconds in which the tenant sends many times its usual.
+USUAL = RATE / 1.6  # Requests a second; the sites' allowances are 1.6 times what tenants usually send.
+FACTOR = 8.0
+PER_NODE = FACTOR * USUAL / (len(ADDRESSES) - 1)
 
 
 async def case(deployment, trouble):
