--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -73,6 +73,13 @@
     return await reader.readexactly(int(fields.get("content-length", 0)))
 
 
+async def read_answer_body(reader, fields):
+    """Reads the body of an answer, which ends with the connection if it has neither a length nor chunks."""
+    if "content-length" in fields or "transfer-encoding" in fields:
+        return await read_body(reader, fields)
+    return await reader.read()
+
+
 def message(start, fields, body=b""):
     lines = [start] + [f"{name}: {value}" for name, value in fields.items()] + [f"Content-Length: {len(body)}", "", ""]
     return "\r\n".join(lines).encode() + body
@@ -380,7 +387,7 @@
             writer.write(message(f"{method} {path} HTTP/1.1", fields, body))
             head = await asyncio.wait_for(read_head(reader), deadline + 1)
             if head is not None:
-                answer = await asyncio.wait_for(read_body(reader, head[1]), deadline + 1)
+                answer = await asyncio.wait_for(read_answer_body(reader, head[1]), deadline + 1)
                 status = int(head[0].split(" ")[1])
                 self.answers[request] = (self.record.now(), status, head[1], answer)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
--- a/review/lib2/quota.py
+++ b/review/lib2/quota.py
@@ -23,13 +23,13 @@
     return most
 
 
-async def send_steadily(deployment, address, path, key, seconds, rate):
+async def send_steadily(deployment, address, path, key, seconds, rate, deadline=2.0):
     """Sends `rate` requests a second to the node at `address`, each on a connection of its own."""
     loop = asyncio.get_running_loop()
     begin = loop.time()
     calls = []
     for number in range(int(seconds * rate)):
         name = f"{address.rsplit('.', 1)[1]}-{number:04d}"
-        calls.append(asyncio.create_task(deployment.call(address, name, f"{path}{number}", key, deadline=2.0)))
+        calls.append(asyncio.create_task(deployment.call(address, name, f"{path}{number}", key, deadline=deadline)))
         await asyncio.sleep(max(0.0, begin + (number + 1) / rate - loop.time()))
     await asyncio.gather(*calls)
