Log who starts to give the tokens of a workspace, and by which VM list

The VM list's version alone does not tell either whether two nodes hold the same list.

The new line has the version of the list, the number of VMs in it and a hash of them.

--- a/src/include/papayastep/limits/pooledlimiter.h
+++ b/src/include/papayastep/limits/pooledlimiter.h
@@ -235,6 +235,7 @@
     const PoolSettings m_settings;
     config::ConfigurationPtr m_configuration;
     std::vector<base::VmId> m_vms; ///< VMs of the list that are not leaving, sorted.
+    std::uint64_t m_members = 0; ///< Hash of `m_vms`.
     /// Cached results of rankHomes() for `m_vms`.
     mutable std::unordered_map<base::WorkspaceId, std::vector<base::VmId>> m_homes;
     std::uint64_t m_listVersion = 0;
--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -48,6 +48,15 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+std::uint64_t hashOf(const std::vector<base::VmId> &vms)
+{
+    std::uint64_t hash = vms.size();
+    for (const base::VmId &vm : vms) {
+        hash = base::stableHash(vm.value(), hash);
+    }
+    return hash;
+}
+
 base::Duration durationOf(double secondsCount)
 {
     return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(secondsCount));
@@ -97,6 +106,7 @@
         std::erase_if(m_lastReceivedAt, isGone);
         std::erase_if(m_probes, isGone);
         m_vms = std::move(vms);
+        m_members = hashOf(m_vms);
         m_homes.clear();
         m_listChangedAt = m_clock.now();
     }
@@ -452,6 +462,12 @@
     pool.servingSince = m_clock.now();
     pool.bucket.level = std::min(pool.bucket.level, workspace.burst * newPoolFraction);
     pool.bucket.updatedAt = pool.isHome ? m_listChangedAt : m_clock.now();
+    // Two nodes that report this as home of one workspace give its rate twice. The list shows whether they differ in it.
+    PAPAYASTEP_LOG(INFO, logPrefix) << "Started to give the tokens of a workspace."
+                                    << base::field("workspace", workspace.id)
+                                    << base::field("as", pool.isHome ? "home" : "stand-in")
+                                    << base::field("listVersion", m_listVersion) << base::field("vms", m_vms.size())
+                                    << base::field("members", m_members);
 }
 
 void PooledLimiter::updateRateFraction(const config::Workspace &workspace, Pool &pool)
