Assign tasks only to VMs whose server is in the directory

On the other side, nodes that still listed a home that had stopped refused requests within the rate.

Cause: VmListBuilder keeps VMs without a server for 30 s, from the node's own memory. A node that has restarted does not know them, so two nodes held different lists under one version, while homes are chosen by hashing over the list. A list of the same version was not accepted and VMs were removed only at a change of the directory, so on a quiet fleet the lists differed without end.

Change: a VM without a server is marked as retained. Messages still reach it, but it holds no pool, no share and is no witness, so what nodes assign follows from the version of the list alone. Retained VMs are removed on time, and a list that a node builds itself replaces one of the same version that differs.

--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -163,6 +163,11 @@
     return vms;
 }
 
+bool VmEntry::canHoldTasks() const
+{
+    return !leaving && !retained;
+}
+
 const VmEntry *VmList::find(const base::VmId &id) const
 {
     return findById(vms, id);
--- a/src/include/papayastep/config/configuration.h
+++ b/src/include/papayastep/config/configuration.h
@@ -223,6 +223,12 @@
     std::uint16_t peerPort = 0; ///< Port for messages between nodes.
     std::uint16_t adminPort = 0; ///< HTTP port for operators, with /metrics and /status.
     bool leaving = false; ///< Whether the platform is about to remove the VM.
+    /// Whether the VM has no backend server any more. Its node may still serve callers. Only the nodes that have run
+    /// since before the server was removed list it, so what nodes assign by the list must not depend on it.
+    bool retained = false;
+
+    /// Whether tasks that nodes assign by their lists may be assigned to the VM, such as holding a workspace's tokens.
+    bool canHoldTasks() const;
 
     auto operator<=>(const VmEntry &) const = default;
 };
--- a/src/include/papayastep/limits/pooledlimiter.h
+++ b/src/include/papayastep/limits/pooledlimiter.h
@@ -234,7 +234,7 @@
     const base::Clock &m_clock;
     const PoolSettings m_settings;
     config::ConfigurationPtr m_configuration;
-    std::vector<base::VmId> m_vms; ///< VMs of the list that are not leaving, sorted.
+    std::vector<base::VmId> m_vms; ///< VMs of the list that can hold pools, sorted.
     std::uint64_t m_members = 0; ///< Hash of `m_vms`.
     /// Cached results of rankHomes() for `m_vms`.
     mutable std::unordered_map<base::WorkspaceId, std::vector<base::VmId>> m_homes;
--- a/src/include/papayastep/membership/messages.h
+++ b/src/include/papayastep/membership/messages.h
@@ -79,9 +79,10 @@
     std::uint16_t peerPort = 0;
     std::uint16_t adminPort = 0;
     bool leaving = false;
+    bool retained = false;
 
     auto operator<=>(const VmRecord &) const = default;
-    MSGPACK_DEFINE(id, zone, address, callerPort, hopPort, peerPort, adminPort, leaving)
+    MSGPACK_DEFINE(id, zone, address, callerPort, hopPort, peerPort, adminPort, leaving, retained)
 };
 
 /// The changes from one version of the platform's VM list to a later one. If `from` is 0, `changed` is the complete
--- a/src/include/papayastep/membership/vmdirectory.h
+++ b/src/include/papayastep/membership/vmdirectory.h
@@ -21,6 +21,11 @@
     /// newer one wins in any order of arrival. Returns whether it was accepted.
     bool accept(config::VmList list);
 
+    /// Accepts a list that this node has built itself from the directory of backend servers, also if it differs from
+    /// the current one under the same version: the directory drops entries after an outage, and the builder drops
+    /// retained VMs, without a new version. Returns whether the list was accepted.
+    bool acceptLocal(config::VmList list);
+
     /// Records an authenticated message from `vm`. A new incarnation cancels the announcement of the previous one.
     void noteMessage(const base::VmId &vm, base::Incarnation incarnation);
 
@@ -62,6 +67,7 @@
         base::TimePoint leavingSince{};
     };
 
+    void adopt(config::VmList list);
     void forgetUnlisted();
     bool hasAnnouncedLeaving(const base::VmId &vm) const;
 
--- a/src/include/papayastep/membership/vmlistbuilder.h
+++ b/src/include/papayastep/membership/vmlistbuilder.h
@@ -4,6 +4,7 @@
 #include "papayastep/config/configuration.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace papayastep::membership {
@@ -38,9 +39,13 @@
                   FleetPorts ports,
                   VmListBuilderSettings settings = {});
 
-    /// Records the VMs of `servers` and returns the new list. The list always contains the own VM.
+    /// Records the VMs of `servers` and returns the new list. The list always contains the own VM. VMs without a server
+    /// in `servers` are marked as retained, the own one included, so that lists of one version differ only in these.
     config::VmList update(std::uint64_t version, const std::vector<config::BackendServer> &servers);
 
+    /// Time at which the next retained VM is to be removed by an update; empty if none is retained.
+    std::optional<base::TimePoint> nextExpiry() const;
+
 private:
     struct KnownVm
     {
--- a/src/include/papayastep/node/node.h
+++ b/src/include/papayastep/node/node.h
@@ -62,6 +62,8 @@
     void applyConfiguration(const membership::AcceptedConfiguration &accepted);
     void activateConfiguration();
     void applyVmList();
+    void buildVmList();
+    void removeExpiredVms();
     void applyDirectory();
     void applyCallerLimits();
     void tick();
--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -88,13 +88,13 @@
 
 void PooledLimiter::applyVmList(const config::VmList &list, base::TimePoint)
 {
-    if (list.version <= m_listVersion) {
+    if (list.version < m_listVersion) {
         return;
     }
     m_listVersion = list.version;
     std::vector<base::VmId> vms;
     for (const config::VmEntry &vm : list.vms) {
-        if (!vm.leaving) {
+        if (vm.canHoldTasks()) {
             vms.push_back(vm.id);
         }
     }
@@ -462,7 +462,8 @@
     pool.servingSince = m_clock.now();
     pool.bucket.level = std::min(pool.bucket.level, workspace.burst * newPoolFraction);
     pool.bucket.updatedAt = pool.isHome ? m_listChangedAt : m_clock.now();
-    // Two nodes that report this as home of one workspace give its rate twice. The list shows whether they differ in it.
+    // Two nodes that report this as home of one workspace give its rate twice. The list shows whether they differ in
+    // it.
     PAPAYASTEP_LOG(INFO, logPrefix) << "Started to give the tokens of a workspace."
                                     << base::field("workspace", workspace.id)
                                     << base::field("as", pool.isHome ? "home" : "stand-in")
--- a/src/limits/sharemap.cpp
+++ b/src/limits/sharemap.cpp
@@ -68,7 +68,7 @@
     base::VmId holder;
     std::uint64_t greatest = 0;
     for (const config::VmEntry &vm : list.vms) {
-        if (vm.zone != zone || vm.leaving) {
+        if (vm.zone != zone || !vm.canHoldTasks()) {
             continue;
         }
         const std::uint64_t weight = base::rendezvousWeight(workspace.value(), vm.id.value());
--- a/src/limits/zonetenure.cpp
+++ b/src/limits/zonetenure.cpp
@@ -55,7 +55,7 @@
     if (list.version > m_version) {
         std::vector<base::VmId> members;
         for (const config::VmEntry &vm : list.vms) {
-            if (vm.zone == m_self.zone && !vm.leaving) {
+            if (vm.zone == m_self.zone && vm.canHoldTasks()) {
                 members.push_back(vm.id);
             }
         }
--- a/src/membership/configdistributor.cpp
+++ b/src/membership/configdistributor.cpp
@@ -167,7 +167,7 @@
 
 void ConfigDistributor::applyLocalVmList(config::VmList list)
 {
-    if (!m_directory.accept(std::move(list))) {
+    if (!m_directory.acceptLocal(std::move(list))) {
         return;
     }
     m_vmListChanged = true;
--- a/src/membership/serverdirectory_test.cpp
+++ b/src/membership/serverdirectory_test.cpp
@@ -126,6 +126,44 @@
     BOOST_TEST(builder.update(3, {}).vms.size() == 1U);
 }
 
+// Guards against lists of one version by which nodes assign the same task to different VMs.
+BOOST_FIXTURE_TEST_CASE(vmListBuilder_ofANodeThatHasRestarted_letsTheSameVmsHoldTasks, DirectoryFixture)
+{
+    const auto holders = [](const config::VmList &list) {
+        std::vector<base::VmId> vms;
+        for (const config::VmEntry &entry : list.vms) {
+            if (entry.canHoldTasks()) {
+                vms.push_back(entry.id);
+            }
+        }
+        return vms;
+    };
+    config::VmEntry self;
+    self.id = base::VmId("10.0.0.9");
+    VmListBuilder running(clock, self, FleetPorts{1, 2, 3, 4});
+    running.update(1, {server("a")});
+    VmListBuilder restarted(clock, self, FleetPorts{1, 2, 3, 4});
+    BOOST_TEST((holders(running.update(2, {})) == holders(restarted.update(2, {}))));
+    BOOST_TEST(holders(running.update(3, {server("a")})).size() == 1U);
+}
+
+// Guards against a VM that stays in the list without end because the directory does not change any more.
+BOOST_FIXTURE_TEST_CASE(vmListBuilder_withARetainedVm_reportsItsExpiry, DirectoryFixture)
+{
+    config::VmEntry self;
+    self.id = base::VmId("10.0.0.9");
+    VmListBuilder builder(clock, self, FleetPorts{1, 2, 3, 4});
+    builder.update(1, {server("a")});
+    BOOST_TEST(!builder.nextExpiry().has_value());
+    const base::TimePoint removedAt = clock.now();
+    builder.update(2, {});
+    BOOST_REQUIRE(builder.nextExpiry().has_value());
+    BOOST_TEST((*builder.nextExpiry() - removedAt == 30s));
+    clock.advance(30s);
+    BOOST_TEST(builder.update(2, {}).vms.size() == 1U);
+    BOOST_TEST(!builder.nextExpiry().has_value());
+}
+
 namespace {
 
 struct EvacuatedDirectory : DirectoryFixture
--- a/src/membership/vmdirectory.cpp
+++ b/src/membership/vmdirectory.cpp
@@ -21,10 +21,24 @@
     if (list.version <= m_list.version) {
         return false;
     }
+    adopt(std::move(list));
+    return true;
+}
+
+bool VmDirectory::acceptLocal(config::VmList list)
+{
+    if (list.version < m_list.version || list == m_list) {
+        return false;
+    }
+    adopt(std::move(list));
+    return true;
+}
+
+void VmDirectory::adopt(config::VmList list)
+{
     m_list = std::move(list);
     std::sort(m_list.vms.begin(), m_list.vms.end(), [](const auto &a, const auto &b) { return a.id < b.id; });
     forgetUnlisted();
-    return true;
 }
 
 void VmDirectory::forgetUnlisted()
--- a/src/membership/vmdirectory_test.cpp
+++ b/src/membership/vmdirectory_test.cpp
@@ -44,6 +44,15 @@
     BOOST_TEST(directory.activeVms().size() == 1u);
 }
 
+// Guards against a node that keeps VMs in its list that its own directory has dropped without a new version.
+BOOST_FIXTURE_TEST_CASE(localList_thatDiffersUnderTheSameVersion_isAccepted, DirectoryFixture)
+{
+    BOOST_TEST(directory.acceptLocal(listOf(5, {first})));
+    BOOST_TEST(directory.activeVms().size() == 1u);
+    BOOST_TEST(!directory.acceptLocal(listOf(5, {first})));
+    BOOST_TEST(!directory.acceptLocal(listOf(4, {first, second})));
+}
+
 BOOST_FIXTURE_TEST_CASE(vm_thatAnnouncesItsLeaving_isNotActive, DirectoryFixture)
 {
     directory.noteMessage(first, 11);
--- a/src/membership/vmlistbuilder.cpp
+++ b/src/membership/vmlistbuilder.cpp
@@ -1,5 +1,7 @@
 #include "papayastep/membership/vmlistbuilder.h"
 
+#include <algorithm>
+
 namespace papayastep::membership {
 
 VmListBuilder::VmListBuilder(const base::Clock &clock,
@@ -16,9 +18,14 @@
 config::VmList VmListBuilder::update(std::uint64_t version, const std::vector<config::BackendServer> &servers)
 {
     const base::TimePoint now = m_clock.now();
+    for (auto &[id, known] : m_knownVms) {
+        known.entry.retained = true;
+    }
     m_knownVms[m_self.id] = KnownVm{m_self, now};
+    m_knownVms[m_self.id].entry.retained = true;
     for (const config::BackendServer &server : servers) {
         if (server.vm == m_self.id) {
+            m_knownVms[m_self.id].entry.retained = false;
             continue;
         }
         config::VmEntry entry;
@@ -32,7 +39,7 @@
         m_knownVms[server.vm] = KnownVm{std::move(entry), now};
     }
     std::erase_if(m_knownVms,
-                  [&](const auto &known) { return now - known.second.seenAt > m_settings.retentionWithoutServer; });
+                  [&](const auto &known) { return now - known.second.seenAt >= m_settings.retentionWithoutServer; });
     config::VmList list;
     list.version = version;
     for (const auto &[id, known] : m_knownVms) {
@@ -41,4 +48,16 @@
     return list;
 }
 
+std::optional<base::TimePoint> VmListBuilder::nextExpiry() const
+{
+    std::optional<base::TimePoint> next;
+    for (const auto &[id, known] : m_knownVms) {
+        if (known.entry.retained && id != m_self.id) {
+            const base::TimePoint due = known.seenAt + m_settings.retentionWithoutServer;
+            next = std::min(next.value_or(due), due);
+        }
+    }
+    return next;
+}
+
 }
--- a/src/membership/vmlistupdate.cpp
+++ b/src/membership/vmlistupdate.cpp
@@ -16,7 +16,8 @@
             entry.hopPort,
             entry.peerPort,
             entry.adminPort,
-            entry.leaving};
+            entry.leaving,
+            entry.retained};
 }
 
 config::VmEntry entryOf(const VmRecord &record)
@@ -28,7 +29,8 @@
             record.hopPort,
             record.peerPort,
             record.adminPort,
-            record.leaving};
+            record.leaving,
+            record.retained};
 }
 
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -399,9 +399,24 @@
     m_hopServer.setLimits(limitsWithin(hopShare, withoutPipelining(limits)));
 }
 
-void Node::applyDirectory()
+void Node::buildVmList()
 {
     m_spread.applyLocalVmList(m_roster.update(m_serverDirectory.version(), m_serverDirectory.servers()));
+}
+
+/// Without this, a VM whose server was the last to leave would stay in the list until the directory changes again.
+void Node::removeExpiredVms()
+{
+    const auto expiry = m_roster.nextExpiry();
+    if (expiry && m_context.clock.now() >= *expiry) {
+        buildVmList();
+        schedulePump();
+    }
+}
+
+void Node::applyDirectory()
+{
+    buildVmList();
     m_context.tokens.applyVmList(m_context.vms, m_directoryUpdater->lastRequestedAt());
     if (m_published) {
         activateConfiguration();
@@ -501,6 +516,7 @@
 void Node::sweep()
 {
     reloadSettings();
+    removeExpiredVms();
     m_servingNode.sweep();
     m_context.gray.expire();
     m_context.idle.expire();
