Add no part to a stand-in's pool for nodes that have none

A stand-in counts who asks it and credits the part of a new asker for the time since it began to serve. Askers that are not in the list were forgotten at each review of the pool, every 100 ms, so each request of such a node counted as a new asker and was credited up to two seconds of its part again. Nodes whose servers have left ask for their callers, so with the home away callers got several times the rate.

Found by random orders of faults on the pool. Nodes without a part are served from the pool, but neither counted nor credited.

--- a/src/include/papayastep/limits/pooledlimiter.h
+++ b/src/include/papayastep/limits/pooledlimiter.h
@@ -196,6 +196,7 @@
     bool higherRankedVmRemoved(const base::WorkspaceId &workspace, base::TimePoint since) const;
     bool homeFellSilent(const base::WorkspaceId &workspace, base::TimePoint since) const;
     base::Duration askerRetention(const config::Workspace &workspace) const;
+    bool hasPart(const base::VmId &vm) const;
     bool isSilent(const base::VmId &vm) const;
     bool isFirstHome(const base::WorkspaceId &workspace) const;
 
--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -379,11 +379,18 @@
         return std::max(0.0, 1 - static_cast<double>(silent) / all);
     }
     const base::Duration memory = askerRetention(workspace);
-    const auto asking = std::count_if(
-        pool.askers.begin(), pool.askers.end(), [&](const auto &asker) { return now - asker.second.askedAt < memory; });
+    const auto asking = std::count_if(pool.askers.begin(), pool.askers.end(), [&](const auto &asker) {
+        return hasPart(asker.first) && now - asker.second.askedAt < memory;
+    });
     return static_cast<double>(asking) / all;
 }
 
+/// Whether `vm` accounts for a part of the rate. Other nodes may ask for tokens, but add none to a pool.
+bool PooledLimiter::hasPart(const base::VmId &vm) const
+{
+    return std::binary_search(m_vms.begin(), m_vms.end(), vm);
+}
+
 bool PooledLimiter::isSilent(const base::VmId &vm) const
 {
     const auto probe = m_probes.find(vm);
@@ -474,10 +481,8 @@
 void PooledLimiter::updateRateFraction(const config::Workspace &workspace, Pool &pool)
 {
     const base::TimePoint now = m_clock.now();
-    std::erase_if(pool.askers, [&](const auto &asker) {
-        return now - asker.second.askedAt > m_settings.maxAskerRetention
-            || !std::binary_search(m_vms.begin(), m_vms.end(), asker.first);
-    });
+    std::erase_if(pool.askers,
+                  [&](const auto &asker) { return now - asker.second.askedAt > m_settings.maxAskerRetention; });
     pool.rateFraction = currentRateFraction(workspace, pool);
     pool.fractionUpdatedAt = now;
     if (pool.isHome) {
@@ -540,7 +545,7 @@
     const auto [place, isNew] = pool.askers.try_emplace(from);
     Asker &asker = place->second;
     const base::TimePoint countedUntil = isNew ? pool.servingSince : asker.askedAt + askerRetention(workspace);
-    if (!pool.isHome && countedUntil < m_clock.now()) {
+    if (!pool.isHome && hasPart(from) && countedUntil < m_clock.now()) {
         creditNewAsker(workspace, pool, countedUntil);
     }
     asker.askedAt = m_clock.now();
--- a/src/node/poolhomes_test.cpp
+++ b/src/node/poolhomes_test.cpp
@@ -34,6 +34,7 @@
     struct Machine
     {
         bool isRunning = false;
+        bool hasList = false; ///< Whether the node has read the directory since its start.
         bool readsDirectory = true; ///< Whether the platform answers the node.
         base::Incarnation incarnation = 0;
         std::unique_ptr<membership::VmListBuilder> builder;
@@ -92,6 +93,7 @@
         config::VmEntry self;
         self.id = vm(index);
         started.isRunning = true;
+        started.hasList = false;
         started.incarnation = ++lastIncarnation;
         started.updates.clear();
         started.builder = std::make_unique<membership::VmListBuilder>(clock, self, membership::FleetPorts{1, 2, 3, 4});
@@ -200,13 +202,15 @@
             server.vm = vm(index);
             servers.push_back(server);
         }
+        reader.hasList = true;
         reader.limiter->applyVmList(reader.builder->update(read.version, servers), clock.now());
     }
     void sendRequest()
     {
+        // A node that has not read the directory since its start knows no server and admits no request.
         std::vector<int> running;
         for (std::size_t i = 0; i < machines.size(); ++i) {
-            if (machines[i].isRunning) {
+            if (machines[i].isRunning && machines[i].hasList) {
                 running.push_back(static_cast<int>(i));
             }
         }
@@ -307,3 +311,18 @@
     run(25s, ordinaryLoad);
     BOOST_TEST(refused == 0);
 }
+
+// Guards against a stand-in that gives the parts of nodes that have none, again with each of their requests.
+BOOST_AUTO_TEST_CASE(pool_ofAStandInThatNodesWithoutAServerAsk_staysWithinTolerance)
+{
+    DirectoryFleet fleet;
+    const std::vector<int> ranking = fleet.ranking();
+    fleet.run(3s, ordinaryLoad);
+    for (const int leaving : {3, 4, 5}) {
+        fleet.setRegistered(ranking[static_cast<std::size_t>(leaving)], false);
+    }
+    fleet.run(1s, ordinaryLoad);
+    fleet.stop(ranking[0]);
+    fleet.run(9s, overload);
+    BOOST_TEST(fleet.maxAdmittedInFiveSeconds() <= maxTolerated);
+}
