Let a home give only the parts of nodes that take it for the home

Callers could get a workspace's rate twice while the VM lists of nodes differ, because a change is on its way or a node cannot read the directory: each of two homes gave the parts of all nodes that answer its probes, whichever home these asked.

Messages between homes and entries now contain a hash of the VMs that can hold pools. A home asks the nodes whose hash differs which home they take, with its probes, at once when it starts to give tokens, and after 0.2 s otherwise, and withholds the parts of those that name another one. A home that most nodes deny has an outdated list: it asks the home that they name, so that its callers are not refused what is allowed. Fields are added at the end of the messages; nodes of the earlier version ignore them and count as before.

Evidence: pool_whileListsDifferAfterRandomFaults_staysWithinTolerance plays random orders of servers that leave, stops, restarts and lists that arrive late or never, 40 seeds on 6 and on 22 nodes.

--- a/src/include/papayastep/limits/messages.h
+++ b/src/include/papayastep/limits/messages.h
@@ -123,9 +123,24 @@
 struct PoolAsk
 {
     std::vector<PoolTokenAsk> asks;
+    /// Hash of the VMs that can hold pools by the sender's list. 0 if it is not reported.
+    std::uint64_t members = 0;
+    /// Workspaces of which the sender is the home by its own list. A receiver whose list differs answers for each
+    /// which home it takes.
+    std::vector<base::WorkspaceId> claims;
 
     auto operator<=>(const PoolAsk &) const = default;
-    MSGPACK_DEFINE(asks)
+    MSGPACK_DEFINE(asks, members, claims)
+};
+
+/// The answer to a claim of a PoolAsk.
+struct ClaimAnswer
+{
+    base::WorkspaceId workspace;
+    base::VmId home; ///< The home by the list of the sender; empty if there is none.
+
+    auto operator<=>(const ClaimAnswer &) const = default;
+    MSGPACK_DEFINE(workspace, home)
 };
 
 /// The answer to a PoolTokenAsk.
@@ -149,9 +164,11 @@
     /// Incarnation that sent the asks. A node ignores grants for another incarnation than its own.
     base::Incarnation asker = 0;
     std::vector<PoolAnswer> answers;
+    std::uint64_t members = 0; ///< As in PoolAsk.
+    std::vector<ClaimAnswer> claims;
 
     auto operator<=>(const PoolGrant &) const = default;
-    MSGPACK_DEFINE(asker, answers)
+    MSGPACK_DEFINE(asker, answers, members, claims)
 };
 
 /// Message of kind TenureQuery. A VM asks the witnesses of its zone whether they know of a newer VM list than its own,
--- a/src/include/papayastep/limits/pooledlimiter.h
+++ b/src/include/papayastep/limits/pooledlimiter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "papayastep/limits/homeagreement.h"
 #include "papayastep/limits/messages.h"
 #include "papayastep/limits/ratelimiter.h"
 
@@ -67,7 +68,8 @@
 /// The home may fail to answer some entries. Callers within their rate must not be refused because of that: the next
 /// node in the hash order acts as stand-in, or the entry admits locally. So that no token is given twice, each entry
 /// accounts for an equal part of the rate. A stand-in gives out the parts of the entries that ask it, an entry that
-/// admits locally its own part, and the home withholds the parts of the nodes that do not answer its probes. Tokens
+/// admits locally its own part, and the home withholds the parts of the nodes that do not answer its probes or that
+/// have another VM list by which another node is the home. Tokens
 /// that were given elsewhere before the home detected the failure are reported by the entry and charged to the pool as
 /// debt. docs/design/limits.md contains the calculation.
 class PooledLimiter final : public RateLimiter
@@ -198,6 +200,8 @@
     base::Duration askerRetention(const config::Workspace &workspace) const;
     bool hasPart(const base::VmId &vm) const;
     bool isSilent(const base::VmId &vm) const;
+    std::size_t deniedParts(const base::WorkspaceId &workspace) const;
+    bool hasYielded(const base::WorkspaceId &workspace) const;
     bool isFirstHome(const base::WorkspaceId &workspace) const;
 
     void updateDemand(Entry &entry);
@@ -206,6 +210,11 @@
     void updateRateFraction(const config::Workspace &workspace, Pool &pool);
     void creditNewAsker(const config::Workspace &workspace, Pool &pool, base::TimePoint since);
     void probeSilentNodes();
+    std::vector<base::WorkspaceId> recentClaims() const;
+    void sendClaims(const base::WorkspaceId &workspace, bool hasJustStarted);
+    std::vector<ClaimAnswer> answersTo(const std::vector<base::WorkspaceId> &claims) const;
+    void recordClaimAnswer(const base::VmId &from, const ClaimAnswer &answer);
+    void recordMembers(const base::VmId &from, std::uint64_t members);
     void recordAsker(const config::Workspace &workspace,
                      const base::VmId &from,
                      base::Incarnation incarnation,
@@ -250,6 +259,7 @@
     std::map<base::VmId, base::TimePoint> m_silentSince;
     std::map<base::VmId, base::TimePoint> m_lastReceivedAt; ///< Time of the last rate limiting message of each node.
     std::map<base::VmId, Probe> m_probes;
+    HomeAgreement m_agreement; ///< Which of `m_vms` take this node for a home although their lists differ.
     std::size_t m_lastProbedIndex = 0; ///< Index in `m_vms` of the node that was considered last.
     base::TimePoint m_lastProbeRoundAt; ///< Time at which nodes were last probed.
     std::map<base::VmId, base::TimePoint> m_removedAt; ///< Times at which VMs were removed from the list.
--- a/src/include/papayastep/limits/ratelimiter.h
+++ b/src/include/papayastep/limits/ratelimiter.h
@@ -95,6 +95,8 @@
     std::uint64_t messagesIgnored = 0; ///< Messages that were late, duplicated, malformed or from an unexpected sender.
     /// Number of times that this node stopped granting because its proof of being the holder had expired.
     std::uint64_t tenuresLost = 0;
+    /// Claims of this node to be the home of a pool that nodes with another VM list have denied.
+    std::uint64_t claimsDenied = 0;
     std::uint64_t pauses = 0; ///< Number of times that a stopped clock was detected.
 };
 
--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -33,6 +33,12 @@
 /// Largest number of nodes that a home probes in one round.
 constexpr std::size_t maxProbesPerRound = 20;
 
+/// Largest number of workspaces that a probe names.
+constexpr std::size_t maxClaimsPerProbe = 16;
+
+/// Time for which a home counts as having just started to give tokens. Changes of the list reach most nodes within it.
+constexpr base::Duration startTime = std::chrono::seconds(1);
+
 /// Interval between updates of the rate fraction of a pool. An update iterates over all askers.
 constexpr base::Duration reviewInterval = std::chrono::milliseconds(100);
 
@@ -75,6 +81,7 @@
     , m_clock(clock)
     , m_settings(settings)
     , m_listChangedAt(clock.now())
+    , m_agreement(clock)
 {
 }
 
@@ -107,6 +114,8 @@
         std::erase_if(m_probes, isGone);
         m_vms = std::move(vms);
         m_members = hashOf(m_vms);
+        m_agreement.keepOnly(m_vms);
+        m_agreement.setOwnMembers(m_members);
         m_homes.clear();
         m_listChangedAt = m_clock.now();
     }
@@ -138,6 +147,9 @@
         return Admitted{makeToken(workspace)};
     }
     entry.stock = 0;
+    if (hasYielded(workspace)) {
+        sendClaims(workspace, false);
+    }
     const base::VmId home = reachableHome(workspace);
     if (home == m_self.vm && !m_draining) {
         recordAsker(*configured, m_self.vm, m_self.incarnation, {});
@@ -201,8 +213,10 @@
     PoolAsk ask;
     PoolGrant grant;
     if (kind == wire::MessageKind::PoolAsk && decodeInto(ask, payload)) {
+        recordMembers(from, ask.members);
         receiveAsk(from, incarnation, ask);
     } else if (kind == wire::MessageKind::PoolGrant && decodeInto(grant, payload)) {
+        recordMembers(from, grant.members);
         receiveGrant(from, grant);
     } else {
         ++m_counters.messagesIgnored;
@@ -252,10 +266,12 @@
 std::vector<wire::Outgoing> PooledLimiter::takeMessages()
 {
     std::vector<wire::Outgoing> messages;
-    for (const auto &[home, ask] : m_outgoingAsks) {
+    for (auto &[home, ask] : m_outgoingAsks) {
+        ask.members = m_members;
         messages.push_back(wire::outgoing(home, wire::MessageKind::PoolAsk, ask));
     }
-    for (const auto &[asker, grant] : m_outgoingGrants) {
+    for (auto &[asker, grant] : m_outgoingGrants) {
+        grant.members = m_members;
         messages.push_back(wire::outgoing(asker.first, wire::MessageKind::PoolGrant, grant));
     }
     m_counters.messagesSent += messages.size();
@@ -343,6 +359,10 @@
                       weighed.end(),
                       [](const auto &a, const auto &b) { return a.first > b.first; });
     std::vector<base::VmId> homes;
+    const bool isFirst = count > 0 && *weighed.front().second == m_self.vm;
+    if (const base::VmId named = m_agreement.namedHome(workspace, m_vms.size()); isFirst && !named.empty()) {
+        homes.push_back(named);
+    }
     for (std::size_t index = 0; index < count; ++index) {
         homes.push_back(*weighed[index].second);
     }
@@ -368,7 +388,7 @@
 
 /// Returns the fraction of the rate that `pool` gives. Each entry accounts for an equal part, which only one node
 /// gives: a stand-in gives the parts of the entries that ask it; the home withholds the parts of the nodes that do not
-/// answer probes.
+/// answer probes and of those that take another node for the home.
 double PooledLimiter::currentRateFraction(const config::Workspace &workspace, const Pool &pool) const
 {
     const base::TimePoint now = m_clock.now();
@@ -376,7 +396,8 @@
     if (isFirstHome(workspace.id)) {
         const auto silent
             = std::count_if(m_probes.begin(), m_probes.end(), [&](const auto &probe) { return isSilent(probe.first); });
-        return std::max(0.0, 1 - static_cast<double>(silent) / all);
+        const std::size_t withheld = static_cast<std::size_t>(silent) + deniedParts(workspace.id);
+        return std::max(0.0, 1 - static_cast<double>(withheld) / all);
     }
     const base::Duration memory = askerRetention(workspace);
     const auto asking = std::count_if(pool.askers.begin(), pool.askers.end(), [&](const auto &asker) {
@@ -397,6 +418,17 @@
     return probe != m_probes.end() && m_clock.now() - probe->second.firstSentAt >= m_settings.probeInterval;
 }
 
+/// Returns the number of nodes that answer probes but take another node for the home.
+std::size_t PooledLimiter::deniedParts(const base::WorkspaceId &workspace) const
+{
+    if (m_agreement.differing() == 0) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::count_if(m_vms.begin(), m_vms.end(), [&](const base::VmId &vm) {
+        return m_agreement.isDenied(vm, workspace) && !isSilent(vm);
+    }));
+}
+
 /// Whether this node or a node before it in the order of homes was removed from the VM list at or after `since`.
 bool PooledLimiter::higherRankedVmRemoved(const base::WorkspaceId &workspace, base::TimePoint since) const
 {
@@ -423,6 +455,13 @@
     return std::max(durationOf(std::min(askerRetentionGaps * gap, longest)), m_settings.askerRetention);
 }
 
+/// Whether this node is the home by its own list, but most nodes name another one.
+bool PooledLimiter::hasYielded(const base::WorkspaceId &workspace) const
+{
+    const std::vector<base::VmId> &homes = homesOf(workspace);
+    return homes.size() > 1 && homes[1] == m_self.vm && m_agreement.namedHome(workspace, m_vms.size()) == homes[0];
+}
+
 bool PooledLimiter::isFirstHome(const base::WorkspaceId &workspace) const
 {
     const std::vector<base::VmId> &homes = homesOf(workspace);
@@ -468,7 +507,9 @@
     pool.isHome = isFirstHome(workspace.id);
     pool.servingSince = m_clock.now();
     pool.bucket.level = std::min(pool.bucket.level, workspace.burst * newPoolFraction);
-    pool.bucket.updatedAt = pool.isHome ? m_listChangedAt : m_clock.now();
+    // If lists differ, the former home may have given tokens until now.
+    const bool hasFilledUp = pool.isHome && m_agreement.differing() == 0;
+    pool.bucket.updatedAt = hasFilledUp ? m_listChangedAt : m_clock.now();
     // Two nodes that report this as home of one workspace give its rate twice. The list shows whether they differ in
     // it.
     PAPAYASTEP_LOG(INFO, logPrefix) << "Started to give the tokens of a workspace."
@@ -487,6 +528,75 @@
     pool.fractionUpdatedAt = now;
     if (pool.isHome) {
         probeSilentNodes();
+        sendClaims(workspace.id, now - pool.servingSince < startTime);
+    }
+}
+
+/// Returns the workspaces whose pools this node has given tokens of as their home since the last round of probes.
+std::vector<base::WorkspaceId> PooledLimiter::recentClaims() const
+{
+    std::vector<base::WorkspaceId> claims;
+    for (const auto &[workspace, pool] : m_pools) {
+        const bool isRecent = m_clock.now() - pool.bucket.updatedAt <= m_settings.probeInterval;
+        if (pool.isHome && isRecent && claims.size() < maxClaimsPerProbe) {
+            claims.push_back(workspace);
+        }
+    }
+    return claims;
+}
+
+/// Asks nodes with another VM list whether they take this node for the home of `workspace`, a few in each round.
+void PooledLimiter::sendClaims(const base::WorkspaceId &workspace, bool hasJustStarted)
+{
+    if (m_agreement.differing() == 0) {
+        return;
+    }
+    std::size_t sent = 0;
+    for (const base::VmId &vm : m_vms) {
+        if (sent < maxProbesPerRound && m_agreement.startClaim(vm, workspace, hasJustStarted)) {
+            m_outgoingAsks[vm].claims.push_back(workspace);
+            ++sent;
+        }
+    }
+}
+
+std::vector<ClaimAnswer> PooledLimiter::answersTo(const std::vector<base::WorkspaceId> &claims) const
+{
+    std::vector<ClaimAnswer> answers;
+    for (const base::WorkspaceId &workspace : claims) {
+        const std::vector<base::VmId> &homes = homesOf(workspace);
+        answers.push_back({workspace, homes.empty() ? base::VmId() : homes.front()});
+    }
+    return answers;
+}
+
+/// If most nodes name another home, this node's list is the outdated one, and it asks that home like any other entry.
+void PooledLimiter::recordClaimAnswer(const base::VmId &from, const ClaimAnswer &answer)
+{
+    const bool hadYielded = hasYielded(answer.workspace);
+    if (answer.home == m_self.vm) {
+        m_agreement.recordAccepted(from, answer.workspace);
+    } else {
+        m_agreement.recordDenied(from, answer.workspace, answer.home);
+        ++m_counters.claimsDenied;
+    }
+    m_homes.erase(answer.workspace);
+    if (!hadYielded && hasYielded(answer.workspace)) {
+        PAPAYASTEP_LOG(INFO, logPrefix)
+            << "Most nodes take another node for the home of a workspace; asking that one."
+            << base::field("workspace", answer.workspace) << base::field("homeVm", answer.home)
+            << base::field("listVersion", m_listVersion) << base::field("members", m_members);
+    }
+}
+
+void PooledLimiter::recordMembers(const base::VmId &from, std::uint64_t members)
+{
+    if (hasPart(from)) {
+        const std::size_t differing = m_agreement.differing();
+        m_agreement.recordMembers(from, members);
+        if (m_agreement.differing() < differing) {
+            m_homes.clear();
+        }
     }
 }
 
@@ -499,6 +609,7 @@
         return;
     }
     m_lastProbeRoundAt = now;
+    const std::vector<base::WorkspaceId> claims = recentClaims();
     std::size_t asked = 0;
     for (std::size_t step = 0; step < m_vms.size() && asked < maxProbesPerRound; ++step) {
         m_lastProbedIndex = (m_lastProbedIndex + 1) % m_vms.size();
@@ -516,7 +627,7 @@
             place->second.firstSentAt = now; // Probing was interrupted, so the old probe is no evidence.
         }
         place->second.lastSentAt = now;
-        m_outgoingAsks.try_emplace(vm);
+        m_outgoingAsks[vm].claims = claims;
         ++asked;
     }
 }
@@ -542,6 +653,10 @@
         return;
     }
     Pool &pool = poolOf(workspace);
+    if (m_agreement.isDenied(from, workspace.id)) {
+        m_agreement.recordAccepted(from, workspace.id);
+        m_homes.erase(workspace.id);
+    }
     const auto [place, isNew] = pool.askers.try_emplace(from);
     Asker &asker = place->second;
     const base::TimePoint countedUntil = isNew ? pool.servingSince : asker.askedAt + askerRetention(workspace);
@@ -751,8 +866,12 @@
 /// A message without asks is a probe and gets an empty answer.
 void PooledLimiter::receiveAsk(const base::VmId &from, base::Incarnation incarnation, const PoolAsk &message)
 {
-    if (message.asks.empty()) {
-        m_outgoingGrants[{from, incarnation}].asker = incarnation;
+    if (message.asks.empty() || !message.claims.empty()) {
+        PoolGrant &grant = m_outgoingGrants[{from, incarnation}];
+        grant.asker = incarnation;
+        if (message.members != m_members) {
+            grant.claims = answersTo(message.claims);
+        }
     }
     for (const PoolTokenAsk &tokenAsk : message.asks) {
         receiveTokenAsk(from, incarnation, tokenAsk);
@@ -787,6 +906,9 @@
         ++m_counters.messagesIgnored;
         return;
     }
+    for (const ClaimAnswer &answered : grant.claims) {
+        recordClaimAnswer(from, answered);
+    }
     for (const PoolAnswer &answered : grant.answers) {
         const auto found = m_pendingAsks.find(answered.askId);
         if (found == m_pendingAsks.end()) {
--- a/src/node/collectmetrics.cpp
+++ b/src/node/collectmetrics.cpp
@@ -112,6 +112,7 @@
     metrics.setTotal("token_loans_made", real(tokens.loansMade));
     metrics.setTotal("token_messages_ignored", real(tokens.messagesIgnored));
     metrics.setTotal("token_tenures_lost", real(tokens.tenuresLost));
+    metrics.setTotal("token_claims_denied", real(tokens.claimsDenied));
     metrics.setTotal("token_pauses", real(tokens.pauses));
     metrics.setGauge("token_workspaces", real(m_context.tokens.activeWorkspaces()));
 
--- a/src/node/poolhomes_test.cpp
+++ b/src/node/poolhomes_test.cpp
@@ -326,3 +326,91 @@
     fleet.run(9s, overload);
     BOOST_TEST(fleet.maxAdmittedInFiveSeconds() <= maxTolerated);
 }
+
+namespace {
+
+/// Faults in a random order that overlap, on a fleet in an overload.
+struct FleetWithRandomFaults : DirectoryFleet
+{
+    using DirectoryFleet::DirectoryFleet;
+
+    void addFault()
+    {
+        const int node = static_cast<int>(random() % machines.size());
+        switch (random() % 6) {
+        case 0: // The server leaves while its node runs on, or registers again.
+            setRegistered(node, !directory.servers.contains(node) || directory.servers.size() <= 3);
+            break;
+        case 1: // A node is killed and started, or starts again.
+            machine(node).isRunning ? stop(node) : start(node);
+            break;
+        case 2: // The platform does not answer the node, so the node's list stays as it is.
+            setReadsDirectory(node, !machine(node).readsDirectory);
+            break;
+        case 3:
+            restart(node);
+            break;
+        case 4:
+            listDelay = random() % 2 == 0 ? 1000ms : 0ms;
+            break;
+        default:
+            break;
+        }
+    }
+    void endFaults()
+    {
+        listDelay = 0ms;
+        for (std::size_t i = 0; i < machines.size(); ++i) {
+            const int node = static_cast<int>(i);
+            setReadsDirectory(node, true);
+            if (!machines[i].isRunning) {
+                start(node);
+            }
+            if (!directory.servers.contains(node)) {
+                setRegistered(node, true);
+            }
+        }
+        run(100ms, 0);
+    }
+};
+
+}
+
+// Guards against two homes of one pool while lists differ because they arrive late or never, in any order of faults.
+BOOST_AUTO_TEST_CASE(pool_whileListsDifferAfterRandomFaults_staysWithinTolerance)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        for (const int nodes : {6, 22}) {
+            FleetWithRandomFaults fleet(nodes, seed);
+            for (int fault = 0; fault < 25; ++fault) {
+                fleet.addFault();
+                fleet.run(std::chrono::milliseconds(fleet.random() % 1500), overload);
+            }
+            BOOST_TEST_CONTEXT("seed " << seed << ", nodes " << nodes)
+            {
+                BOOST_TEST(fleet.maxAdmittedInFiveSeconds() <= maxTolerated);
+            }
+        }
+    }
+}
+
+// Guards against a bound that is held by refusing what is allowed: once the lists agree, callers within the rate get
+// it.
+BOOST_AUTO_TEST_CASE(pool_onceListsAgreeAfterRandomFaults_refusesNothingBelowTheRate)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        FleetWithRandomFaults fleet(6, seed);
+        for (int fault = 0; fault < 25; ++fault) {
+            fleet.addFault();
+            fleet.run(std::chrono::milliseconds(fleet.random() % 1500), ordinaryLoad);
+        }
+        fleet.endFaults();
+        fleet.run(4s, ordinaryLoad);
+        fleet.refused = 0;
+        fleet.run(10s, ordinaryLoad);
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            BOOST_TEST(fleet.refused == 0);
+        }
+    }
+}
