Frame answers by the number of their status

Cause: the functions that frame an answer used the library's name of the status, which is 0 for each number that the library has no name for, and took 0 for a status without a body. For the same reason an answer 520 counted as a success of its server, and a 204 was passed on with the length that its server claimed.

--- a/src/include/papayastep/net/httpmessage.h
+++ b/src/include/papayastep/net/httpmessage.h
@@ -45,6 +45,11 @@
 /// Copies all fields except hop-by-hop fields, reserved fields and those named by a `Connection` field.
 void copyEndToEnd(const http::fields &from, http::fields &to);
 
+/// Sets the length of an answer that is complete in `answer`. The answer to a HEAD request keeps the length that the
+/// answer to a GET request would have; one whose status has no body gets neither a length nor a body, or its recipient
+/// would wait for the bytes.
+void setLength(http::response<http::string_body> &answer, bool isAnswerToHead);
+
 /// Checks a request head more strictly than the parser does. Returns Ok or the code with which to refuse the request.
 base::ResultCode checkHead(const RequestHead &head);
 
--- a/src/include/papayastep/node/servingnode.h
+++ b/src/include/papayastep/node/servingnode.h
@@ -161,7 +161,7 @@
     void dropNonRetryableOverflow(LocalServer &localServer);
     void recordOutcome(LocalServer &localServer, const ActiveAttempt &activeAttempt, health::AttemptOutcome outcome);
     ServedAnswer answerOf(const ActiveAttemptPtr &activeAttempt);
-    health::AttemptOutcome outcomeOf(const ActiveAttempt &activeAttempt, net::http::status status);
+    health::AttemptOutcome outcomeOf(const ActiveAttempt &activeAttempt, unsigned status);
     ServedAnswer refusedByServer(const ActiveAttemptPtr &activeAttempt);
     ServedAnswer refusalOf(const ActiveAttempt &activeAttempt, base::ResultCode code, base::Duration retryAfter);
     void logOverflow(const ActiveAttempt &activeAttempt, const limits::SlotQueue &queue) const;
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -1,5 +1,7 @@
 #include "papayastep/net/httpmessage.h"
 
+#include "papayastep/net/httpstatus.h"
+
 #include <algorithm>
 #include <array>
 
@@ -56,6 +58,18 @@
     }
 }
 
+void setLength(http::response<http::string_body> &answer, bool isAnswerToHead)
+{
+    if (!mayHaveLength(answer.result_int())) {
+        answer.erase(http::field::content_length);
+    }
+    if (!mayHaveBody(answer.result_int())) {
+        answer.body().clear();
+    } else if (!isAnswerToHead) {
+        answer.content_length(answer.body().size());
+    }
+}
+
 base::ResultCode checkHead(const RequestHead &head)
 {
     const auto lengths = head.count(http::field::content_length);
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -128,10 +128,7 @@
     {
         http::response<http::string_body> response(std::move(answer.head), std::move(answer.body));
         prepareHead(response.base(), answer.close);
-        // The answer to a HEAD request keeps the length that the answer to a GET request would have.
-        if (mayHaveBody(response.result()) && head().method() != http::verb::head) {
-            response.content_length(response.body().size());
-        }
+        setLength(response, head().method() == http::verb::head);
         m_answered = true;
         beast::error_code error;
         m_stream.expires_after(m_server.m_limits.writeTimeout);
--- a/src/net/httpserver_test.cpp
+++ b/src/net/httpserver_test.cpp
@@ -20,6 +20,8 @@
 {
 public:
     bool readsBodies = true;
+    unsigned status = 200;
+    std::string length; ///< Length that the answer claims; empty if it claims none.
 
     net::Awaitable<void> handle(net::ServerExchange &exchange) override
     {
@@ -27,6 +29,10 @@
             co_await exchange.readBody();
         }
         net::WholeAnswer answer = net::jsonAnswer(net::http::status::ok, "{}\n");
+        answer.head.result(status);
+        if (!length.empty()) {
+            answer.head.set(net::http::field::content_length, length);
+        }
         co_await exchange.answer(std::move(answer));
     }
     net::WholeAnswer refusal(base::ResultCode, const std::string &) override
@@ -155,6 +161,30 @@
     BOOST_TEST(answers.find("HTTP/1.1 200", 1) != std::string::npos);
 }
 
+// Guards against an answer whose end its caller can't find, because the library has no name for the status.
+BOOST_FIXTURE_TEST_CASE(answer_withAStatusThatIsNotRegistered_hasALength, OpenConnectionFixture)
+{
+    handler.status = 209;
+    send(requestText);
+    server.stop();
+    context.poll();
+    BOOST_TEST(readToEnd().value_or("reset").find("Content-Length: 3\r\n") != std::string::npos);
+}
+
+// Guards against a caller that waits for the bytes of a body that never come.
+BOOST_FIXTURE_TEST_CASE(answer_withAStatusThatHasNoBody_hasNoLength, OpenConnectionFixture)
+{
+    handler.status = 204;
+    handler.length = "4";
+    send(requestText);
+    server.stop();
+    context.poll();
+    const std::string answer = readToEnd().value_or("reset");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 204"));
+    BOOST_TEST(answer.find("Content-Length") == std::string::npos);
+    BOOST_TEST(answer.ends_with("\r\n\r\n"));
+}
+
 // Guards against a body that is read as the next request.
 BOOST_FIXTURE_TEST_CASE(answer_beforeReadingABody_closesTheConnection, OpenConnectionFixture)
 {
--- a/src/net/pipelinedconnection.cpp
+++ b/src/net/pipelinedconnection.cpp
@@ -187,10 +187,7 @@
         m_answered = true;
         http::response<http::string_body> response(std::move(answer.head), std::move(answer.body));
         prepareHead(response.base(), answer.close);
-        // The answer to a HEAD request keeps the length that the answer to a GET request would have.
-        if (mayHaveBody(response.result()) && head().method() != http::verb::head) {
-            response.content_length(response.body().size());
-        }
+        setLength(response, head().method() == http::verb::head);
         if (head().method() == http::verb::head) {
             http::response<http::empty_body> headOnly(std::move(response.base()));
             http::response_serializer<http::empty_body> serializer(headOnly);
--- a/src/net/requesthead.cpp
+++ b/src/net/requesthead.cpp
@@ -64,10 +64,4 @@
     return {isSafe, head.version() == 10 || !head.keep_alive()};
 }
 
-bool mayHaveBody(http::status status)
-{
-    const auto number = static_cast<unsigned>(status);
-    return number >= 200 && status != http::status::no_content && status != http::status::not_modified;
-}
-
 }
--- a/src/net/requesthead.h
+++ b/src/net/requesthead.h
@@ -30,7 +30,4 @@
 /// as unsafe, because that answer could not be sent before its turn.
 PipelinedRequest pipelinedRequestOf(const RequestParser &parser);
 
-/// Returns whether an answer with this status may have a body.
-bool mayHaveBody(boost::beast::http::status status);
-
 }
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -35,6 +35,11 @@
 /// Number of names of unknown announcements that are logged, so that no server can fill the log.
 constexpr std::size_t maxLoggedUnknownFields = 16;
 
+constexpr auto tooManyRequests = static_cast<unsigned>(net::http::status::too_many_requests);
+constexpr auto serviceUnavailable = static_cast<unsigned>(net::http::status::service_unavailable);
+constexpr auto gatewayTimeout = static_cast<unsigned>(net::http::status::gateway_timeout);
+constexpr unsigned firstServerError = 500;
+
 /// Lower bound of a mean run time, which limits the ratio of two run times if runs are very short.
 constexpr base::Duration minMeanRunTime = std::chrono::microseconds(1);
 
@@ -48,16 +53,16 @@
     return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(duration).count());
 }
 
-health::AttemptOutcome outcomeOfAnswer(AnswerKind verdict, net::http::status status)
+/// `status` is a number, since the library reports a status that is not registered as 0.
+health::AttemptOutcome outcomeOfAnswer(AnswerKind verdict, unsigned status)
 {
     if (verdict == AnswerKind::OtherServer) {
         return health::AttemptOutcome::CancelledByUs;
     }
-    if (verdict == AnswerKind::NotRun || status == net::http::status::service_unavailable
-        || status == net::http::status::too_many_requests) {
+    if (verdict == AnswerKind::NotRun || status == serviceUnavailable || status == tooManyRequests) {
         return health::AttemptOutcome::Shed;
     }
-    return static_cast<unsigned>(status) >= 500 ? health::AttemptOutcome::Error : health::AttemptOutcome::Success;
+    return status >= firstServerError ? health::AttemptOutcome::Error : health::AttemptOutcome::Success;
 }
 
 routing::AnnouncementSource::Kind sourceOf(AnswerKind kind)
@@ -1088,7 +1093,7 @@
         }
         answer.head = exchange.head();
         answer.body = std::move(activeAttempt->exchange->body());
-        const auto outcome = outcomeOf(*activeAttempt, exchange.head().result());
+        const auto outcome = outcomeOf(*activeAttempt, exchange.head().result_int());
         if (exchange.progress() == net::ExchangeProgress::Complete) {
             finishAttempt(*activeAttempt, outcome);
         } else {
@@ -1141,11 +1146,11 @@
     return answer;
 }
 
-health::AttemptOutcome ServingNode::outcomeOf(const ActiveAttempt &activeAttempt, net::http::status status)
+health::AttemptOutcome ServingNode::outcomeOf(const ActiveAttempt &activeAttempt, unsigned status)
 {
     const auto outcome = outcomeOfAnswer(activeAttempt.answerKind, status);
-    const bool reportsTimeout = status == net::http::status::gateway_timeout
-        && m_context.clock.now() + timeoutReportTolerance >= activeAttempt.deadline;
+    const bool reportsTimeout
+        = status == gatewayTimeout && m_context.clock.now() + timeoutReportTolerance >= activeAttempt.deadline;
     if (reportsTimeout) {
         return health::AttemptOutcome::Timeout;
     }
@@ -1162,7 +1167,8 @@
 ServedAnswer ServingNode::refusedByServer(const ActiveAttemptPtr &activeAttempt)
 {
     const bool otherServer = activeAttempt->answerKind == AnswerKind::OtherServer;
-    finishAttempt(*activeAttempt, outcomeOfAnswer(activeAttempt->answerKind, activeAttempt->exchange->head().result()));
+    finishAttempt(*activeAttempt,
+                  outcomeOfAnswer(activeAttempt->answerKind, activeAttempt->exchange->head().result_int()));
     return refusalOf(
         *activeAttempt, otherServer ? ResultCode::HopBackendServerReplaced : ResultCode::HopBackendServerShed, {});
 }
