Take an answer whose status is none for a broken answer

A backend server in trouble answered with the status 000. Callers of other systems got it as an answer. Here 600, 700 and 999 were passed on as answers, and 000, 001, 099 and 101 counted as interim answers, so that callers waited until their deadline and got 504, lookups too, though other servers were free.

Cause: HttpExchange took every number below 200 for an interim answer and every other number for a final one.

Now a number outside 100 to 599 (RFC 9110, 15), and 101, which no request asks for, ends the attempt at once as a broken answer (3027, AnswerStatusInvalid, 502 for the caller). It counts against its server, and what may run again goes to another server. The serving node logs the number. This holds for all readers of answers: attempts, hops, probes and calls of the platform.

--- a/src/include/papayastep/base/resultcode.h
+++ b/src/include/papayastep/base/resultcode.h
@@ -53,6 +53,7 @@
     X(3024, IdempotencyKeyInvalid, "the idempotency key is not valid") \
     X(3025, RetryBudgetSpent, "the retry budget is spent") \
     X(3026, AnswerTooLarge, "the answer of the backend server is too large") \
+    X(3027, AnswerStatusInvalid, "the answer of the backend server has no valid status") \
     X(4001, HopUnauthenticated, "the hop request is not authenticated") \
     X(4002, HopMalformed, "the hop request is malformed") \
     X(4003, HopRevisionBehind, "the entry node holds an older configuration") \
--- a/src/include/papayastep/net/httpclient.h
+++ b/src/include/papayastep/net/httpclient.h
@@ -18,7 +18,15 @@
 enum class ExchangeProgress { Connecting, Sending, Acknowledged, HeadReceived, Complete };
 
 /// Why an exchange ended without a complete answer.
-enum class ExchangeFailure { None, ConnectionRefused, ConnectTimeout, Broken, Cancelled, Malformed };
+enum class ExchangeFailure {
+    None,
+    ConnectionRefused,
+    ConnectTimeout,
+    Broken,
+    Cancelled,
+    Malformed,
+    InvalidStatus ///< The number in the place of the status is none; head() has the head in which it stands.
+};
 
 struct ClientRequest
 {
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "deadpeer.h"
 
 #include "papayastep/net/httpclient.h"
+#include "papayastep/net/httpstatus.h"
 #include "papayastep/net/task.h"
 
 #include <algorithm>
@@ -267,7 +268,14 @@
             fail(error);
             co_return false;
         }
-        if (m_parser->get().result_int() >= 200) {
+        const StatusKind kind = statusKind(m_parser->get().result_int());
+        if (kind == StatusKind::Invalid) {
+            m_head = m_parser->get().base();
+            m_failure = ExchangeFailure::InvalidStatus;
+            m_connection->stream().close();
+            co_return false;
+        }
+        if (kind == StatusKind::Final) {
             co_return true;
         }
         m_progress = ExchangeProgress::Acknowledged;
--- a/src/net/httpclient_test.cpp
+++ b/src/net/httpclient_test.cpp
@@ -144,6 +144,29 @@
     BOOST_TEST(call(1) == 1);
 }
 
+// Guards against an answer without a status that is passed on as an answer, or taken for an interim one so that the
+// caller waits for another.
+BOOST_AUTO_TEST_CASE(exchange_answerWhoseStatusIsNone_failsAtOnce)
+{
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+        ExchangeFixture fixture;
+        fixture.answer("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nok");
+        BOOST_TEST_CONTEXT("status " << status)
+        {
+            BOOST_TEST(fixture.ended);
+            BOOST_TEST((fixture.exchange.failure() == net::ExchangeFailure::InvalidStatus));
+            BOOST_TEST(fixture.exchange.head().result_int() == std::stoul(status));
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(exchange_answerWhoseStatusIsNotRegistered_isComplete, ExchangeFixture)
+{
+    answer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 520 Odd\r\nContent-Length: 2\r\n\r\nok");
+    BOOST_TEST((exchange.progress() == net::ExchangeProgress::Complete));
+    BOOST_TEST(exchange.body() == "ok");
+}
+
 // A faulty backend server sends a trailer field after its answer that is longer than Beast can count, and Beast throws.
 // Guards against an exception that ends the node, and with it the requests of all its callers.
 BOOST_FIXTURE_TEST_CASE(exchange_trailerLongerThanTheLibrarySupports_fails, ExchangeFixture)
--- a/src/node/refusals.cpp
+++ b/src/node/refusals.cpp
@@ -76,6 +76,7 @@
     case ResultCode::IdempotencyKeyReused:
         return status::unprocessable_entity;
     case ResultCode::AnswerIncomplete:
+    case ResultCode::AnswerStatusInvalid:
     case ResultCode::AnswerTooLarge:
         return status::bad_gateway;
     case ResultCode::DeadlineExceeded:
--- a/src/node/servingnode.cpp
+++ b/src/node/servingnode.cpp
@@ -1109,6 +1109,9 @@
     const bool neverSent = exchange.progress() == net::ExchangeProgress::Connecting;
     auto outcome = neverSent ? health::AttemptOutcome::ConnectionRefused : health::AttemptOutcome::Partial;
     auto code = neverSent ? ResultCode::HopBackendServerRefused : ResultCode::AnswerIncomplete;
+    if (exchange.failure() == net::ExchangeFailure::InvalidStatus) {
+        code = ResultCode::AnswerStatusInvalid;
+    }
     if (activeAttempt->timedOut) {
         outcome = health::AttemptOutcome::Timeout;
         code = ResultCode::DeadlineExceeded;
@@ -1141,6 +1144,7 @@
                                        << base::field("request", activeAttempt->hop.logId())
                                        << base::field("server", activeAttempt->hop.server)
                                        << base::field("code", number(code))
+                                       << base::field("status", exchange.head().result_int())
                                        << base::field("serverEnded", activeAttempt->serverEnded)
                                        << base::field("runningBeside", m_attempts.size());
     return answer;
--- a/src/routing/retrypolicy.cpp
+++ b/src/routing/retrypolicy.cpp
@@ -54,6 +54,16 @@
     return !(result.event == AttemptEvent::RefusedNotRun && byServer);
 }
 
+/// Returns the code for the caller of an attempt that failed and may have run.
+ResultCode unknownOutcomeCode(const AttemptResult &result)
+{
+    if (result.event != AttemptEvent::Partial) {
+        return ResultCode::OutcomeUnknown;
+    }
+    const bool isInvalid = result.code == ResultCode::AnswerStatusInvalid;
+    return isInvalid ? ResultCode::AnswerStatusInvalid : ResultCode::AnswerIncomplete;
+}
+
 RetryDecision decisionOf(RetryAction action, std::string_view reason)
 {
     return RetryDecision{action, false, {}, reason};
@@ -233,9 +243,7 @@
         return decisionOf(RetryAction::AnswerCaller,
                           progress.idempotent ? noAttemptLeft : "The request may not run twice.");
     }
-    const bool partial = result.event == AttemptEvent::Partial;
-    const ResultCode code = partial ? ResultCode::AnswerIncomplete : ResultCode::OutcomeUnknown;
-    return refuse(progress, code, result.retryAfter, "The attempt may have run.");
+    return refuse(progress, unknownOutcomeCode(result), result.retryAfter, "The attempt may have run.");
 }
 
 RetryDecision RetryPolicy::refuse(const RequestProgress &progress,
