Read the caller's id of a request before refusing it

A caller that tells answers apart by their id drops it.

Cause: EntryRequest::prepare refused the request before it read the caller's data. It reads them first now.

--- a/src/node/entryrequest.cpp
+++ b/src/node/entryrequest.cpp
@@ -132,12 +132,13 @@
 
 net::Awaitable<EntryRequest::Step> EntryRequest::prepare()
 {
-    if (m_context.draining) {
-        co_return notRunRefusal(ResultCode::NodeDraining);
-    }
     Step refused;
     try {
+        // Comes first, because each answer must have the caller's own id of the request.
         m_caller = m_context.callers().read(m_exchange.head());
+        if (m_context.draining) {
+            co_return notRunRefusal(ResultCode::NodeDraining);
+        }
         m_isCall = mayBeCall();
         m_isCallOfRepeat = m_isCall && drawIsCallOfRepeat();
         refused = identify();
--- a/testsuite/operators-platform/run.py
+++ b/testsuite/operators-platform/run.py
@@ -1,10 +1,13 @@
 #!/usr/bin/env python3
 """Two nodes on the operators' platform, with stand-ins for its store and for the backend server beside each node."""
 import functools
+import http.client
+import socket
 import unittest
 
 from lab.platformcase import ADDRESSES, KEY, OperatorsPlatformCase
 from lab.platformstandins import configuration
+from lab.ports import CALLER
 from lab.processes import wait_until
 
 
@@ -97,6 +100,26 @@
             ran = sum(len(server.requests) for server in self.servers) - before
             self.assertIn((status, ran), [(200, 1), (503, 0)])
 
+    def accepts(self, address):
+        try:
+            socket.create_connection((address, self.ports.port(CALLER)), timeout=5).close()
+            return True
+        except ConnectionRefusedError:
+            return False
+
+    # Guards against a refusal that its caller drops because it has the id of another request.
+    def test_requestCompletedAfterAPlannedStop_isRefusedWithItsOwnId(self):
+        head = f"GET /lookups/7 HTTP/1.1\r\nHost: shop.example\r\nApi-Key: {KEY}\r\nRequest-Id: own-id\r\n\r\n".encode()
+        with socket.create_connection((ADDRESSES[0], self.ports.port(CALLER)), timeout=20) as caller:
+            caller.sendall(head[:30])
+            self.assertTrue(self.is_ready(ADDRESSES[0]))  # The node has read the first part before this request.
+            self.nodes[0].terminate()
+            wait_until(lambda: not self.accepts(ADDRESSES[0]), 20, "the node to take no more connections")
+            caller.sendall(head[30:])
+            answer = http.client.HTTPResponse(caller)
+            answer.begin()
+            self.assertEqual((answer.status, answer.getheader("Request-Id")), (503, "own-id"))
+
     def test_plannedStop_endsTheNode(self):
         self.nodes[0].terminate()
         self.assertEqual(self.nodes[0].wait(10), 0)
