Explain the terms of HomeAgreement, share the window count of the tests

A newcomer's reading of the change: a claim and its denial are explained where the class is declared, the check for yielding costs nothing while lists agree, and the two fleets of the tests count their windows by one function.

--- a/src/include/papayastep/limits/homeagreement.h
+++ b/src/include/papayastep/limits/homeagreement.h
@@ -22,8 +22,8 @@
 /// Records which nodes take this node for the home of a workspace's pool.
 ///
 /// Each node chooses the homes by its own VM list. Lists differ while a change is on its way, and for longer if a node
-/// cannot read the directory. A node with the same list accepts the same homes. One with another list is asked, and
-/// this node claims a pool only on behalf of those that have not denied it: for the others another home gives tokens.
+/// cannot read the directory. A node with the same list takes the same homes. A node with another list is asked, which
+/// is a claim, and denies it if it takes another node for the home: that one gives tokens for it. Not thread-safe.
 class HomeAgreement
 {
 public:
--- a/src/include/papayastep/limits/pooledlimiter.h
+++ b/src/include/papayastep/limits/pooledlimiter.h
@@ -73,9 +73,9 @@
 /// node in the hash order acts as stand-in, or the entry admits locally. So that no token is given twice, each entry
 /// accounts for an equal part of the rate. A stand-in gives out the parts of the entries that ask it, an entry that
 /// admits locally its own part, and the home withholds the parts of the nodes that do not answer its probes or that
-/// have another VM list by which another node is the home. Tokens
-/// that were given elsewhere before the home detected the failure are reported by the entry and charged to the pool as
-/// debt. docs/design/limits.md contains the calculation.
+/// have another VM list by which another node is the home. Tokens that were given elsewhere before the home detected
+/// the failure are reported by the entry and charged to the pool as debt. docs/design/limits.md contains the
+/// calculation.
 class PooledLimiter final : public RateLimiter
 {
 public:
--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -466,6 +466,9 @@
 /// Whether this node is the home by its own list, but most nodes name another one.
 bool PooledLimiter::hasYielded(const base::WorkspaceId &workspace) const
 {
+    if (m_agreement.differing() == 0) {
+        return false;
+    }
     const std::vector<base::VmId> &homes = homesOf(workspace);
     return homes.size() > 1 && homes[1] == m_self.vm && m_agreement.namedHome(workspace, m_vms.size()) == homes[0];
 }
@@ -582,7 +585,7 @@
 void PooledLimiter::recordClaimAnswer(const base::VmId &from, const ClaimAnswer &answer)
 {
     const bool hadYielded = hasYielded(answer.workspace);
-    if (answer.home == m_self.vm) {
+    if (answer.home == m_self.vm || answer.home.empty()) {
         m_agreement.recordAccepted(from, answer.workspace);
     } else {
         m_agreement.recordDenied(from, answer.workspace, answer.home);
--- a/src/limits/pooledlimiter_test.cpp
+++ b/src/limits/pooledlimiter_test.cpp
@@ -1,5 +1,6 @@
 #include "papayastep/base/hashing.h"
 #include "papayastep/limits/pooledlimiter.h"
+#include "papayastep/testing/maxinwindow.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -173,14 +174,7 @@
     }
     int maxAdmittedInFiveSeconds() const
     {
-        std::size_t maximum = 0;
-        for (std::size_t first = 0, last = 0; last < admitted.size(); ++last) {
-            while (admitted[last] - admitted[first] > 5s) {
-                ++first;
-            }
-            maximum = std::max(maximum, last - first + 1);
-        }
-        return static_cast<int>(maximum);
+        return testing::maxInWindow(admitted, 5s);
     }
     std::vector<int> homes() const
     {
--- a/src/node/poolhomes_test.cpp
+++ b/src/node/poolhomes_test.cpp
@@ -1,6 +1,7 @@
 #include "papayastep/base/hashing.h"
 #include "papayastep/limits/pooledlimiter.h"
 #include "papayastep/membership/vmlistbuilder.h"
+#include "papayastep/testing/maxinwindow.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -154,14 +155,7 @@
     }
     int maxAdmittedInFiveSeconds() const
     {
-        std::size_t maximum = 0;
-        for (std::size_t first = 0, last = 0; last < admitted.size(); ++last) {
-            while (admitted[last] - admitted[first] > 5s) {
-                ++first;
-            }
-            maximum = std::max(maximum, last - first + 1);
-        }
-        return static_cast<int>(maximum);
+        return testing::maxInWindow(admitted, 5s);
     }
     /// The nodes in descending order of their weights for the workspace.
     std::vector<int> ranking() const
