Revert the faster probes while demand exceeds a pool

Suspected, not traced: in an overload nodes answer later than 0.25 s, so homes withhold their parts, and refuse what is allowed.

--- a/src/include/papayastep/limits/pooledlimiter.h
+++ b/src/include/papayastep/limits/pooledlimiter.h
@@ -44,10 +44,6 @@
     /// Time after which a home probes a node from which it has received nothing. If the node does not answer within the
     /// same time again, the home withholds its part of the rate.
     base::Duration probeInterval = std::chrono::milliseconds(600);
-    /// The same while demand exceeds a pool of this home. Only then can a stand-in give more than the pool would have.
-    base::Duration scarceProbeInterval = std::chrono::milliseconds(250);
-    /// Time for which demand counts as exceeding a pool after a request took it well below its burst.
-    base::Duration scarcityMemory = std::chrono::seconds(1);
 
     /// Tokens that an entry did not get from the home are charged to the pool of the home for one to two times this
     /// time. Older ones need no charge: the pool, which fills only up to its burst, would not hold them any more.
@@ -202,7 +198,6 @@
     bool higherRankedVmRemoved(const base::WorkspaceId &workspace, base::TimePoint since) const;
     bool homeFellSilent(const base::WorkspaceId &workspace, base::TimePoint since) const;
     base::Duration askerRetention(const config::Workspace &workspace) const;
-    base::Duration probeInterval() const;
     bool hasPart(const base::VmId &vm) const;
     bool isSilent(const base::VmId &vm) const;
     std::size_t deniedParts(const base::WorkspaceId &workspace) const;
@@ -267,7 +262,6 @@
     HomeAgreement m_agreement; ///< Which of `m_vms` take this node for a home although their lists differ.
     std::size_t m_lastProbedIndex = 0; ///< Index in `m_vms` of the node that was considered last.
     base::TimePoint m_lastProbeRoundAt; ///< Time at which nodes were last probed.
-    base::TimePoint m_scarceUntil; ///< Time until which demand counts as exceeding a pool of this home.
     std::map<base::VmId, base::TimePoint> m_removedAt; ///< Times at which VMs were removed from the list.
     std::map<base::VmId, PoolAsk> m_outgoingAsks; ///< Asks to send with the next takeMessages().
     /// Answers to send with the next takeMessages().
--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -39,9 +39,6 @@
 /// Time for which a home counts as having just started to give tokens. Changes of the list reach most nodes within it.
 constexpr base::Duration startTime = std::chrono::seconds(1);
 
-/// Level of a pool, as a fraction of the burst, below which demand counts as exceeding the rate.
-constexpr double scarceLevel = 0.9;
-
 /// Interval between updates of the rate fraction of a pool. An update iterates over all askers.
 constexpr base::Duration reviewInterval = std::chrono::milliseconds(100);
 
@@ -415,15 +412,10 @@
     return std::binary_search(m_vms.begin(), m_vms.end(), vm);
 }
 
-base::Duration PooledLimiter::probeInterval() const
-{
-    return m_clock.now() < m_scarceUntil ? m_settings.scarceProbeInterval : m_settings.probeInterval;
-}
-
 bool PooledLimiter::isSilent(const base::VmId &vm) const
 {
     const auto probe = m_probes.find(vm);
-    return probe != m_probes.end() && m_clock.now() - probe->second.firstSentAt >= probeInterval();
+    return probe != m_probes.end() && m_clock.now() - probe->second.firstSentAt >= m_settings.probeInterval;
 }
 
 /// Returns the number of nodes that answer probes but take another node for the home.
@@ -548,7 +540,7 @@
 {
     std::vector<base::WorkspaceId> claims;
     for (const auto &[workspace, pool] : m_pools) {
-        const bool isRecent = m_clock.now() - pool.bucket.updatedAt <= probeInterval();
+        const bool isRecent = m_clock.now() - pool.bucket.updatedAt <= m_settings.probeInterval;
         if (pool.isHome && isRecent && claims.size() < maxClaimsPerProbe) {
             claims.push_back(workspace);
         }
@@ -593,11 +585,10 @@
     }
     m_homes.erase(answer.workspace);
     if (!hadYielded && hasYielded(answer.workspace)) {
-        PAPAYASTEP_LOG(INFO, logPrefix) << "Most nodes take another node for the home of a workspace; asking that one."
-                                        << base::field("workspace", answer.workspace)
-                                        << base::field("homeVm", answer.home)
-                                        << base::field("listVersion", m_listVersion)
-                                        << base::field("members", m_members);
+        PAPAYASTEP_LOG(INFO, logPrefix)
+            << "Most nodes take another node for the home of a workspace; asking that one."
+            << base::field("workspace", answer.workspace) << base::field("homeVm", answer.home)
+            << base::field("listVersion", m_listVersion) << base::field("members", m_members);
     }
 }
 
@@ -627,15 +618,15 @@
         m_lastProbedIndex = (m_lastProbedIndex + 1) % m_vms.size();
         const base::VmId &vm = m_vms[m_lastProbedIndex];
         const auto heard = m_lastReceivedAt.find(vm);
-        const bool heardLately = heard != m_lastReceivedAt.end() && now - heard->second < probeInterval();
+        const bool heardLately = heard != m_lastReceivedAt.end() && now - heard->second < m_settings.probeInterval;
         if (vm == m_self.vm || heardLately) {
             continue;
         }
         const auto [place, isNew] = m_probes.try_emplace(vm, Probe{now, now});
-        if (!isNew && now - place->second.lastSentAt < probeInterval()) {
+        if (!isNew && now - place->second.lastSentAt < m_settings.probeInterval) {
             continue;
         }
-        if (now - place->second.lastSentAt > 2 * probeInterval()) {
+        if (now - place->second.lastSentAt > 2 * m_settings.probeInterval) {
             place->second.firstSentAt = now; // Probing was interrupted, so the old probe is no evidence.
         }
         place->second.lastSentAt = now;
@@ -718,9 +709,6 @@
     const bool isHalfFull = pool.bucket.level > workspace.burst / 2;
     const std::uint32_t granted = std::min(whole, isHalfFull ? std::max(urgent, wanted) : urgent);
     pool.bucket.level -= granted;
-    if (pool.isHome && pool.bucket.level < scarceLevel * workspace.burst) {
-        m_scarceUntil = m_clock.now() + m_settings.scarcityMemory;
-    }
     tallyOf(workspace.id).granted += static_cast<int>(granted);
     m_counters.grantsMade += granted > 0 ? 1 : 0;
     m_counters.tokensGranted += granted;
