--- a/src/limits/pooledlimiter.cpp
+++ b/src/limits/pooledlimiter.cpp
@@ -585,10 +585,11 @@
     }
     m_homes.erase(answer.workspace);
     if (!hadYielded && hasYielded(answer.workspace)) {
-        PAPAYASTEP_LOG(INFO, logPrefix)
-            << "Most nodes take another node for the home of a workspace; asking that one."
-            << base::field("workspace", answer.workspace) << base::field("homeVm", answer.home)
-            << base::field("listVersion", m_listVersion) << base::field("members", m_members);
+        PAPAYASTEP_LOG(INFO, logPrefix) << "Most nodes take another node for the home of a workspace; asking that one."
+                                        << base::field("workspace", answer.workspace)
+                                        << base::field("homeVm", answer.home)
+                                        << base::field("listVersion", m_listVersion)
+                                        << base::field("members", m_members);
     }
 }
 
