Tell an answer without a length that is reset during an upload from a whole one

A backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. Callers got the part as the whole answer, at the server's node and over a hop alike; so with a 500, with an empty part and with 400,000 bytes that were already being forwarded. The server counted as sound.

Cause: the kernel reports a reset, or a timeout of the connection, once, to the first call on the socket. During an upload that is the call that sends. The read then returns 0, as after an orderly end (strace: sendmsg fails, the next recvmsg returns 0), and such an answer ends with its connection.

HttpExchange now asks how sending has ended before it takes such an answer for complete. An error makes it a broken answer: 3014, 502, another server where the request may run again, and evidence against the server. A broken pipe is no such error, since the kernel reports it for a reset behind an orderly end; an early answer that ends in order stays whole (RFC 9112, 8). All readers of answers in the node use this class: attempts, hops, probes, calls of the platform.

--- a/scripts/lab/platformstandins.py
+++ b/scripts/lab/platformstandins.py
@@ -104,6 +104,7 @@
         # Answers a request in the place of the server, and returns whether the connection stays open. It is called with
         # the handler of the connection and the id of the request.
         self.trouble = None
+        self.reads_bodies = True  # Whether the body of a request is read before it is answered.
         backend = self
 
         class Handler(_Handler):
@@ -117,7 +118,7 @@
 
             def answer(self):
                 length = int(self.headers.get("Content-Length", 0))
-                body = self.rfile.read(length)
+                body = self.rfile.read(length) if backend.reads_bodies else b""
                 if backend.trouble:
                     self.close_connection = not backend.trouble(self, self.headers.get("Request-Id", ""))
                     return
--- a/src/include/papayastep/net/httpclient.h
+++ b/src/include/papayastep/net/httpclient.h
@@ -80,6 +80,7 @@
     Awaitable<bool> readAnyHead(bool isHead);
     Awaitable<bool> discardBody();
     Awaitable<std::string> readBytes();
+    Awaitable<bool> hasEndedInOrder();
     Awaitable<void> readBufferedBody(std::size_t bufferBytes);
     bool mayReuse() const;
     void fail(const beast::error_code &error);
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <limits>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace papayastep::net {
@@ -29,6 +30,13 @@
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Returns whether the connection has ended in both directions. An orderly end of the peer's side alone ends only one.
+bool hasHungUp(tcp::socket &socket)
+{
+    pollfd state{socket.native_handle(), 0, 0};
+    return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLHUP | POLLERR)) != 0;
+}
+
 /// The value of the `timeout=` parameter of a Keep-Alive field, if it has one.
 std::optional<base::Duration> keepAliveTimeout(const ResponseHead &head)
 {
@@ -72,11 +80,17 @@
 /// A request that is being sent. It is shared, since the coroutine that sends it may outlive the exchange.
 struct HttpExchange::Sending
 {
+    explicit Sending(asio::io_context &context)
+        : ended(context, asio::steady_timer::time_point::max())
+    {
+    }
+
     std::shared_ptr<ClientConnection> connection;
     SharedBody body; ///< Owns the bytes to which `message` refers.
     http::request<http::span_body<const char>> message;
     bool finished = false;
-    bool failed = false;
+    beast::error_code error; ///< Why sending failed, after `finished`.
+    asio::steady_timer ended; ///< Its waits end when `finished` is set.
 };
 
 HttpExchange::HttpExchange(asio::io_context &context, HttpPool &pool, const Endpoint &endpoint)
@@ -176,9 +190,29 @@
         co_return std::string();
     }
     part.resize(part.size() - body.size);
+    if (m_parser->is_done() && m_parser->need_eof()) {
+        const bool isWhole = co_await hasEndedInOrder();
+        if (!isWhole) {
+            fail(asio::error::connection_reset);
+            co_return std::string();
+        }
+    }
     co_return part;
 }
 
+/// Returns whether the connection, whose end has been read, was closed in order by the server. The kernel reports a
+/// reset or a timeout of a connection once, to the first call on it. If that call sends the request, a read returns the
+/// same as after an orderly end.
+Awaitable<bool> HttpExchange::hasEndedInOrder()
+{
+    if (!m_sending->finished && hasHungUp(m_connection->stream().socket())) {
+        beast::error_code ignored;
+        co_await m_sending->ended.async_wait(into(ignored));
+    }
+    // The kernel reports a broken pipe if the reset arrived behind an orderly end, so the answer is whole.
+    co_return !m_sending->error || m_sending->error == asio::error::broken_pipe;
+}
+
 Awaitable<bool> HttpExchange::connect(bool &reused)
 {
     m_connection = m_pool.take(m_endpoint);
@@ -213,7 +247,7 @@
 void HttpExchange::beginSending(ClientRequest request)
 {
     m_progress = ExchangeProgress::Sending;
-    m_sending = std::make_shared<Sending>();
+    m_sending = std::make_shared<Sending>(m_context);
     m_sending->connection = m_connection;
     auto &message = m_sending->message;
     m_sending->body = std::move(request.body);
@@ -226,11 +260,10 @@
         message.content_length(body.size());
     }
     auto send = [sending = m_sending]() -> Awaitable<void> {
-        beast::error_code error;
-        co_await http::async_write(sending->connection->stream(), sending->message, into(error));
+        co_await http::async_write(sending->connection->stream(), sending->message, into(sending->error));
         sending->finished = true;
-        sending->failed = static_cast<bool>(error);
         sending->connection.reset();
+        sending->ended.cancel();
     };
     spawnTask(m_context, "send", std::move(send));
 }
@@ -337,7 +370,7 @@
 /// the request was sent to its end, and no answer to another request arrived on the connection.
 bool HttpExchange::mayReuse() const
 {
-    return m_parser->keep_alive() && !m_cancelled && !m_foreignAnswer && m_sending->finished && !m_sending->failed;
+    return m_parser->keep_alive() && !m_cancelled && !m_foreignAnswer && m_sending->finished && !m_sending->error;
 }
 
 HttpPool::HttpPool(asio::io_context &context, const base::Clock &clock, Limits limits)
--- a/src/net/httpclient_test.cpp
+++ b/src/net/httpclient_test.cpp
@@ -14,11 +14,12 @@
 /// An exchange with a server that answers with the bytes that a test gives.
 struct ExchangeFixture
 {
-    ExchangeFixture()
+    explicit ExchangeFixture(std::size_t uploadBytes = 0)
     {
         net::ClientRequest request;
-        request.head.method(net::http::verb::get);
+        request.head.method(uploadBytes > 0 ? net::http::verb::post : net::http::verb::get);
         request.head.target("/");
+        request.body = net::SharedBody(std::string(uploadBytes, 'x'));
         net::spawnTask(context, "exchange", [this, request]() -> net::Awaitable<void> {
             constexpr std::size_t bufferBytes = 1024;
             co_await exchange.run(request, bufferBytes);
@@ -39,6 +40,27 @@
         }
     }
 
+    /// Closes the connection of the server with a reset.
+    void reset()
+    {
+        server.set_option(net::asio::socket_base::linger(true, 0));
+        server.close();
+    }
+
+    void waitForEnd()
+    {
+        const auto until = clock.now() + std::chrono::seconds(20);
+        while (!ended && clock.now() < until) {
+            context.run_one_for(std::chrono::milliseconds(10));
+        }
+        BOOST_REQUIRE(ended);
+    }
+
+    bool isComplete() const
+    {
+        return exchange.progress() == net::ExchangeProgress::Complete;
+    }
+
     const base::SystemClock clock;
     net::asio::io_context context{1};
     net::asio::io_context serverContext;
@@ -49,6 +71,21 @@
     bool ended = false;
 };
 
+/// An exchange whose request is longer than the buffers of its connection, with a server that does not read.
+struct UploadFixture : ExchangeFixture
+{
+    UploadFixture()
+        : ExchangeFixture(64 * 1024 * 1024)
+    {
+    }
+
+    /// Sends `bytes` without letting the exchange read them.
+    void send(std::string_view bytes)
+    {
+        net::asio::write(server, net::asio::buffer(bytes.data(), bytes.size()));
+    }
+};
+
 /// Timeouts of a call that is expected to be answered, and of one that is expected to be lost.
 constexpr base::Duration answeredTimeout = std::chrono::seconds(20);
 constexpr base::Duration lostTimeout = std::chrono::milliseconds(100);
@@ -167,6 +204,67 @@
     BOOST_TEST(exchange.body() == "ok");
 }
 
+// Guards against a part of an answer that is passed on as the whole answer: the reset is reported to the send, and the
+// read sees no more than an end of the connection.
+BOOST_AUTO_TEST_CASE(exchange_answerWithoutALengthThatIsResetDuringAnUpload_isIncomplete)
+{
+    for (const char *bytes : {"HTTP/1.1 200 OK\r\n\r\n",
+                              "HTTP/1.1 200 OK\r\n\r\npart",
+                              "HTTP/1.1 500 Failed\r\n\r\npart",
+                              "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+                              "HTTP/1.0 200 OK\r\n\r\npart"}) {
+        UploadFixture fixture;
+        fixture.send(bytes);
+        fixture.reset();
+        fixture.waitForEnd();
+        BOOST_TEST_CONTEXT(bytes)
+        {
+            BOOST_TEST(!fixture.isComplete());
+            BOOST_TEST((fixture.exchange.failure() == net::ExchangeFailure::Broken));
+        }
+    }
+}
+
+// Guards against the same fault when the head and a part of the body have been read before the reset.
+BOOST_FIXTURE_TEST_CASE(exchange_answerWithoutALengthThatIsResetAfterAPart_isIncomplete, UploadFixture)
+{
+    answer("HTTP/1.1 200 OK\r\n\r\npart");
+    reset();
+    waitForEnd();
+    BOOST_TEST(!isComplete());
+    BOOST_TEST((exchange.failure() == net::ExchangeFailure::Broken));
+}
+
+BOOST_FIXTURE_TEST_CASE(exchange_answerWithoutALengthThatIsResetWithoutAnUpload_isIncomplete, ExchangeFixture)
+{
+    answer("HTTP/1.1 200 OK\r\n\r\npart");
+    reset();
+    waitForEnd();
+    BOOST_TEST(!isComplete());
+}
+
+// Guards against an early answer, such as a 413, that is lost because the server does not read the rest of the upload.
+BOOST_FIXTURE_TEST_CASE(exchange_answerWithoutALengthThatEndsInOrderDuringAnUpload_isComplete, UploadFixture)
+{
+    answer("HTTP/1.1 413 Too Large\r\n\r\nwhole");
+    server.shutdown(net::tcp::socket::shutdown_send);
+    waitForEnd();
+    BOOST_TEST(isComplete());
+    BOOST_TEST(exchange.body() == "whole");
+}
+
+// Guards against the loss of an early answer whose server resets the connection behind its end, as it does when more of
+// the upload arrives.
+BOOST_FIXTURE_TEST_CASE(exchange_answerWithoutALengthThatIsResetAfterItsEnd_isComplete, UploadFixture)
+{
+    send("HTTP/1.1 413 Too Large\r\n\r\nwhole");
+    server.shutdown(net::tcp::socket::shutdown_send);
+    reset();
+    waitForEnd();
+    BOOST_TEST(isComplete());
+    BOOST_TEST(exchange.body() == "whole");
+}
+
 // A faulty backend server sends a trailer field after its answer that is longer than Beast can count, and Beast throws.
 // Guards against an exception that ends the node, and with it the requests of all its callers.
 BOOST_FIXTURE_TEST_CASE(exchange_trailerLongerThanTheLibrarySupports_fails, ExchangeFixture)
