Test answers without a status for each reader, and field names that are none

New are the case behind an interim answer and the one of a call to the platform. Both fail if statusKind takes such a number for a final status (trial: 000, 001, 099, 600 and 999).

A field name with a blank, a tab, a control byte, a high byte, a separator or nothing, a blank or a control byte before the colon, a line without a colon: 16 of 16 lines end the exchange as malformed, in the head, in an interim answer and in a trailer alike, and the node answers 502 (3014).

--- a/src/net/httpclient_test.cpp
+++ b/src/net/httpclient_test.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+
 using namespace papayastep;
 
 namespace {
@@ -119,7 +121,8 @@
             if (error) {
                 co_return;
             }
-            net::http::response<net::http::empty_body> response(net::http::status::ok, 11);
+            net::http::response<net::http::empty_body> response;
+            response.result(answeredStatus);
             response.content_length(0);
             if (generation == connectionGeneration) {
                 co_await net::http::async_write(*socket, response, net::into(error));
@@ -160,6 +163,7 @@
     }
 
     base::Duration timeout = answeredTimeout; ///< Of each call.
+    unsigned answeredStatus = 200;
     const base::SystemClock clock;
     net::asio::io_context context{1};
     net::tcp::acceptor acceptor{context, {net::asio::ip::make_address("127.0.0.1"), 0}};
@@ -197,6 +201,25 @@
     }
 }
 
+// Guards against an answer without a status that passes because an interim answer came before it.
+BOOST_FIXTURE_TEST_CASE(exchange_answerWhoseStatusIsNoneAfterAnInterimOne_failsAtOnce, ExchangeFixture)
+{
+    answer("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok");
+    BOOST_TEST(ended);
+    BOOST_TEST((exchange.failure() == net::ExchangeFailure::InvalidStatus));
+}
+
+// Guards against an answer without a status that the platform's client takes for an answer of the platform.
+BOOST_FIXTURE_TEST_CASE(call_answerWhoseStatusIsNone_fails, SilentConnectionsFixture)
+{
+    for (const unsigned status : {0U, 1U, 99U, 600U, 999U}) {
+        answeredStatus = status;
+        BOOST_TEST(call(1) == 0, "status " << status);
+    }
+    answeredStatus = 200;
+    BOOST_TEST(call(1) == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(exchange_answerWhoseStatusIsNotRegistered_isComplete, ExchangeFixture)
 {
     answer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 520 Odd\r\nContent-Length: 2\r\n\r\nok");
@@ -265,6 +288,45 @@
     BOOST_TEST(exchange.body() == "whole");
 }
 
+// Guards against a line that is passed on as a field although its name is none, and against a body that ends elsewhere
+// than the server's, because a field that frames it is not recognized.
+BOOST_AUTO_TEST_CASE(exchange_answerWithAnInvalidFieldName_isMalformed)
+{
+    using namespace std::string_literals;
+    for (const std::string &line : {"Odd Name: x"s,
+                                    "Odd\tName: x"s,
+                                    "Odd\0Name: x"s,
+                                    "Odd\x01Name: x"s,
+                                    "Odd\x1bName: x"s,
+                                    "Odd\x7fName: x"s,
+                                    "Odd\x80Name: x"s,
+                                    "Odd(Name): x"s,
+                                    " Odd: x"s,
+                                    ": x"s,
+                                    "Odd"s,
+                                    "Content-Length : 1"s,
+                                    "Content-Length\t: 1"s,
+                                    "Content-Length\x0b: 1"s,
+                                    "Transfer-Encoding : chunked"s,
+                                    "Transfer-Encoding\0: chunked"s}) {
+        const std::array<std::string, 3> answers{
+            "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok",
+            "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line + "\r\n\r\n",
+        };
+        for (const std::string &bytes : answers) {
+            ExchangeFixture fixture;
+            fixture.answer(bytes);
+            BOOST_TEST_CONTEXT(bytes)
+            {
+                BOOST_TEST(fixture.ended);
+                BOOST_TEST(!fixture.isComplete());
+                BOOST_TEST((fixture.exchange.failure() == net::ExchangeFailure::Malformed));
+            }
+        }
+    }
+}
+
 // A faulty backend server sends a trailer field after its answer that is longer than Beast can count, and Beast throws.
 // Guards against an exception that ends the node, and with it the requests of all its callers.
 BOOST_FIXTURE_TEST_CASE(exchange_trailerLongerThanTheLibrarySupports_fails, ExchangeFixture)
--- a/testsuite/broken-answers/run.py
+++ b/testsuite/broken-answers/run.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Backend servers break their answers: they reset the connection while a long upload is being written to them."""
+"""Backend servers break their answers: they reset the connection during a long upload, or send fields without a valid name."""
 import fcntl
 import http.client
 import json
@@ -128,5 +128,42 @@
     entry = ADDRESSES[1]
 
 
+class InvalidFieldNamesTest(OperatorsPlatformCase):
+    def check_broken(self, line):
+        """Lets each server add `line` to the heads of its answers."""
+        answered = []
+
+        def trouble(handler, request_id):
+            if handler.path == "/health":
+                handler.send(200)
+                return True
+            answered.append(request_id)
+            head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nResponse-Stamp: proof\r\n".encode() + line
+            handler.connection.sendall(head + b"\r\nContent-Length: 6\r\n\r\ncrates")
+            return True
+
+        for server in self.servers:
+            server.trouble = trouble
+        status, _, body = self.refund()
+        self.assertEqual(answered, ["r1"])
+        self.assertEqual(status, 502)
+        self.assertEqual(json.loads(body)["code"], ANSWER_INCOMPLETE)
+        for address in ADDRESSES:
+            self.assertIn(self.call(address, "GET", "/lookups/7", Api_Key=KEY)[0], (502, 503))
+
+    # Each case guards against a line that is passed on as a field, or a body that is not the server's.
+    def test_nameWithABlank_isABrokenAnswer(self):
+        self.check_broken(b"Odd Name: x")
+
+    def test_nameWithAControlByte_isABrokenAnswer(self):
+        self.check_broken(b"Odd\x01Name: x")
+
+    def test_blankBehindTheNameOfALength_isABrokenAnswer(self):
+        self.check_broken(b"Content-Length : 2")
+
+    def test_controlByteBehindTheNameOfACoding_isABrokenAnswer(self):
+        self.check_broken(b"Transfer-Encoding\x0b: chunked")
+
+
 if __name__ == "__main__":
     unittest.main()
