Take an answer in another transfer coding than chunks for a broken one

A backend server that answered with Transfer-Encoding: squash, or chunked, chunked, had its encoded bytes passed on as the body, and no field that names the coding, since Transfer-Encoding applies to one connection only. The caller got a body that was not the server's.

Cause: the library decodes answers whose last coding is chunked and reads each other one as it is. checkHead refuses other codings of requests; nothing did so for answers.

HttpExchange now ends such an answer as malformed: 3014, 502, or another server if the request may run again. No node sends a TE field, so no server may use another coding (RFC 9112, 6.1 and 7.4). Requests and answers share the check.

An answer in chunks stays complete (exchange_answerInChunks_isComplete).

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -313,7 +313,11 @@
             co_return false;
         }
         if (kind == StatusKind::Final) {
-            co_return true;
+            const bool isReadable = hasNoCodingButChunks(m_parser->get());
+            if (!isReadable) {
+                fail(http::error::bad_transfer_encoding);
+            }
+            co_return isReadable;
         }
         m_progress = ExchangeProgress::Acknowledged;
         if (m_acknowledged) {
--- a/src/net/httpclient_test.cpp
+++ b/src/net/httpclient_test.cpp
@@ -327,6 +327,35 @@
     }
 }
 
+// Guards against a body that is passed on encoded, while the field that names its coding is not passed on.
+BOOST_AUTO_TEST_CASE(exchange_answerWithACodingOtherThanChunks_isMalformed)
+{
+    for (const char *fields : {"Transfer-Encoding: gzip\r\n",
+                               "Transfer-Encoding: gzip, chunked\r\n",
+                               "Transfer-Encoding: chunked, gzip\r\n",
+                               "Transfer-Encoding: chunked, chunked\r\n",
+                               "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                               "Transfer-Encoding: gzip\r\nContent-Length: 12\r\n",
+                               "Transfer-Encoding:\r\n"}) {
+        ExchangeFixture fixture;
+        fixture.answer(std::string("HTTP/1.1 200 OK\r\n") + fields + "\r\n2\r\nok\r\n0\r\n\r\n");
+        fixture.server.shutdown(net::tcp::socket::shutdown_send);
+        fixture.waitForEnd();
+        BOOST_TEST_CONTEXT(fields)
+        {
+            BOOST_TEST(!fixture.isComplete());
+            BOOST_TEST((fixture.exchange.failure() == net::ExchangeFailure::Malformed));
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(exchange_answerInChunks_isComplete, ExchangeFixture)
+{
+    answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    BOOST_TEST(isComplete());
+    BOOST_TEST(exchange.body() == "ok");
+}
+
 // A faulty backend server sends a trailer field after its answer that is longer than Beast can count, and Beast throws.
 // Guards against an exception that ends the node, and with it the requests of all its callers.
 BOOST_FIXTURE_TEST_CASE(exchange_trailerLongerThanTheLibrarySupports_fails, ExchangeFixture)
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -58,6 +58,12 @@
     }
 }
 
+bool hasNoCodingButChunks(const http::fields &fields)
+{
+    const auto codings = fields.count(http::field::transfer_encoding);
+    return codings == 0 || (codings == 1 && beast::iequals(fields[http::field::transfer_encoding], "chunked"));
+}
+
 void setLength(http::response<http::string_body> &answer, bool isAnswerToHead)
 {
     if (!mayHaveLength(answer.result_int())) {
@@ -84,7 +90,7 @@
     if (lengths == 1 && isNotNumber) {
         return base::ResultCode::RequestAmbiguousLength;
     }
-    if (encodings == 1 && !beast::iequals(head[http::field::transfer_encoding], "chunked")) {
+    if (!hasNoCodingButChunks(head)) {
         return base::ResultCode::RequestAmbiguousLength;
     }
     if (head.version() != 11 && head.version() != 10) {
--- a/testsuite/broken-answers/run.py
+++ b/testsuite/broken-answers/run.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Backend servers break their answers: they reset the connection during a long upload, or send fields without a valid name."""
+"""Backend servers break their answers: they reset the connection during a long upload, or send invalid fields."""
 import fcntl
 import http.client
 import json
@@ -128,7 +128,7 @@
     entry = ADDRESSES[1]
 
 
-class InvalidFieldNamesTest(OperatorsPlatformCase):
+class InvalidHeadsTest(OperatorsPlatformCase):
     def check_broken(self, line):
         """Lets each server add `line` to the heads of its answers."""
         answered = []
@@ -164,6 +164,10 @@
     def test_controlByteBehindTheNameOfACoding_isABrokenAnswer(self):
         self.check_broken(b"Transfer-Encoding\x0b: chunked")
 
+    # Guards against an encoded body that is passed on without the field that names its coding.
+    def test_codingOtherThanChunks_isABrokenAnswer(self):
+        self.check_broken(b"Transfer-Encoding: squash")
+
 
 if __name__ == "__main__":
     unittest.main()
